--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,179 @@
+// Package config holds the configuration of services: the documents as the
+// store keeps them, their validation, and the immutable snapshots that the
+// request path reads.
+package config
+
+import (
+	"fmt"
+	"time"
+)
+
+// ServicesPrefix is the key prefix of service documents.
+const ServicesPrefix = "briarstand/services/"
+
+// AcceptedPrefix is the key prefix of the marks of accepted revisions.
+const AcceptedPrefix = "briarstand/accepted/"
+
+// AuditPrefix is the key prefix of archived audit records.
+const AuditPrefix = "briarstand/audit/"
+
+// Service is the configuration of one service at one revision.
+// Values reachable from a Service are never modified after it was published.
+type Service struct {
+	Name string `json:"name"`
+	// Revision is the store's index of the write. It is not part of the stored
+	// document; readers fill it in from the entry.
+	Revision int64  `json:"revision,omitempty"`
+	ChangeID string `json:"change_id"`
+	// Deleted marks a tombstone. A deleted service keeps its key, so that an
+	// older document can never be taken for the current one.
+	Deleted  bool           `json:"deleted,omitempty"`
+	Backends []Backend      `json:"backends,omitempty"`
+	Versions []IndexVersion `json:"index_versions,omitempty"`
+	Policy   Policy         `json:"policy"`
+	Audit    []AuditRecord  `json:"audit,omitempty"`
+}
+
+// Backend is a backend server that serves shards of a service.
+type Backend struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Region  string `json:"region,omitempty"`
+	// Slots is how many sub-requests the backend server runs at once.
+	Slots int `json:"slots"`
+	// MaxConnections is how many connections it accepts in all.
+	MaxConnections int  `json:"max_connections"`
+	Draining       bool `json:"draining,omitempty"`
+}
+
+// IndexVersion is one version of the index with its shard map.
+type IndexVersion struct {
+	Name string `json:"name"`
+	// Sequence grows with each version; the highest is the newest.
+	Sequence int64 `json:"sequence"`
+	// Shards lists, for each shard, the ids of the backend servers that hold it.
+	Shards [][]string `json:"shards"`
+}
+
+// Preference says what a service gives up last when an answer cannot be both
+// timely and complete.
+type Preference string
+
+// Preferences of a service.
+const (
+	PreferLatency  Preference = "latency"
+	PreferCoverage Preference = "coverage"
+)
+
+// ReplicaChoice names the rule by which a replica is chosen.
+type ReplicaChoice string
+
+// Rules of replica choice.
+const (
+	// ChoiceAdaptive is power of two choices over in-flight count and latency.
+	ChoiceAdaptive ReplicaChoice = "adaptive"
+	// ChoiceRandom is uniformly random, the baseline for measurements.
+	ChoiceRandom ReplicaChoice = "random"
+)
+
+// Priority orders requests at admission.
+type Priority int
+
+// Priorities of requests.
+const (
+	PriorityLow    Priority = 1
+	PriorityNormal Priority = 2
+	PriorityHigh   Priority = 3
+)
+
+// Policy holds the limits and deadlines of a service.
+type Policy struct {
+	// DeadlineMS is the longest time for a query, in milliseconds.
+	DeadlineMS int64 `json:"deadline_ms"`
+	// MaxConcurrent is how many queries run at once at one VM.
+	MaxConcurrent int `json:"max_concurrent"`
+	// MaxQueued is how many queries wait for admission at one VM.
+	MaxQueued int `json:"max_queued"`
+	// ExtraLoadPermille bounds hedges and retries, in parts per thousand of
+	// the sub-requests sent.
+	ExtraLoadPermille int `json:"extra_load_permille"`
+	// HedgePermille is the percentile of recent sub-request latency after which
+	// a hedge is sent, in parts per thousand; 0 switches hedging off.
+	HedgePermille int        `json:"hedge_permille"`
+	Preference    Preference `json:"preference"`
+	// MinCoveragePermille is the coverage below which an answer carries no
+	// hits, in parts per thousand.
+	MinCoveragePermille int           `json:"min_coverage_permille"`
+	DefaultLimit        int           `json:"default_limit"`
+	Priority            Priority      `json:"priority"`
+	ReplicaChoice       ReplicaChoice `json:"replica_choice"`
+}
+
+// Deadline returns the longest time for a query.
+func (p Policy) Deadline() time.Duration {
+	return time.Duration(p.DeadlineMS) * time.Millisecond
+}
+
+// DefaultPolicy returns the policy that fills in what an operator leaves out.
+func DefaultPolicy() Policy {
+	return Policy{
+		DeadlineMS:        250,
+		MaxConcurrent:     256,
+		MaxQueued:         256,
+		ExtraLoadPermille: 50,
+		HedgePermille:     950,
+		Preference:        PreferLatency,
+		DefaultLimit:      10,
+		Priority:          PriorityNormal,
+		ReplicaChoice:     ChoiceAdaptive,
+	}
+}
+
+// AuditRecord says who changed what, when and why.
+type AuditRecord struct {
+	ChangeID string `json:"change_id"`
+	// Revision is the revision that the change produced. It is 0 in the newest
+	// record of a stored document, because the store assigns it at the write.
+	Revision int64 `json:"revision,omitempty"`
+	// Base is the revision that the change was based on.
+	Base     int64     `json:"base"`
+	Time     time.Time `json:"time"`
+	Operator string    `json:"operator"`
+	Action   string    `json:"action"`
+	Reason   string    `json:"reason,omitempty"`
+	// Before and After are JSON of the changed fields.
+	Before string `json:"before,omitempty"`
+	After  string `json:"after,omitempty"`
+}
+
+// FieldError reports a field of a document with a value that is not allowed.
+type FieldError struct {
+	Field   string
+	Value   string
+	Allowed string
+}
+
+func (e *FieldError) Error() string {
+	return fmt.Sprintf("%s: %s is not allowed; allowed: %s", e.Field, e.Value, e.Allowed)
+}
+
+// Version returns the index version with the given name.
+func (s *Service) Version(name string) (*IndexVersion, bool) {
+	for i := range s.Versions {
+		if s.Versions[i].Name == name {
+			return &s.Versions[i], true
+		}
+	}
+	return nil, false
+}
+
+// Backend returns the backend server with the given id.
+func (s *Service) Backend(id string) (*Backend, bool) {
+	for i := range s.Backends {
+		if s.Backends[i].ID == id {
+			return &s.Backends[i], true
+		}
+	}
+	return nil, false
+}
