--- /dev/null
+++ b/config/command/command.go
@@ -0,0 +1,382 @@
+// Package command changes the configuration of services. Every change is one
+// compare-and-swap that writes the document together with its audit record,
+// and carries a change id by which it is recognised when it is repeated or
+// when the store's reply to it was lost.
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"reflect"
+	"strconv"
+	"time"
+	"unicode"
+
+	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/platform"
+)
+
+// Actions in audit records.
+const (
+	ActionCreate  = "create"
+	ActionUpdate  = "update"
+	ActionDelete  = "delete"
+	ActionDrain   = "drain"
+	ActionRestore = "restore"
+)
+
+const (
+	// maxAttempts bounds the swaps tried for one change. A swap of the newest
+	// document loses at most once to each change made at the same time.
+	maxAttempts = 32
+	// attemptDelay is added to the pause before each further attempt, up to
+	// maxAttemptDelay.
+	attemptDelay    = 5 * time.Millisecond
+	maxAttemptDelay = 100 * time.Millisecond
+
+	maxChangeIDBytes = 128
+	maxOperatorBytes = 256
+	maxReasonBytes   = 2048
+)
+
+// Change says who changes what and why.
+type Change struct {
+	// ID identifies the change. A call that is repeated with the same ID
+	// returns the result of the first and changes nothing.
+	ID       string
+	Operator string
+	Reason   string
+	// ExpectedRevision is the revision that the change is based on; 0 for
+	// Create. For Drain and Restore, 0 means the newest.
+	ExpectedRevision int64
+}
+
+// Commands changes the configuration. It is safe for concurrent use.
+type Commands struct {
+	store platform.Store
+	clock func() time.Time
+}
+
+// New returns the commands on a store. The clock stamps audit records.
+func New(store platform.Store, clock func() time.Time) *Commands {
+	return &Commands{store: store, clock: clock}
+}
+
+// edit is a change of one service.
+type edit struct {
+	service string
+	action  string
+	change  Change
+	// newest makes an expected revision of 0 stand for the newest.
+	newest bool
+	// apply returns the state after the change. It gets the newest document,
+	// which is nil if there never was one.
+	apply func(current *config.Service) (*config.Service, error)
+	// made tells whether an earlier state results from this same change.
+	made func(earlier *config.Service) bool
+}
+
+// Create adds a service. A service that was deleted can be created again.
+func (c *Commands) Create(ctx context.Context, svc *config.Service, change Change) (*config.Service, error) {
+	next, err := declared(svc)
+	if err != nil {
+		return nil, err
+	}
+	return c.run(ctx, edit{
+		service: next.Name, action: ActionCreate, change: change, made: sameSpec(next),
+		apply: func(current *config.Service) (*config.Service, error) {
+			if current != nil && !current.Deleted {
+				return nil, &ExistsError{Service: current.Name, Revision: current.Revision}
+			}
+			return next, nil
+		},
+	})
+}
+
+// Update replaces the declaration of a service.
+func (c *Commands) Update(ctx context.Context, svc *config.Service, change Change) (*config.Service, error) {
+	next, err := declared(svc)
+	if err != nil {
+		return nil, err
+	}
+	return c.run(ctx, edit{
+		service: next.Name, action: ActionUpdate, change: change, made: sameSpec(next),
+		apply: func(current *config.Service) (*config.Service, error) {
+			return next, requireLive(next.Name, current)
+		},
+	})
+}
+
+// Delete replaces the document of a service by a tombstone.
+func (c *Commands) Delete(ctx context.Context, name string, change Change) (*config.Service, error) {
+	return c.run(ctx, edit{
+		service: name, action: ActionDelete, change: change,
+		made: func(earlier *config.Service) bool { return earlier.Deleted },
+		apply: func(current *config.Service) (*config.Service, error) {
+			return &config.Service{Name: name, Deleted: true}, requireLive(name, current)
+		},
+	})
+}
+
+// Drain marks a backend server as draining, so that it receives no new work.
+func (c *Commands) Drain(ctx context.Context, service, backendID string, change Change) (*config.Service, error) {
+	return c.setDraining(ctx, service, backendID, ActionDrain, true, change)
+}
+
+// Restore ends the draining of a backend server.
+func (c *Commands) Restore(ctx context.Context, service, backendID string, change Change) (*config.Service, error) {
+	return c.setDraining(ctx, service, backendID, ActionRestore, false, change)
+}
+
+func (c *Commands) setDraining(ctx context.Context, service, backendID, action string, draining bool, change Change) (*config.Service, error) {
+	return c.run(ctx, edit{
+		service: service, action: action, change: change, newest: true,
+		made: func(earlier *config.Service) bool {
+			b, ok := earlier.Backend(backendID)
+			return ok && b.Draining == draining
+		},
+		apply: func(current *config.Service) (*config.Service, error) {
+			if err := requireLive(service, current); err != nil {
+				return nil, err
+			}
+			next := *current
+			next.Backends = append([]config.Backend(nil), current.Backends...)
+			b, ok := next.Backend(backendID)
+			if !ok {
+				return nil, &NotFoundError{Service: service, Backend: backendID, Revision: current.Revision}
+			}
+			b.Draining = draining
+			return &next, nil
+		},
+	})
+}
+
+// declared returns the normalized declaration, without the fields that only
+// the store and the commands fill in.
+func declared(svc *config.Service) (*config.Service, error) {
+	next := config.Normalize(svc)
+	next.Revision, next.ChangeID, next.Deleted = 0, "", false
+	next.Audit, next.ArchivedFrom = nil, 0
+	return next, config.Validate(next)
+}
+
+func sameSpec(next *config.Service) func(*config.Service) bool {
+	return func(earlier *config.Service) bool {
+		return !earlier.Deleted && earlier.Policy == next.Policy &&
+			equalLists(earlier.Backends, next.Backends) && equalLists(earlier.Versions, next.Versions)
+	}
+}
+
+func equalLists[T any](a, b []T) bool {
+	return len(a) == 0 && len(b) == 0 || reflect.DeepEqual(a, b)
+}
+
+func requireLive(name string, current *config.Service) error {
+	switch {
+	case current == nil:
+		return &NotFoundError{Service: name}
+	case current.Deleted:
+		return &NotFoundError{Service: name, Revision: current.Revision}
+	}
+	return nil
+}
+
+// run applies an edit to the newest document and swaps it in. After a lost
+// race or a lost reply it reads the document again: if the change is in the
+// audit trail, it took effect.
+func (c *Commands) run(ctx context.Context, e edit) (*config.Service, error) {
+	if err := e.validate(); err != nil {
+		return nil, err
+	}
+	// unknown is the lost reply of an earlier attempt. While it is set, the
+	// change may have taken effect and no error may claim that it did not.
+	var unknown *platform.UnknownResultError
+	for attempt := 1; ; attempt++ {
+		written, err := c.attempt(ctx, e)
+		if err == nil || !retried(err, e, attempt, &unknown) {
+			return written, settle(e, err, unknown)
+		}
+		if err := pause(ctx, attempt); err != nil {
+			return nil, settle(e, err, unknown)
+		}
+	}
+}
+
+// retried tells whether another attempt can help, and notes a lost reply.
+func retried(err error, e edit, attempt int, unknown **platform.UnknownResultError) bool {
+	if lost := (*platform.UnknownResultError)(nil); errors.As(err, &lost) {
+		*unknown = lost
+		return attempt < maxAttempts
+	}
+	// A lost swap is read again: it shows whether an earlier attempt took
+	// effect, and gives the newest revision for the error.
+	var raced *platform.ConflictError
+	return errors.As(err, &raced) && attempt < maxAttempts
+}
+
+// settle returns the error of a change. An error that does not decide whether
+// an earlier attempt took effect becomes the unknown result.
+func settle(e edit, err error, unknown *platform.UnknownResultError) error {
+	var raced *platform.ConflictError
+	switch {
+	case err == nil:
+		return nil
+	case unknown != nil && !decisive(err):
+		return &platform.UnknownResultError{Key: unknown.Key, Err: err}
+	case errors.As(err, &raced):
+		return &ConflictError{Service: e.service, Expected: e.change.ExpectedRevision, Actual: raced.Actual}
+	}
+	return err
+}
+
+// decisive tells whether an error proves that an earlier attempt did not take
+// effect. These errors come from a document that lacks the change id and whose
+// revision is above the one that the attempt was based on, so the attempt can
+// not take effect later either.
+func decisive(err error) bool {
+	var conflict *ConflictError
+	var exists *ExistsError
+	var notFound *NotFoundError
+	var reused *ReusedError
+	return errors.As(err, &conflict) || errors.As(err, &exists) || errors.As(err, &notFound) || errors.As(err, &reused)
+}
+
+func pause(ctx context.Context, attempt int) error {
+	timer := time.NewTimer(min(time.Duration(attempt)*attemptDelay, maxAttemptDelay))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return &platform.UnavailableError{Op: "change", Err: ctx.Err()}
+	}
+}
+
+// attempt reads the newest document and, unless it already has the change,
+// swaps in the next one.
+func (c *Commands) attempt(ctx context.Context, e edit) (*config.Service, error) {
+	current, err := c.read(ctx, e.service)
+	if err != nil {
+		return nil, err
+	}
+	if current != nil {
+		earlier, err := c.recognize(ctx, e, current)
+		if earlier != nil || err != nil {
+			return earlier, err
+		}
+	}
+	if err := e.checkRevision(current); err != nil {
+		return nil, err
+	}
+	next, err := e.apply(current)
+	if err != nil {
+		return nil, err
+	}
+	return c.swap(ctx, e, current, next)
+}
+
+// read returns the newest document, or nil if there never was one.
+func (c *Commands) read(ctx context.Context, name string) (*config.Service, error) {
+	entry, err := c.store.Get(ctx, config.ServiceKey(name))
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return config.Decode(entry)
+}
+
+func revisionOf(svc *config.Service) int64 {
+	if svc == nil {
+		return 0
+	}
+	return svc.Revision
+}
+
+func (e edit) checkRevision(current *config.Service) error {
+	expected := e.change.ExpectedRevision
+	if e.newest && expected == 0 {
+		return nil
+	}
+	if e.action == ActionCreate {
+		return nil // validate requires 0, and apply refuses a live service
+	}
+	if err := requireLive(e.service, current); err != nil {
+		return err
+	}
+	if current.Revision != expected {
+		return &ConflictError{Service: e.service, Expected: expected, Actual: current.Revision}
+	}
+	return nil
+}
+
+// swap writes the next document together with the audit record of the change.
+func (c *Commands) swap(ctx context.Context, e edit, current, next *config.Service) (*config.Service, error) {
+	record, err := c.record(e, current, next)
+	if err != nil {
+		return nil, err
+	}
+	doc := *next
+	doc.Name, doc.Revision, doc.ChangeID = e.service, 0, e.change.ID
+	value, err := c.fit(ctx, &doc, current, record)
+	if err != nil {
+		return nil, err
+	}
+	entry, err := c.store.CompareAndSwap(ctx, config.ServiceKey(e.service), revisionOf(current), value)
+	if err != nil {
+		return nil, err
+	}
+	return config.Decode(entry)
+}
+
+func (c *Commands) record(e edit, current, next *config.Service) (config.AuditRecord, error) {
+	before, after, err := config.Diff(current, next)
+	if err != nil {
+		return config.AuditRecord{}, fmt.Errorf("service %s: compare: %w", e.service, err)
+	}
+	return config.AuditRecord{
+		ChangeID: e.change.ID, Base: revisionOf(current), Time: c.clock().UTC(), Operator: e.change.Operator,
+		Action: e.action, Reason: e.change.Reason, Before: before, After: after,
+	}, nil
+}
+
+// validate checks the fields of the change.
+func (e edit) validate() error {
+	if err := config.ValidateName(e.service); err != nil {
+		return err
+	}
+	var fields []*config.FieldError
+	text := func(field, value string, minBytes, maxBytes int) {
+		if len(value) < minBytes || len(value) > maxBytes || !printable(value) {
+			fields = append(fields, &config.FieldError{
+				Field: field, Value: fmt.Sprintf("%.40q", value),
+				Allowed: fmt.Sprintf("%d to %d bytes of printable text", minBytes, maxBytes),
+			})
+		}
+	}
+	text("change.change_id", e.change.ID, 1, maxChangeIDBytes)
+	text("change.operator", e.change.Operator, 1, maxOperatorBytes)
+	text("change.reason", e.change.Reason, 0, maxReasonBytes)
+	if r := e.change.ExpectedRevision; r < 0 || (r != 0 && e.action == ActionCreate) {
+		allowed := "the revision that the change is based on"
+		if e.action == ActionCreate {
+			allowed = "0, because a creation is based on no revision"
+		}
+		fields = append(fields, &config.FieldError{Field: "change.expected_revision", Value: strconv.FormatInt(r, 10), Allowed: allowed})
+	}
+	if len(fields) > 0 {
+		return &config.ValidationError{Service: e.service, Fields: fields}
+	}
+	return nil
+}
+
+func printable(text string) bool {
+	for _, r := range text {
+		if r == unicode.ReplacementChar || (!unicode.IsPrint(r) && r != '\n' && r != '\t') {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/config/command/errors.go
@@ -0,0 +1,49 @@
+package command
+
+import (
+	"fmt"
+
+	"github.com/briarstand/briarstand/config"
+)
+
+// NotFoundError reports a service or a backend server that does not exist.
+type NotFoundError = config.NotFoundError
+
+// ConflictError reports a change that was based on a revision which is not the
+// newest any more. The change did not take effect.
+type ConflictError struct {
+	Service  string
+	Expected int64
+	// Actual is the newest revision; 0 if the service does not exist.
+	Actual int64
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("service %s is at revision %d, the change expects revision %d; read the service again, re-apply the change and send it with the newest revision",
+		e.Service, e.Actual, e.Expected)
+}
+
+// ExistsError reports the creation of a service that exists.
+type ExistsError struct {
+	Service  string
+	Revision int64
+}
+
+func (e *ExistsError) Error() string {
+	return fmt.Sprintf("service %s already exists at revision %d; update it instead", e.Service, e.Revision)
+}
+
+// ReusedError reports a change id that an earlier, different change of the
+// service has. The change did not take effect.
+type ReusedError struct {
+	Service  string
+	ChangeID string
+	// Action and Revision are those of the earlier change.
+	Action   string
+	Revision int64
+}
+
+func (e *ReusedError) Error() string {
+	return fmt.Sprintf("service %s: change id %s belongs to a different change (%s at revision %d); use a new change id",
+		e.Service, e.ChangeID, e.Action, e.Revision)
+}
--- /dev/null
+++ b/config/command/trail.go
@@ -0,0 +1,181 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/platform"
+)
+
+const (
+	// maxEmbedded is how many audit records a document holds.
+	maxEmbedded = 64
+	// minSearched is how many of the newest records are searched for a change
+	// id at least, if there are as many.
+	minSearched = 64
+	// maxChunks bounds the archived chunks read to find one change id.
+	maxChunks = 16
+)
+
+// recognize returns the result of the change if it took effect before, or nil.
+func (c *Commands) recognize(ctx context.Context, e edit, current *config.Service) (*config.Service, error) {
+	newer, record, err := c.find(ctx, current, e.change)
+	if record == nil || err != nil {
+		return nil, err
+	}
+	earlier, err := stateAt(current, newer, *record)
+	if err != nil {
+		return nil, &config.DocumentError{Key: config.ServiceKey(e.service), Index: current.Revision, Err: err}
+	}
+	if record.Action != e.action || !e.made(earlier) {
+		return nil, &ReusedError{Service: e.service, ChangeID: e.change.ID, Action: record.Action, Revision: record.Revision}
+	}
+	return earlier, nil
+}
+
+// find looks for a change id in the audit trail, from the newest record back,
+// until all records that can hold it were seen. It returns the record, and the
+// newer ones with the newest first.
+func (c *Commands) find(ctx context.Context, current *config.Service, change Change) ([]config.AuditRecord, *config.AuditRecord, error) {
+	var newer []config.AuditRecord
+	records, previous := current.Audit, current.ArchivedFrom
+	for chunks := 0; ; chunks++ {
+		for i := len(records) - 1; i >= 0; i-- {
+			if records[i].ChangeID == change.ID {
+				return newer, &records[i], nil
+			}
+			newer = append(newer, records[i])
+		}
+		if previous == 0 || chunks == maxChunks || searched(newer, change) {
+			return nil, nil, nil
+		}
+		chunk, err := c.chunk(ctx, current.Name, previous)
+		if err != nil {
+			return nil, nil, err
+		}
+		records, previous = chunk.Records, chunk.Previous
+	}
+}
+
+// searched tells whether older records need not be searched: a change that is
+// based on a revision can only be newer than that.
+func searched(seen []config.AuditRecord, change Change) bool {
+	if len(seen) < minSearched {
+		return false
+	}
+	return change.ExpectedRevision == 0 || seen[len(seen)-1].Revision <= change.ExpectedRevision
+}
+
+// stateAt returns a service as an earlier change left it, by undoing the newer
+// changes, the newest first.
+func stateAt(current *config.Service, newer []config.AuditRecord, record config.AuditRecord) (*config.Service, error) {
+	state := current
+	for _, r := range newer {
+		older, err := config.Rewind(state, r)
+		if err != nil {
+			return nil, err
+		}
+		state = older
+	}
+	earlier := *state
+	earlier.Revision, earlier.ChangeID = record.Revision, record.ChangeID
+	earlier.Audit, earlier.ArchivedFrom = nil, 0
+	for i, r := range current.Audit {
+		if r.Revision <= record.Revision {
+			earlier.Audit, earlier.ArchivedFrom = current.Audit[:i+1], current.ArchivedFrom
+		}
+	}
+	return &earlier, nil
+}
+
+func (c *Commands) chunk(ctx context.Context, service string, oldest int64) (*config.AuditChunk, error) {
+	entry, err := c.store.Get(ctx, config.AuditKey(service, oldest))
+	if err != nil {
+		if errors.Is(err, platform.ErrNotFound) {
+			return nil, &config.DocumentError{Key: config.AuditKey(service, oldest), Err: err}
+		}
+		return nil, err
+	}
+	return config.DecodeChunk(entry)
+}
+
+// fit puts the audit trail into the next document and returns its encoding. It
+// first archives older records when there are too many, and all of them when
+// the document would be too large.
+func (c *Commands) fit(ctx context.Context, next, current *config.Service, record config.AuditRecord) ([]byte, error) {
+	var trail []config.AuditRecord
+	if current != nil {
+		trail, next.ArchivedFrom = current.Audit, current.ArchivedFrom
+	}
+	for {
+		value, err := encodeWith(next, trail, record)
+		var tooLarge *config.FieldError
+		full := errors.As(err, &tooLarge) && len(trail) > 0
+		if !full && (err != nil || len(trail) < maxEmbedded) {
+			return value, err
+		}
+		archived, err := c.archive(ctx, next, trail)
+		if err != nil {
+			return nil, err
+		}
+		next.ArchivedFrom = trail[0].Revision
+		trail = trail[archived:]
+	}
+}
+
+func encodeWith(next *config.Service, trail []config.AuditRecord, record config.AuditRecord) ([]byte, error) {
+	next.Audit = append(append(make([]config.AuditRecord, 0, len(trail)+1), trail...), record)
+	return config.Encode(next)
+}
+
+// archive writes the older half of the trail as a chunk, create-only, and
+// returns how many records the chunk holds. If an earlier attempt wrote the
+// chunk, that one counts: it may hold fewer records than this one would.
+func (c *Commands) archive(ctx context.Context, doc *config.Service, trail []config.AuditRecord) (int, error) {
+	chunk := &config.AuditChunk{
+		Service: doc.Name, Previous: doc.ArchivedFrom, Records: trail[:(len(trail)+1)/2],
+	}
+	value, err := config.EncodeChunk(chunk)
+	if err != nil {
+		return 0, err
+	}
+	key := config.AuditKey(doc.Name, trail[0].Revision)
+	_, err = c.store.CompareAndSwap(ctx, key, 0, value)
+	if err == nil {
+		return len(chunk.Records), nil
+	}
+	if !maybeWritten(err) {
+		return 0, err
+	}
+	stored, readErr := c.chunk(ctx, doc.Name, trail[0].Revision)
+	if readErr != nil {
+		// The change itself was not sent yet, so its result is known.
+		return 0, &platform.UnavailableError{Op: "archive " + key, Err: readErr}
+	}
+	return checkArchived(key, stored, chunk, trail)
+}
+
+func maybeWritten(err error) bool {
+	var raced *platform.ConflictError
+	var lost *platform.UnknownResultError
+	return errors.As(err, &raced) || errors.As(err, &lost)
+}
+
+// checkArchived makes sure that a stored chunk holds the oldest records of the
+// trail, which may then be dropped from the document.
+func checkArchived(key string, stored, wanted *config.AuditChunk, trail []config.AuditRecord) (int, error) {
+	bad := func(reason string) (int, error) {
+		return 0, &config.DocumentError{Key: key, Err: fmt.Errorf("archived audit records: %s", reason)}
+	}
+	if stored.Previous != wanted.Previous || len(stored.Records) > len(trail) {
+		return bad("the chunk belongs to another trail")
+	}
+	for i, r := range stored.Records {
+		if r.ChangeID != trail[i].ChangeID || r.Revision != trail[i].Revision {
+			return bad(fmt.Sprintf("record %d is change %s, the document has %s", i, r.ChangeID, trail[i].ChangeID))
+		}
+	}
+	return len(stored.Records), nil
+}
--- a/config/config.go
+++ b/config/config.go
@@ -31,7 +31,11 @@
 	Backends []Backend      `json:"backends,omitempty"`
 	Versions []IndexVersion `json:"index_versions,omitempty"`
 	Policy   Policy         `json:"policy"`
-	Audit    []AuditRecord  `json:"audit,omitempty"`
+	// Audit holds the most recent audit records, the oldest first.
+	Audit []AuditRecord `json:"audit,omitempty"`
+	// ArchivedFrom is the revision in the key of the newest archived audit
+	// chunk; 0 if no records were archived.
+	ArchivedFrom int64 `json:"archived_from,omitempty"`
 }
 
 // Backend is a backend server that serves shards of a service.
--- /dev/null
+++ b/config/query/query.go
@@ -0,0 +1,126 @@
+// Package query reads the configuration of services and its audit trail from
+// the store.
+package query
+
+import (
+	"context"
+	"errors"
+	"sort"
+
+	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/platform"
+)
+
+// NotFoundError reports a service that does not exist.
+type NotFoundError = config.NotFoundError
+
+// Limits of the audit records that one call returns.
+const (
+	DefaultAuditLimit = 100
+	MaxAuditLimit     = 10_000
+)
+
+// Queries reads the configuration. It is safe for concurrent use.
+type Queries struct {
+	store platform.Store
+}
+
+// New returns the queries on a store.
+func New(store platform.Store) *Queries { return &Queries{store: store} }
+
+// Get returns the newest document of a service, or a *NotFoundError, which
+// carries the revision of the tombstone if the service was deleted.
+func (q *Queries) Get(ctx context.Context, name string) (*config.Service, error) {
+	svc, err := q.document(ctx, name)
+	if err != nil {
+		return nil, err
+	}
+	if svc.Deleted {
+		return nil, &NotFoundError{Service: name, Revision: svc.Revision}
+	}
+	return svc, nil
+}
+
+// document returns the newest document of a service, also a tombstone.
+func (q *Queries) document(ctx context.Context, name string) (*config.Service, error) {
+	if err := config.ValidateName(name); err != nil {
+		return nil, err
+	}
+	entry, err := q.store.Get(ctx, config.ServiceKey(name))
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, &NotFoundError{Service: name}
+	}
+	if err != nil {
+		return nil, err
+	}
+	return config.Decode(entry)
+}
+
+// Revision returns the newest recorded revision of a service, also of one that
+// was deleted.
+func (q *Queries) Revision(ctx context.Context, name string) (int64, error) {
+	svc, err := q.document(ctx, name)
+	if err != nil {
+		return 0, err
+	}
+	return svc.Revision, nil
+}
+
+// List returns all services that are not deleted, ordered by name, and an error
+// for each document that is corrupt.
+func (q *Queries) List(ctx context.Context) ([]*config.Service, []*config.DocumentError, error) {
+	listing, err := q.store.List(ctx, config.ServicesPrefix)
+	if err != nil {
+		return nil, nil, err
+	}
+	all, corrupt := config.DecodeListing(listing)
+	live := all[:0]
+	for _, svc := range all {
+		if !svc.Deleted {
+			live = append(live, svc)
+		}
+	}
+	sort.Slice(live, func(i, j int) bool { return live[i].Name < live[j].Name })
+	return live, corrupt, nil
+}
+
+// Audit returns the audit records of a service, also of one that was deleted,
+// the newest first. A limit of 0 means DefaultAuditLimit; at most
+// MaxAuditLimit records are returned.
+func (q *Queries) Audit(ctx context.Context, name string, limit int) ([]config.AuditRecord, error) {
+	if limit <= 0 {
+		limit = DefaultAuditLimit
+	}
+	limit = min(limit, MaxAuditLimit)
+	svc, err := q.document(ctx, name)
+	if err != nil {
+		return nil, err
+	}
+	var found []config.AuditRecord
+	records, previous := svc.Audit, svc.ArchivedFrom
+	for {
+		for i := len(records) - 1; i >= 0 && len(found) < limit; i-- {
+			found = append(found, records[i])
+		}
+		if previous == 0 || len(found) == limit {
+			return found, nil
+		}
+		chunk, err := q.chunk(ctx, name, previous)
+		if err != nil {
+			return nil, err
+		}
+		records, previous = chunk.Records, chunk.Previous
+	}
+}
+
+func (q *Queries) chunk(ctx context.Context, name string, oldest int64) (*config.AuditChunk, error) {
+	key := config.AuditKey(name, oldest)
+	entry, err := q.store.Get(ctx, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, &config.DocumentError{Key: key, Err: err}
+	}
+	if err != nil {
+		return nil, err
+	}
+	return config.DecodeChunk(entry)
+}
--- /dev/null
+++ b/config/validate.go
@@ -0,0 +1,216 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+	"sort"
+	"strconv"
+	"time"
+)
+
+// Bounds of the fields of a document. The upper bounds keep typing errors out;
+// they are far above the target size.
+const (
+	maxServiceNameBytes = 64
+	maxNameBytes        = 128
+	maxDeadline         = 10 * time.Minute
+	maxSlots            = 100_000
+	maxConnections      = 1_000_000
+	maxConcurrent       = 1_000_000
+	maxQueued           = 1_000_000
+	maxDefaultLimit     = 100_000
+	permilles           = 1000
+)
+
+// validation collects the fields that are not allowed.
+type validation struct {
+	fields []*FieldError
+}
+
+func (v *validation) bad(field, value, allowed string) {
+	v.fields = append(v.fields, &FieldError{Field: field, Value: value, Allowed: allowed})
+}
+
+func (v *validation) err(service string) error {
+	if len(v.fields) == 0 {
+		return nil
+	}
+	return &ValidationError{Service: service, Fields: v.fields}
+}
+
+func (v *validation) between(field string, value, low, high int64) {
+	if value < low || value > high {
+		v.bad(field, strconv.FormatInt(value, 10), fmt.Sprintf("%d to %d", low, high))
+	}
+}
+
+func (v *validation) name(field, value string, maxBytes int) {
+	if !validName(value, maxBytes) {
+		v.bad(field, clip(value), fmt.Sprintf("1 to %d letters, digits, '.', '_', ':' or '-', the first a letter or digit", maxBytes))
+	}
+}
+
+// address accepts an IP number and a port, because processes are addressed by
+// IP number and never through a name service.
+func (v *validation) address(field, value string) {
+	addr, err := netip.ParseAddrPort(value)
+	if err != nil || addr.Port() == 0 || addr.Addr().IsUnspecified() || addr.Addr().Zone() != "" {
+		v.bad(field, clip(value), "an IP number and a port, such as 10.0.0.7:9000 or [2001:db8::7]:9000")
+	}
+}
+
+// clip quotes a value and cuts it to a length that fits a message.
+func clip(value string) string {
+	if len(value) > maxNameBytes {
+		value = value[:maxNameBytes] + "..."
+	}
+	return strconv.Quote(value)
+}
+
+// ValidName reports whether a service may have this name. A name that is not
+// valid must not become part of a key.
+func ValidName(name string) bool { return validName(name, maxServiceNameBytes) }
+
+func validName(name string, maxBytes int) bool {
+	if name == "" || len(name) > maxBytes || !isAlphanumeric(name[0]) {
+		return false
+	}
+	for i := 0; i < len(name); i++ {
+		c := name[i]
+		if !isAlphanumeric(c) && c != '.' && c != '_' && c != ':' && c != '-' {
+			return false
+		}
+	}
+	return true
+}
+
+func isAlphanumeric(c byte) bool {
+	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+}
+
+// ValidateName returns a *ValidationError unless a service may have this name.
+func ValidateName(name string) error {
+	var v validation
+	v.name("name", name, maxServiceNameBytes)
+	return v.err(clip(name))
+}
+
+// Validate returns a *ValidationError that names every field of the document
+// with a value that is not allowed. The size of the document is checked by
+// Encode.
+func Validate(s *Service) error {
+	var v validation
+	v.name("name", s.Name, maxServiceNameBytes)
+	known := v.backends(s.Backends)
+	v.versions(s.Versions, known)
+	v.policy(s.Policy)
+	return v.err(s.Name)
+}
+
+func (v *validation) backends(backends []Backend) map[string]bool {
+	known := make(map[string]bool, len(backends))
+	for i := range backends {
+		b := &backends[i]
+		field := fmt.Sprintf("backends[%d].", i)
+		v.name(field+"id", b.ID, maxNameBytes)
+		if known[b.ID] {
+			v.bad(field+"id", clip(b.ID), "an id that no other backend server of the service has")
+		}
+		known[b.ID] = true
+		v.address(field+"address", b.Address)
+		v.name(field+"zone", b.Zone, maxNameBytes)
+		if b.Region != "" {
+			v.name(field+"region", b.Region, maxNameBytes)
+		}
+		v.between(field+"slots", int64(b.Slots), 1, maxSlots)
+		v.between(field+"max_connections", int64(b.MaxConnections), 1, maxConnections)
+	}
+	return known
+}
+
+func (v *validation) versions(versions []IndexVersion, known map[string]bool) {
+	names := make(map[string]bool, len(versions))
+	sequences := make(map[int64]bool, len(versions))
+	for i := range versions {
+		iv := &versions[i]
+		field := fmt.Sprintf("index_versions[%d].", i)
+		v.name(field+"name", iv.Name, maxNameBytes)
+		if names[iv.Name] {
+			v.bad(field+"name", clip(iv.Name), "a name that no other index version of the service has")
+		}
+		if iv.Sequence <= 0 || sequences[iv.Sequence] {
+			v.bad(field+"sequence", strconv.FormatInt(iv.Sequence, 10), "a positive number that no other index version of the service has")
+		}
+		names[iv.Name], sequences[iv.Sequence] = true, true
+		if len(iv.Shards) == 0 {
+			v.bad(field+"shards", "no shards", "at least one shard")
+		}
+		for shard, replicas := range iv.Shards {
+			v.replicas(fmt.Sprintf("%sshards[%d]", field, shard), replicas, known)
+		}
+	}
+}
+
+func (v *validation) replicas(field string, ids []string, known map[string]bool) {
+	if len(ids) == 0 {
+		v.bad(field, "no backend server", "at least one backend server")
+	}
+	for i, id := range ids {
+		if !known[id] {
+			v.bad(field, clip(id), "ids of backend servers of the service")
+		}
+		for _, other := range ids[:i] {
+			if other == id {
+				v.bad(field, clip(id)+" twice", "each backend server once")
+			}
+		}
+	}
+}
+
+func (v *validation) policy(p Policy) {
+	v.between("policy.deadline_ms", p.DeadlineMS, 1, maxDeadline.Milliseconds())
+	v.between("policy.max_concurrent", int64(p.MaxConcurrent), 1, maxConcurrent)
+	v.between("policy.max_queued", int64(p.MaxQueued), 0, maxQueued)
+	v.between("policy.extra_load_permille", int64(p.ExtraLoadPermille), 0, permilles)
+	v.between("policy.hedge_permille", int64(p.HedgePermille), 0, permilles-1)
+	v.between("policy.min_coverage_permille", int64(p.MinCoveragePermille), 0, permilles)
+	v.between("policy.default_limit", int64(p.DefaultLimit), 1, maxDefaultLimit)
+	v.between("policy.priority", int64(p.Priority), int64(PriorityLow), int64(PriorityHigh))
+	if p.Preference != PreferLatency && p.Preference != PreferCoverage {
+		v.bad("policy.preference", clip(string(p.Preference)), "latency or coverage")
+	}
+	if p.ReplicaChoice != ChoiceAdaptive && p.ReplicaChoice != ChoiceRandom {
+		v.bad("policy.replica_choice", clip(string(p.ReplicaChoice)), "adaptive or random")
+	}
+}
+
+// Normalize returns a copy with the defaults filled in, backend servers ordered
+// by id and index versions by sequence, so that equal declarations have equal
+// documents. An absent policy becomes DefaultPolicy; in a given one, only the
+// preference, the priority and the replica choice have defaults.
+func Normalize(s *Service) *Service {
+	c := *s
+	c.Policy = withDefaults(s.Policy)
+	c.Backends = append([]Backend(nil), s.Backends...)
+	sort.SliceStable(c.Backends, func(i, j int) bool { return c.Backends[i].ID < c.Backends[j].ID })
+	c.Versions = append([]IndexVersion(nil), s.Versions...)
+	sort.SliceStable(c.Versions, func(i, j int) bool { return c.Versions[i].Sequence < c.Versions[j].Sequence })
+	return &c
+}
+
+func withDefaults(p Policy) Policy {
+	defaults := DefaultPolicy()
+	if p == (Policy{}) {
+		return defaults
+	}
+	if p.Preference == "" {
+		p.Preference = defaults.Preference
+	}
+	if p.Priority == 0 {
+		p.Priority = defaults.Priority
+	}
+	if p.ReplicaChoice == "" {
+		p.ReplicaChoice = defaults.ReplicaChoice
+	}
+	return p
+}
--- /dev/null
+++ b/server/operatorapi/operatorapi.go
@@ -0,0 +1,280 @@
+// Package operatorapi serves the operator RPCs: changes and queries of the
+// configuration, the progress of rollouts, the audit trail and the VMs.
+package operatorapi
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/charmbracelet/log"
+
+	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/config/command"
+	"github.com/briarstand/briarstand/config/query"
+	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+	"github.com/briarstand/briarstand/gen/briarstand/v1/briarstandv1connect"
+)
+
+// Defaults of Config.
+const (
+	DefaultAcceptWait = 5 * time.Second
+	// DefaultMaxRequestBytes holds a declaration as large as a document may be.
+	DefaultMaxRequestBytes  = 2 << 20
+	DefaultMaxResponseBytes = 64 << 20
+	DefaultMaxConcurrent    = 64
+	// statusTime bounds the reading of a rollout's progress after a change.
+	statusTime = time.Second
+)
+
+// Rollouts drives changes from recorded to accepted.
+type Rollouts interface {
+	// Recorded starts the rollout of a change that this VM wrote.
+	Recorded(svc *config.Service)
+	// Status returns the progress of the rollout of a revision.
+	Status(ctx context.Context, service string, revision int64) (*briarstandv1.Rollout, error)
+	// Wait returns when the revision is accepted, or fails when ctx ends.
+	Wait(ctx context.Context, service string, revision int64) (*briarstandv1.Rollout, error)
+}
+
+// VMs lists the members as this VM knows them.
+type VMs interface {
+	ListVMs(ctx context.Context) ([]*briarstandv1.VM, error)
+}
+
+// Config holds what the handler works on and its settings.
+type Config struct {
+	Commands *command.Commands
+	Queries  *query.Queries
+	Rollouts Rollouts
+	VMs      VMs
+	// AcceptWait is how long a change waits for its acceptance. 0 means
+	// DefaultAcceptWait.
+	AcceptWait time.Duration
+	// MaxRequestBytes and MaxResponseBytes bound messages; 0 means the default.
+	MaxRequestBytes  int
+	MaxResponseBytes int
+	// MaxConcurrent bounds the requests that run at once; 0 means the default.
+	MaxConcurrent int
+	// Logger receives a line for each change. May be nil.
+	Logger *log.Logger
+}
+
+func (c *Config) setDefaults() {
+	if c.AcceptWait <= 0 {
+		c.AcceptWait = DefaultAcceptWait
+	}
+	if c.MaxRequestBytes <= 0 {
+		c.MaxRequestBytes = DefaultMaxRequestBytes
+	}
+	if c.MaxResponseBytes <= 0 {
+		c.MaxResponseBytes = DefaultMaxResponseBytes
+	}
+	if c.MaxConcurrent <= 0 {
+		c.MaxConcurrent = DefaultMaxConcurrent
+	}
+	if c.Logger == nil {
+		c.Logger = log.New(io.Discard)
+	}
+}
+
+// handler implements briarstandv1connect.OperatorServiceHandler.
+type handler struct {
+	cfg   Config
+	slots chan struct{}
+}
+
+var _ briarstandv1connect.OperatorServiceHandler = (*handler)(nil)
+
+// New returns the path of the operator RPCs and their handler, which serves
+// Connect, gRPC and HTTP with JSON.
+func New(cfg Config) (string, http.Handler) {
+	cfg.setDefaults()
+	h := &handler{cfg: cfg, slots: make(chan struct{}, cfg.MaxConcurrent)}
+	return briarstandv1connect.NewOperatorServiceHandler(h,
+		connect.WithReadMaxBytes(cfg.MaxRequestBytes),
+		connect.WithSendMaxBytes(cfg.MaxResponseBytes),
+		connect.WithInterceptors(connect.UnaryInterceptorFunc(h.intercept)),
+	)
+}
+
+// intercept bounds the requests that run at once and maps errors to codes.
+func (h *handler) intercept(next connect.UnaryFunc) connect.UnaryFunc {
+	return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+		select {
+		case h.slots <- struct{}{}:
+			defer func() { <-h.slots }()
+		default:
+			return nil, connectError(&BusyError{Limit: h.cfg.MaxConcurrent})
+		}
+		resp, err := next(ctx, req)
+		if err != nil {
+			mapped := connectError(err)
+			h.cfg.Logger.Warn("operator request failed", "procedure", req.Spec().Procedure, "code", mapped.Code(), "err", err)
+			return nil, mapped
+		}
+		return resp, nil
+	}
+}
+
+// CreateService adds a service.
+func (h *handler) CreateService(ctx context.Context, req *connect.Request[briarstandv1.CreateServiceRequest]) (*connect.Response[briarstandv1.ChangeResponse], error) {
+	svc, err := declared(req.Msg.GetName(), req.Msg.GetSpec())
+	if err != nil {
+		return nil, err
+	}
+	return h.change(ctx, req.Msg.GetChange(), func(ch command.Change) (*config.Service, error) {
+		return h.cfg.Commands.Create(ctx, svc, ch)
+	})
+}
+
+// UpdateService replaces the declaration of a service.
+func (h *handler) UpdateService(ctx context.Context, req *connect.Request[briarstandv1.UpdateServiceRequest]) (*connect.Response[briarstandv1.ChangeResponse], error) {
+	svc, err := declared(req.Msg.GetName(), req.Msg.GetSpec())
+	if err != nil {
+		return nil, err
+	}
+	return h.change(ctx, req.Msg.GetChange(), func(ch command.Change) (*config.Service, error) {
+		return h.cfg.Commands.Update(ctx, svc, ch)
+	})
+}
+
+// DeleteService deletes a service.
+func (h *handler) DeleteService(ctx context.Context, req *connect.Request[briarstandv1.DeleteServiceRequest]) (*connect.Response[briarstandv1.ChangeResponse], error) {
+	return h.change(ctx, req.Msg.GetChange(), func(ch command.Change) (*config.Service, error) {
+		return h.cfg.Commands.Delete(ctx, req.Msg.GetName(), ch)
+	})
+}
+
+// DrainBackend stops new work to a backend server.
+func (h *handler) DrainBackend(ctx context.Context, req *connect.Request[briarstandv1.DrainBackendRequest]) (*connect.Response[briarstandv1.ChangeResponse], error) {
+	return h.change(ctx, req.Msg.GetChange(), func(ch command.Change) (*config.Service, error) {
+		return h.cfg.Commands.Drain(ctx, req.Msg.GetService(), req.Msg.GetBackendId(), ch)
+	})
+}
+
+// RestoreBackend lets a backend server receive new work again.
+func (h *handler) RestoreBackend(ctx context.Context, req *connect.Request[briarstandv1.RestoreBackendRequest]) (*connect.Response[briarstandv1.ChangeResponse], error) {
+	return h.change(ctx, req.Msg.GetChange(), func(ch command.Change) (*config.Service, error) {
+		return h.cfg.Commands.Restore(ctx, req.Msg.GetService(), req.Msg.GetBackendId(), ch)
+	})
+}
+
+// declared converts a declaration. An absent one is refused, because it would
+// remove everything that the service has.
+func declared(name string, spec *briarstandv1.ServiceSpec) (*config.Service, error) {
+	if spec == nil {
+		return nil, &MissingFieldError{Field: "spec"}
+	}
+	return config.FromProto(&briarstandv1.Service{Name: name, Spec: spec})
+}
+
+// change runs a command and then waits a bounded time for its acceptance.
+func (h *handler) change(ctx context.Context, ch *briarstandv1.Change, run func(command.Change) (*config.Service, error)) (*connect.Response[briarstandv1.ChangeResponse], error) {
+	if ch == nil {
+		return nil, &MissingFieldError{Field: "change"}
+	}
+	svc, err := run(command.Change{
+		ID: ch.GetChangeId(), Operator: ch.GetOperator(), Reason: ch.GetReason(), ExpectedRevision: ch.GetExpectedRevision(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	h.cfg.Logger.Info("change recorded", "service", svc.Name, "revision", svc.Revision,
+		"change_id", svc.ChangeID, "operator", ch.GetOperator())
+	h.cfg.Rollouts.Recorded(svc)
+	return connect.NewResponse(&briarstandv1.ChangeResponse{
+		Service: config.ToProto(svc), Rollout: h.accepted(ctx, svc),
+	}), nil
+}
+
+// accepted waits for the acceptance of a change and returns the rollout as it
+// then stands. It never fails, because the change took effect.
+func (h *handler) accepted(ctx context.Context, svc *config.Service) *briarstandv1.Rollout {
+	waitCtx, cancel := context.WithTimeout(ctx, h.cfg.AcceptWait)
+	defer cancel()
+	rollout, err := h.cfg.Rollouts.Wait(waitCtx, svc.Name, svc.Revision)
+	if err == nil && rollout != nil {
+		return rollout
+	}
+	statusCtx, cancel := context.WithTimeout(ctx, statusTime)
+	defer cancel()
+	rollout, err = h.cfg.Rollouts.Status(statusCtx, svc.Name, svc.Revision)
+	if err == nil && rollout != nil {
+		return rollout
+	}
+	h.cfg.Logger.Warn("progress of the rollout is not known", "service", svc.Name, "revision", svc.Revision, "err", err)
+	return &briarstandv1.Rollout{
+		Service: svc.Name, Revision: svc.Revision, State: briarstandv1.RolloutState_ROLLOUT_STATE_RECORDED,
+	}
+}
+
+// GetService returns a service as recorded.
+func (h *handler) GetService(ctx context.Context, req *connect.Request[briarstandv1.GetServiceRequest]) (*connect.Response[briarstandv1.GetServiceResponse], error) {
+	svc, err := h.cfg.Queries.Get(ctx, req.Msg.GetName())
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&briarstandv1.GetServiceResponse{Service: config.ToProto(svc)}), nil
+}
+
+// ListServices returns all services as recorded. Corrupt documents are logged
+// and left out.
+func (h *handler) ListServices(ctx context.Context, _ *connect.Request[briarstandv1.ListServicesRequest]) (*connect.Response[briarstandv1.ListServicesResponse], error) {
+	services, corrupt, err := h.cfg.Queries.List(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for _, bad := range corrupt {
+		h.cfg.Logger.Error("left a corrupt document out of the list", "key", bad.Key, "index", bad.Index, "err", bad.Err)
+	}
+	resp := &briarstandv1.ListServicesResponse{}
+	for _, svc := range services {
+		resp.Services = append(resp.Services, config.ToProto(svc))
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// GetRollout returns the progress of a rollout.
+func (h *handler) GetRollout(ctx context.Context, req *connect.Request[briarstandv1.GetRolloutRequest]) (*connect.Response[briarstandv1.GetRolloutResponse], error) {
+	if err := config.ValidateName(req.Msg.GetService()); err != nil {
+		return nil, err
+	}
+	revision := req.Msg.GetRevision()
+	if revision <= 0 {
+		newest, err := h.cfg.Queries.Revision(ctx, req.Msg.GetService())
+		if err != nil {
+			return nil, err
+		}
+		revision = newest
+	}
+	rollout, err := h.cfg.Rollouts.Status(ctx, req.Msg.GetService(), revision)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&briarstandv1.GetRolloutResponse{Rollout: rollout}), nil
+}
+
+// ListAudit returns the audit records of a service, the newest first.
+func (h *handler) ListAudit(ctx context.Context, req *connect.Request[briarstandv1.ListAuditRequest]) (*connect.Response[briarstandv1.ListAuditResponse], error) {
+	records, err := h.cfg.Queries.Audit(ctx, req.Msg.GetService(), int(req.Msg.GetLimit()))
+	if err != nil {
+		return nil, err
+	}
+	resp := &briarstandv1.ListAuditResponse{}
+	for _, r := range records {
+		resp.Records = append(resp.Records, config.AuditToProto(r))
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// ListVMs returns the VMs as this one knows them.
+func (h *handler) ListVMs(ctx context.Context, _ *connect.Request[briarstandv1.ListVMsRequest]) (*connect.Response[briarstandv1.ListVMsResponse], error) {
+	vms, err := h.cfg.VMs.ListVMs(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&briarstandv1.ListVMsResponse{Vms: vms}), nil
+}
