Add types of the transport to backend servers

Cause: the query engine is written side by side with the transport and needs its types. Excluded: a zero Status that means OK, because a reply without a status would then pass as a success. Before: no package backend. Conclusion: the query engine can be built against fakes of Transport.

--- /dev/null
+++ b/backend/backend.go
@@ -0,0 +1,127 @@
+// Package backend carries sub-requests from a VM to backend servers and their
+// replies back, over one stream per backend server.
+package backend
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/briarstand/briarstand/config"
+	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+)
+
+// Status says how a sub-request ended. The zero value is not a valid status,
+// so that a Reply without one is never taken for a success.
+type Status int
+
+// Statuses of a sub-request.
+const (
+	// OK means that the reply carries the hits of the shard.
+	OK Status = iota + 1
+	// Shed means that the backend server refused for load.
+	Shed
+	// Draining means that the backend server is leaving: it refused, or it had
+	// announced it before the sub-request was written.
+	Draining
+	// VersionMissing means that the backend server lacks the index version or
+	// the shard.
+	VersionMissing
+	// Expired means that the deadline passed before the sub-request was written
+	// or before the backend server started it.
+	Expired
+	// Cancelled means that the sub-request was cancelled before it was written,
+	// or that the backend server says that it had not started.
+	Cancelled
+	// Unsent means that the sub-request was never written to the stream.
+	Unsent
+	// Failed means that the backend server reported a failure, or that no valid
+	// reply arrived in time. The sub-request may have run.
+	Failed
+	// StreamBroken means that the stream ended after the sub-request was
+	// written and before its reply arrived. The sub-request may have run.
+	StreamBroken
+)
+
+var statusNames = [...]string{
+	OK:             "ok",
+	Shed:           "shed",
+	Draining:       "draining",
+	VersionMissing: "version_missing",
+	Expired:        "expired",
+	Cancelled:      "cancelled",
+	Unsent:         "unsent",
+	Failed:         "failed",
+	StreamBroken:   "stream_broken",
+}
+
+// String returns the name of the status as used in metrics and logs.
+func (s Status) String() string {
+	if s < OK || int(s) >= len(statusNames) {
+		return fmt.Sprintf("status(%d)", int(s))
+	}
+	return statusNames[s]
+}
+
+// NotRun reports whether a sub-request with this status provably did not run.
+func (s Status) NotRun() bool {
+	switch s {
+	case Shed, Draining, VersionMissing, Expired, Cancelled, Unsent:
+		return true
+	}
+	return false
+}
+
+// Request is a sub-request for one shard. It must not be modified after Send,
+// and several Sends may share it.
+type Request struct {
+	Service, IndexVersion string
+	Shard                 int
+	Deadline              time.Time
+	Body                  []byte
+	// Limit is the most hits that the reply may carry.
+	Limit         int
+	NonIdempotent bool
+	// RequestID is the caller's request id or ticket, for the records of
+	// backend servers.
+	RequestID string
+}
+
+// Reply is the end of one sub-request.
+type Reply struct {
+	Status Status
+	// IndexVersion and Shard are what the backend server searched. They are set
+	// when Status is OK, and then equal those of the request.
+	IndexVersion string
+	Shard        int
+	Hits         []*briarstandv1.Hit
+	// Err is nil when Status is OK, and otherwise says why.
+	Err error
+}
+
+// Sink receives replies. Deliver is called exactly once for each Send, never
+// from within Send or Cancel, and must not block: replies of other queries
+// wait behind it.
+type Sink interface {
+	Deliver(tag int, r Reply)
+}
+
+// Call is a sub-request that was handed to a Transport.
+type Call interface {
+	// Cancel withdraws interest in the reply. It is idempotent. The sink still
+	// gets exactly one reply: Cancelled if the sub-request was not yet written
+	// (it then never is), StreamBroken or Failed if the reply does not come,
+	// or else what the backend server answers.
+	Cancel()
+}
+
+// Transport hands sub-requests to backend servers.
+type Transport interface {
+	// Send queues a sub-request. It never blocks.
+	Send(b *config.Backend, req *Request, tag int, sink Sink) Call
+	// Draining reports whether the backend server itself announced that it is
+	// leaving.
+	Draining(backendID string) bool
+	// Load returns the load that the backend server last reported, between 0
+	// and 1, and the age of the report. ok is false without a report.
+	Load(backendID string) (load float64, age time.Duration, ok bool)
+}
