Add the pool of streams to backend servers

Excluded: a Status call as handshake, because a misleading status endpoint would then keep a working backend server out; the first byte received serves instead. Before: types only. After: Pool with batching, cancellation, deadlines, draining, reconnects and silence detection; not yet tested.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -78,7 +78,7 @@
 	Shard                 int
 	Deadline              time.Time
 	Body                  []byte
-	// Limit is the most hits that the reply may carry.
+	// Limit is how many hits are wanted at most.
 	Limit         int
 	NonIdempotent bool
 	// RequestID is the caller's request id or ticket, for the records of
--- /dev/null
+++ b/backend/guard.go
@@ -0,0 +1,120 @@
+package backend
+
+import (
+	"encoding/binary"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// writeGuard keeps a message from reaching the network after the deadline of a
+// sub-request in it. The message carries the time left when it was built. If
+// the process is frozen or flow control holds the message back, the backend
+// server would take that time for still being left and run work that nobody
+// waits for. Breaking the stream is the only way to take the message back.
+type writeGuard struct {
+	now   func() int64
+	slack int64
+	// message is the earliest deadline in the message being sent, armed that of
+	// the bytes between the reading of the body and the end of their writing;
+	// 0 means none.
+	message, armed atomic.Int64
+	// onLate ends the session.
+	onLate func(error)
+}
+
+// check ends the session and returns an error if a deadline passed by more than
+// the slack.
+func (g *writeGuard) check(deadline int64) error {
+	if deadline == 0 {
+		return nil
+	}
+	late := g.now() - deadline
+	if late <= g.slack {
+		return nil
+	}
+	err := &StaleWriteError{Late: time.Duration(late)}
+	g.onLate(err)
+	return err
+}
+
+// guardedConn is the connection of a session. It reports the first byte
+// received, which proves that the backend server accepted the connection.
+type guardedConn struct {
+	net.Conn
+	guard *writeGuard
+	once  sync.Once
+	alive chan struct{}
+}
+
+func newGuardedConn(conn net.Conn, guard *writeGuard) *guardedConn {
+	return &guardedConn{Conn: conn, guard: guard, alive: make(chan struct{})}
+}
+
+func (c *guardedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.once.Do(func() { close(c.alive) })
+	}
+	return n, err
+}
+
+func (c *guardedConn) Write(p []byte) (int, error) {
+	if err := c.guard.check(c.guard.armed.Load()); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// guardedClient is the connect.HTTPClient of a session.
+type guardedClient struct {
+	transport *http.Transport
+	guard     *writeGuard
+}
+
+func (c *guardedClient) Do(req *http.Request) (*http.Response, error) {
+	req.Body = &guardedBody{ReadCloser: req.Body, guard: c.guard}
+	return c.transport.RoundTrip(req)
+}
+
+// grpcPrefixBytes is the length of the prefix of a gRPC message: a flag byte
+// and the length of the message as a 32-bit number.
+const grpcPrefixBytes = 5
+
+// guardedBody is the request body of the stream. It joins the prefix of a
+// message with the message, which are written to it separately, so that they
+// leave in one frame and one system call.
+type guardedBody struct {
+	io.ReadCloser
+	guard *writeGuard
+	left  int // bytes of the current message not yet read
+}
+
+// Read returns bytes of one message. The HTTP/2 transport calls it again only
+// after it has written and flushed the bytes of the last call.
+func (b *guardedBody) Read(p []byte) (int, error) {
+	b.guard.armed.Store(0)
+	n, err := b.ReadCloser.Read(p)
+	if err != nil || n == 0 {
+		return n, err
+	}
+	if b.left > 0 {
+		b.left = max(0, b.left-n)
+	} else if n >= grpcPrefixBytes {
+		b.left = max(0, int(binary.BigEndian.Uint32(p[1:]))-(n-grpcPrefixBytes))
+	}
+	for b.left > 0 && n < len(p) && err == nil {
+		var m int
+		m, err = b.ReadCloser.Read(p[n:])
+		n, b.left = n+m, max(0, b.left-m)
+	}
+	deadline := b.guard.message.Load()
+	if err := b.guard.check(deadline); err != nil {
+		return 0, err
+	}
+	b.guard.armed.Store(deadline)
+	return n, err
+}
--- /dev/null
+++ b/backend/pool.go
@@ -0,0 +1,388 @@
+package backend
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+
+	"github.com/briarstand/briarstand/config"
+)
+
+// MaxBatch is the most sub-requests in one message.
+const MaxBatch = 64
+
+// Defaults of PoolConfig.
+const (
+	DefaultMaxQueued       = 1024
+	DefaultMaxInFlight     = 4096
+	DefaultMaxBodyBytes    = 1 << 20
+	DefaultMaxReceiveBytes = 16 << 20
+	DefaultConnectTimeout  = 2 * time.Second
+	DefaultReplyGrace      = 50 * time.Millisecond
+	DefaultSilenceTimeout  = time.Second
+	DefaultPingInterval    = 5 * time.Second
+	DefaultPingTimeout     = 2 * time.Second
+	DefaultBackoffBase     = 50 * time.Millisecond
+	DefaultBackoffMax      = 5 * time.Second
+	DefaultTick            = 10 * time.Millisecond
+	DefaultUndeclaredGrace = time.Second
+)
+
+// PoolConfig configures a Pool. Zero fields take the defaults above.
+type PoolConfig struct {
+	// Dial opens the connection to a backend server; net.Dialer by default.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Random returns numbers in [0, 1) for the jitter of reconnects. It must be
+	// safe for concurrent use.
+	Random  func() float64
+	Logger  *log.Logger
+	Metrics *metrics.Set
+	// OnConnect is called after a stream to a backend server was opened. It must
+	// not block.
+	OnConnect func(backendID string)
+
+	// MaxQueued is how many sub-requests wait for being written on a stream.
+	MaxQueued int
+	// MaxInFlight is how many written sub-requests wait for replies on a stream.
+	MaxInFlight int
+	// MaxBodyBytes bounds the body of a sub-request, and the sum of the bodies
+	// in one message.
+	MaxBodyBytes int
+	// MaxReceiveBytes bounds a message from a backend server.
+	MaxReceiveBytes int
+
+	// ConnectTimeout is the longest time for opening a stream.
+	ConnectTimeout time.Duration
+	// ReplyGrace is how long after the deadline a reply is waited for, so that
+	// a refusal on its way still proves that the sub-request did not run. It is
+	// also how late a message may be written when the process was held up.
+	ReplyGrace time.Duration
+	// SilenceTimeout is how long a stream may carry no message at all, while
+	// replies are overdue, before it is broken.
+	SilenceTimeout time.Duration
+	// PingInterval is how long a connection is idle before a ping is sent;
+	// PingTimeout is how long its answer is waited for.
+	PingInterval, PingTimeout time.Duration
+	// BackoffBase and BackoffMax bound the wait before a reconnect.
+	BackoffBase, BackoffMax time.Duration
+	// Tick is the resolution of reply and queue deadlines.
+	Tick time.Duration
+	// UndeclaredGrace is how long the stream of a backend server that is no
+	// longer declared stays usable for queries bound to the old configuration.
+	UndeclaredGrace time.Duration
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func (c PoolConfig) withDefaults() PoolConfig {
+	if c.Dial == nil {
+		c.Dial = (&net.Dialer{KeepAlive: c.PingInterval}).DialContext
+	}
+	if c.Random == nil {
+		c.Random = rand.Float64
+	}
+	if c.Logger == nil {
+		c.Logger = log.New(io.Discard)
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewSet()
+	}
+	if c.OnConnect == nil {
+		c.OnConnect = func(string) {}
+	}
+	setDefault(&c.MaxQueued, DefaultMaxQueued)
+	setDefault(&c.MaxInFlight, DefaultMaxInFlight)
+	setDefault(&c.MaxBodyBytes, DefaultMaxBodyBytes)
+	setDefault(&c.MaxReceiveBytes, DefaultMaxReceiveBytes)
+	setDefault(&c.ConnectTimeout, DefaultConnectTimeout)
+	setDefault(&c.ReplyGrace, DefaultReplyGrace)
+	setDefault(&c.SilenceTimeout, DefaultSilenceTimeout)
+	setDefault(&c.PingInterval, DefaultPingInterval)
+	setDefault(&c.PingTimeout, DefaultPingTimeout)
+	setDefault(&c.BackoffBase, DefaultBackoffBase)
+	setDefault(&c.BackoffMax, DefaultBackoffMax)
+	setDefault(&c.Tick, DefaultTick)
+	setDefault(&c.UndeclaredGrace, DefaultUndeclaredGrace)
+	return c
+}
+
+// Pool is a Transport with one connection and one stream per backend server.
+// Streams are opened when Update declares a backend server, or at the first
+// Send to one.
+type Pool struct {
+	cfg      PoolConfig
+	epoch    time.Time // times are kept in nanoseconds since then
+	counters *counters
+	handoff  handoff
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	table   atomic.Pointer[table]
+	mu      sync.Mutex // serializes writers of table
+	closed  bool
+	updated bool
+}
+
+// streamKey identifies a stream. A backend server that is declared at another
+// address gets a new stream.
+type streamKey struct{ id, address string }
+
+// table is replaced as a whole, never modified.
+type table struct {
+	byKey map[streamKey]*stream
+	byID  map[string][]*stream
+}
+
+func newTable(byKey map[streamKey]*stream) *table {
+	t := &table{byKey: byKey, byID: make(map[string][]*stream, len(byKey))}
+	for key, s := range byKey {
+		t.byID[key.id] = append(t.byID[key.id], s)
+	}
+	return t
+}
+
+var _ Transport = (*Pool)(nil)
+
+// NewPool returns a Pool. It must be closed.
+func NewPool(cfg PoolConfig) *Pool {
+	p := &Pool{cfg: cfg.withDefaults(), epoch: time.Now()}
+	p.counters = newCounters(p.cfg.Metrics)
+	p.handoff.deliver = p.deliver
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	p.table.Store(newTable(nil))
+	p.wg.Go(p.sweepLoop)
+	return p
+}
+
+// now returns the time in nanoseconds since the pool was created.
+func (p *Pool) now() int64 { return int64(time.Since(p.epoch)) }
+
+func (p *Pool) deliver(c *call, r Reply) {
+	p.counters.replies[r.Status].Inc()
+	c.sink.Deliver(c.tag, r)
+}
+
+func (p *Pool) deliverAll(ended []ended) {
+	for i := range ended {
+		p.deliver(ended[i].call, ended[i].reply)
+		ended[i] = endedZero
+	}
+}
+
+// Send queues a sub-request for a backend server. It never blocks.
+func (p *Pool) Send(b *config.Backend, req *Request, tag int, sink Sink) Call {
+	c := &call{req: req, tag: tag, sink: sink, deadline: int64(req.Deadline.Sub(p.epoch))}
+	if len(req.Body) > p.cfg.MaxBodyBytes {
+		err := &TooLargeError{Backend: b.ID, Size: len(req.Body), Limit: p.cfg.MaxBodyBytes}
+		p.handoff.add(c, Reply{Status: Unsent, Err: err})
+		return c
+	}
+	for {
+		s := p.stream(b)
+		if s == nil {
+			p.handoff.add(c, Reply{Status: Unsent, Err: &UnavailableError{Backend: b.ID, Err: ErrClosed}})
+			return c
+		}
+		refusal, result := s.enqueue(c)
+		switch result {
+		case enqueueRefused:
+			p.handoff.add(c, refusal)
+			return c
+		case enqueueAccepted:
+			return c
+		}
+		p.forget(s)
+	}
+}
+
+// stream returns the stream to a backend server, opening one if there is none.
+// It returns nil when the pool is closed.
+func (p *Pool) stream(b *config.Backend) *stream {
+	key := streamKey{b.ID, b.Address}
+	if s, ok := p.table.Load().byKey[key]; ok {
+		return s
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil
+	}
+	old := p.table.Load().byKey
+	if s, ok := old[key]; ok {
+		return s
+	}
+	next := make(map[streamKey]*stream, len(old)+1)
+	for k, s := range old {
+		next[k] = s
+	}
+	s := p.open(key)
+	if p.updated {
+		s.undeclaredAt.Store(p.now())
+	}
+	next[key] = s
+	p.table.Store(newTable(next))
+	return s
+}
+
+func (p *Pool) open(key streamKey) *stream {
+	s := newStream(p, key)
+	p.wg.Go(s.run)
+	return s
+}
+
+// forget removes a stream that accepts no more sub-requests.
+func (p *Pool) forget(gone *stream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.table.Load().byKey
+	if old[gone.key] != gone {
+		return
+	}
+	next := make(map[streamKey]*stream, len(old))
+	for k, s := range old {
+		if s != gone {
+			next[k] = s
+		}
+	}
+	p.table.Store(newTable(next))
+}
+
+// Update opens streams to the backend servers that the snapshot declares and
+// closes the streams of all others, once their last sub-request has ended.
+func (p *Pool) Update(snapshot *config.Snapshot) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return
+	}
+	p.updated = true
+	declared := declaredKeys(snapshot)
+	next := make(map[streamKey]*stream, len(declared))
+	for key, s := range p.table.Load().byKey {
+		next[key] = s
+		if declared[key] {
+			s.undeclaredAt.Store(0)
+		} else {
+			s.undeclaredAt.CompareAndSwap(0, p.now())
+		}
+	}
+	for key := range declared {
+		if next[key] == nil {
+			next[key] = p.open(key)
+		}
+	}
+	p.table.Store(newTable(next))
+}
+
+func declaredKeys(snapshot *config.Snapshot) map[streamKey]bool {
+	keys := map[streamKey]bool{}
+	for _, svc := range snapshot.All() {
+		if svc.Deleted {
+			continue
+		}
+		for i := range svc.Backends {
+			keys[streamKey{svc.Backends[i].ID, svc.Backends[i].Address}] = true
+		}
+	}
+	return keys
+}
+
+// Close closes all streams and returns when every sub-request has had its
+// reply.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.cancel()
+	p.mu.Unlock()
+	p.wg.Wait()
+	p.handoff.wait()
+}
+
+// Draining reports whether a backend server announced that it is leaving.
+func (p *Pool) Draining(backendID string) bool {
+	for _, s := range p.table.Load().byID[backendID] {
+		if s.draining.Load() {
+			return true
+		}
+	}
+	return false
+}
+
+// Load returns the newest load that a backend server reported on its stream.
+func (p *Pool) Load(backendID string) (load float64, age time.Duration, ok bool) {
+	for _, s := range p.table.Load().byID[backendID] {
+		if r := s.load.Load(); r != nil {
+			a := time.Duration(p.now() - r.at)
+			if !ok || a < age {
+				load, age, ok = r.load, a, true
+			}
+		}
+	}
+	return load, age, ok
+}
+
+// sweepLoop ends sub-requests whose time has passed and closes streams that are
+// no longer declared. One ticker serves all sub-requests.
+func (p *Pool) sweepLoop() {
+	ticker := time.NewTicker(p.cfg.Tick)
+	defer ticker.Stop()
+	var buf []ended
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := p.now()
+		for _, s := range p.table.Load().byKey {
+			buf = s.sweep(now, buf[:0])
+			p.deliverAll(buf)
+			if s.retireIfUnused(now) {
+				p.forget(s)
+			}
+		}
+	}
+}
+
+// counters are the metrics of a pool.
+type counters struct {
+	replies        [StreamBroken + 1]*metrics.Counter
+	written        *metrics.Counter
+	messages       *metrics.Counter
+	unmatched      *metrics.Counter
+	connects       *metrics.Counter
+	connectFailed  *metrics.Counter
+	breaks         *metrics.Counter
+	connectedCount atomic.Int64
+}
+
+func newCounters(set *metrics.Set) *counters {
+	c := &counters{
+		written:       set.GetOrCreateCounter("briarstand_backend_subrequests_written_total"),
+		messages:      set.GetOrCreateCounter("briarstand_backend_messages_written_total"),
+		unmatched:     set.GetOrCreateCounter("briarstand_backend_unmatched_replies_total"),
+		connects:      set.GetOrCreateCounter("briarstand_backend_connects_total"),
+		connectFailed: set.GetOrCreateCounter("briarstand_backend_connect_failures_total"),
+		breaks:        set.GetOrCreateCounter("briarstand_backend_stream_breaks_total"),
+	}
+	for s := OK; s <= StreamBroken; s++ {
+		c.replies[s] = set.GetOrCreateCounter(fmt.Sprintf(`briarstand_backend_replies_total{status=%q}`, s))
+	}
+	set.GetOrCreateGauge("briarstand_backend_streams", func() float64 { return float64(c.connectedCount.Load()) })
+	return c
+}
--- /dev/null
+++ b/backend/stream.go
@@ -0,0 +1,459 @@
+package backend
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+)
+
+// call is one sub-request. Its mutable fields are guarded by its stream's lock.
+type call struct {
+	req      *Request
+	sink     Sink
+	tag      int
+	deadline int64 // nanoseconds since the pool's epoch
+
+	stream    *stream // nil if the sub-request was refused within Send
+	state     callState
+	id        uint64
+	writtenAt int64
+	cancelled bool
+}
+
+type callState uint8
+
+const (
+	callQueued callState = iota
+	callWritten
+	callDone
+)
+
+// ended pairs a call with its reply between the lock and the delivery.
+type ended struct {
+	call  *call
+	reply Reply
+}
+
+var endedZero ended
+
+// Cancel withdraws a sub-request. See Call.
+func (c *call) Cancel() {
+	if c.stream != nil {
+		c.stream.cancelCall(c)
+	}
+}
+
+// linkState says whether sub-requests can be queued on a stream.
+type linkState uint8
+
+const (
+	// linkConnecting queues sub-requests until the connection is there.
+	linkConnecting linkState = iota
+	linkUp
+	// linkDown refuses sub-requests at once, so that they go elsewhere.
+	linkDown
+)
+
+// loadReport is a load that a backend server reported.
+type loadReport struct {
+	load float64
+	at   int64
+}
+
+// stream holds the sub-requests of one backend server. It outlives connections.
+type stream struct {
+	pool *Pool
+	key  streamKey
+
+	wake         chan struct{}
+	draining     atomic.Bool
+	load         atomic.Pointer[loadReport]
+	undeclaredAt atomic.Int64 // 0 while declared
+	// earliest is a lower bound of the deadlines of all calls, so that a sweep
+	// without anything due takes no lock.
+	earliest atomic.Int64
+	ctx      context.Context // ends when the stream is retired
+	cancel   context.CancelFunc
+
+	mu      sync.Mutex
+	link    linkState
+	lastErr error
+	retired bool
+	queue   []*call // from head on; may hold calls that are done
+	head    int
+	pending map[uint64]*call
+	cancels []uint64
+	nextID  uint64
+	session *session
+	// waitingSince is when the oldest sub-request since the last received
+	// message was written; 0 if there is none.
+	waitingSince int64
+	overdue      int // replies overdue since the last received message
+}
+
+func newStream(p *Pool, key streamKey) *stream {
+	s := &stream{
+		pool:    p,
+		key:     key,
+		wake:    make(chan struct{}, 1),
+		pending: map[uint64]*call{},
+	}
+	s.ctx, s.cancel = context.WithCancel(p.ctx)
+	s.earliest.Store(math.MaxInt64)
+	return s
+}
+
+type enqueueResult uint8
+
+const (
+	enqueueAccepted enqueueResult = iota
+	enqueueRefused
+	enqueueRetired
+)
+
+// enqueue queues a call, or returns the reply that refuses it.
+func (s *stream) enqueue(c *call) (Reply, enqueueResult) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.retired:
+		return Reply{}, enqueueRetired
+	case s.draining.Load():
+		return Reply{Status: Draining, Err: &DrainingError{Backend: s.key.id}}, enqueueRefused
+	case s.link == linkDown:
+		return s.unavailable(), enqueueRefused
+	case len(s.queue)-s.head >= s.pool.cfg.MaxQueued:
+		err := &QueueFullError{Backend: s.key.id, Limit: s.pool.cfg.MaxQueued}
+		return Reply{Status: Unsent, Err: err}, enqueueRefused
+	}
+	c.stream = s
+	s.queue = append(s.queue, c)
+	if c.deadline < s.earliest.Load() {
+		s.earliest.Store(c.deadline)
+	}
+	s.wakeWriter()
+	return Reply{}, enqueueAccepted
+}
+
+func (s *stream) unavailable() Reply {
+	return Reply{Status: Unsent, Err: &UnavailableError{Backend: s.key.id, Err: s.lastErr}}
+}
+
+func (s *stream) wakeWriter() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// cancelCall ends a queued call as not run, or asks the backend server to stop
+// a written one.
+func (s *stream) cancelCall(c *call) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.cancelled || c.state == callDone {
+		return
+	}
+	c.cancelled = true
+	if c.state == callQueued {
+		c.state = callDone
+		s.pool.handoff.add(c, Reply{Status: Cancelled, Err: &CancelledError{Backend: s.key.id}})
+		return
+	}
+	s.cancels = append(s.cancels, c.id)
+	s.wakeWriter()
+}
+
+// batch is the reusable memory of one writer.
+type batch struct {
+	message  briarstandv1.ExchangeRequest
+	requests [MaxBatch]briarstandv1.SubRequest
+	ended    []ended
+	deadline int64 // the earliest deadline in the message
+	more     bool  // something is left in the queue
+}
+
+func (b *batch) reset() {
+	b.message.Requests = b.message.Requests[:0]
+	b.message.CancelIds = b.message.CancelIds[:0]
+	b.ended = b.ended[:0]
+	b.deadline = math.MaxInt64
+	b.more = false
+}
+
+func (b *batch) empty() bool {
+	return len(b.message.Requests) == 0 && len(b.message.CancelIds) == 0
+}
+
+// take moves what is queued into a batch, and ends the calls whose deadline
+// passed. From then on the calls count as written, because a write that fails
+// may have reached the backend server.
+func (s *stream) take(b *batch, now int64) {
+	b.reset()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	size := 0
+	for s.head < len(s.queue) && len(b.message.Requests) < MaxBatch && len(s.pending) < s.pool.cfg.MaxInFlight {
+		c := s.queue[s.head]
+		if size += len(c.req.Body); size > s.pool.cfg.MaxBodyBytes && len(b.message.Requests) > 0 {
+			break
+		}
+		s.pop()
+		if c.state == callDone {
+			continue
+		}
+		if c.deadline <= now {
+			c.state = callDone
+			b.ended = append(b.ended, ended{c, Reply{Status: Expired, Err: &ExpiredError{Backend: s.key.id}}})
+			continue
+		}
+		s.write(c, b, now)
+	}
+	b.more = s.head < len(s.queue)
+	s.takeCancels(b)
+}
+
+func (s *stream) pop() {
+	s.queue[s.head] = nil
+	s.head++
+	if s.head == len(s.queue) {
+		s.queue, s.head = s.queue[:0], 0
+	} else if s.head >= s.pool.cfg.MaxQueued {
+		// Without this, a queue that never becomes empty would grow forever.
+		n := copy(s.queue, s.queue[s.head:])
+		clear(s.queue[n:])
+		s.queue, s.head = s.queue[:n], 0
+	}
+}
+
+func (s *stream) write(c *call, b *batch, now int64) {
+	s.nextID++
+	c.id, c.state, c.writtenAt = s.nextID, callWritten, now
+	s.pending[c.id] = c
+	if s.waitingSince == 0 {
+		s.waitingSince = now
+	}
+	b.deadline = min(b.deadline, c.deadline)
+	m := &b.requests[len(b.message.Requests)]
+	m.Id, m.Service, m.IndexVersion, m.Shard = c.id, c.req.Service, c.req.IndexVersion, int32(c.req.Shard)
+	m.TimeoutUs = max(1, (c.deadline-now)/int64(time.Microsecond))
+	m.Body, m.Limit = c.req.Body, int32(c.req.Limit)
+	m.NonIdempotent, m.RequestId = c.req.NonIdempotent, c.req.RequestID
+	b.message.Requests = append(b.message.Requests, m)
+}
+
+// takeCancels moves the ids of cancelled calls that still wait for a reply.
+func (s *stream) takeCancels(b *batch) {
+	for _, id := range s.cancels {
+		if _, ok := s.pending[id]; ok {
+			b.message.CancelIds = append(b.message.CancelIds, id)
+		}
+	}
+	s.cancels = s.cancels[:0]
+}
+
+// receive matches a message with the calls that wait for its replies. Replies
+// that match no call are duplicates, too late or invented, and are dropped.
+func (s *stream) receive(m *briarstandv1.ExchangeResponse, buf []ended) []ended {
+	now := s.pool.now()
+	if l := m.GetLoad(); l >= 0 { // negative or NaN: not reported
+		s.load.Store(&loadReport{load: min(l, 1), at: now})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	unmatched := 0
+	for _, r := range m.GetResponses() {
+		c, ok := s.pending[r.GetId()]
+		if !ok {
+			unmatched++
+			continue
+		}
+		delete(s.pending, r.GetId())
+		c.state = callDone
+		buf = append(buf, ended{c, s.reply(c, r)})
+	}
+	s.overdue, s.waitingSince = 0, 0
+	if len(s.pending) > 0 {
+		s.waitingSince = now
+	}
+	if unmatched > 0 {
+		s.pool.counters.unmatched.Add(unmatched)
+	}
+	if m.GetDraining() && !s.draining.Swap(true) {
+		buf = s.endQueued(buf, Reply{Status: Draining, Err: &DrainingError{Backend: s.key.id}})
+		s.pool.cfg.Logger.Info("backend server announced draining", "backend", s.key.id)
+	}
+	if s.head < len(s.queue) {
+		s.wakeWriter() // the writer may have stopped at MaxInFlight
+	}
+	return buf
+}
+
+var statuses = map[briarstandv1.SubStatus]Status{
+	briarstandv1.SubStatus_SUB_STATUS_SHED:            Shed,
+	briarstandv1.SubStatus_SUB_STATUS_DRAINING:        Draining,
+	briarstandv1.SubStatus_SUB_STATUS_VERSION_MISSING: VersionMissing,
+	briarstandv1.SubStatus_SUB_STATUS_EXPIRED:         Expired,
+	briarstandv1.SubStatus_SUB_STATUS_CANCELLED:       Cancelled,
+	briarstandv1.SubStatus_SUB_STATUS_FAILED:          Failed,
+}
+
+// reply checks what a backend server answered to a call.
+func (s *stream) reply(c *call, r *briarstandv1.SubResponse) Reply {
+	if r.GetStatus() != briarstandv1.SubStatus_SUB_STATUS_OK {
+		status, ok := statuses[r.GetStatus()]
+		if !ok {
+			err := &ProtocolError{Backend: s.key.id, Detail: fmt.Sprintf("unknown status %d", r.GetStatus())}
+			return Reply{Status: Failed, Err: err}
+		}
+		return Reply{Status: status, Err: &RefusedError{Backend: s.key.id, Status: status, Message: r.GetError()}}
+	}
+	if r.GetIndexVersion() != c.req.IndexVersion || int(r.GetShard()) != c.req.Shard {
+		return Reply{Status: Failed, Err: &MismatchError{
+			Backend:     s.key.id,
+			WantVersion: c.req.IndexVersion, GotVersion: r.GetIndexVersion(),
+			WantShard: c.req.Shard, GotShard: int(r.GetShard()),
+		}}
+	}
+	for _, h := range r.GetHits() {
+		h.Shard = r.GetShard()
+	}
+	return Reply{Status: OK, IndexVersion: r.GetIndexVersion(), Shard: c.req.Shard, Hits: r.GetHits()}
+}
+
+// endQueued ends every call that was not written.
+func (s *stream) endQueued(buf []ended, r Reply) []ended {
+	for _, c := range s.queue[s.head:] {
+		if c.state == callQueued {
+			c.state = callDone
+			buf = append(buf, ended{c, r})
+		}
+	}
+	clear(s.queue)
+	s.queue, s.head = s.queue[:0], 0
+	return buf
+}
+
+// endWritten ends every call that waits for a reply.
+func (s *stream) endWritten(buf []ended, r Reply) []ended {
+	for _, c := range s.pending {
+		c.state = callDone
+		buf = append(buf, ended{c, r})
+	}
+	clear(s.pending)
+	s.cancels = s.cancels[:0]
+	s.waitingSince, s.overdue = 0, 0
+	return buf
+}
+
+// sweep ends the calls whose time has passed: queued ones at their deadline,
+// written ones after the grace period. It breaks a stream that is silent.
+func (s *stream) sweep(now int64, buf []ended) []ended {
+	if now < s.earliest.Load() {
+		return buf
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	earliest := int64(math.MaxInt64)
+	buf, earliest = s.sweepQueued(now, buf, earliest)
+	buf, earliest = s.sweepWritten(now, buf, earliest)
+	s.earliest.Store(earliest)
+	silent := now - s.waitingSince
+	if s.overdue > 0 && s.waitingSince != 0 && silent >= int64(s.pool.cfg.SilenceTimeout) && s.session != nil {
+		s.session.end(&SilentError{For: time.Duration(silent)})
+	}
+	return buf
+}
+
+func (s *stream) sweepQueued(now int64, buf []ended, earliest int64) ([]ended, int64) {
+	kept := slices.DeleteFunc(s.queue[s.head:], func(c *call) bool {
+		if c.state == callDone {
+			return true
+		}
+		if c.deadline <= now {
+			c.state = callDone
+			buf = append(buf, ended{c, Reply{Status: Expired, Err: &ExpiredError{Backend: s.key.id}}})
+			return true
+		}
+		earliest = min(earliest, c.deadline)
+		return false
+	})
+	s.queue = s.queue[:s.head+len(kept)]
+	return buf, earliest
+}
+
+func (s *stream) sweepWritten(now int64, buf []ended, earliest int64) ([]ended, int64) {
+	grace := int64(s.pool.cfg.ReplyGrace)
+	for id, c := range s.pending {
+		if due := c.deadline + grace; due > now {
+			earliest = min(earliest, due)
+			continue
+		}
+		delete(s.pending, id)
+		c.state = callDone
+		s.overdue++
+		err := &ReplyTimeoutError{Backend: s.key.id, After: time.Duration(now - c.writtenAt)}
+		buf = append(buf, ended{c, Reply{Status: Failed, Err: err}})
+	}
+	if s.head < len(s.queue) {
+		s.wakeWriter()
+	}
+	return buf, earliest
+}
+
+// connecting lets sub-requests queue for the connection that is being opened.
+func (s *stream) connecting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.link = linkConnecting
+}
+
+// connected publishes the session that carries the sub-requests from now on.
+func (s *stream) connected(session *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.link, s.session = linkUp, session
+	s.draining.Store(false)
+	s.wakeWriter()
+}
+
+// disconnected ends all calls: queued ones provably did not run.
+func (s *stream) disconnected(err error) {
+	s.mu.Lock()
+	s.link, s.session, s.lastErr = linkDown, nil, err
+	buf := s.endQueued(nil, s.unavailable())
+	buf = s.endWritten(buf, Reply{Status: StreamBroken, Err: &StreamError{Backend: s.key.id, Err: err}})
+	s.mu.Unlock()
+	s.pool.deliverAll(buf)
+}
+
+// retireIfUnused stops a stream that is no longer declared and has no calls.
+func (s *stream) retireIfUnused(now int64) bool {
+	since := s.undeclaredAt.Load()
+	if since == 0 || now-since < int64(s.pool.cfg.UndeclaredGrace) {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.retired || len(s.pending) > 0 || len(s.queue) > s.head {
+		return s.retired
+	}
+	s.retired = true
+	s.cancel()
+	return true
+}
+
+// retire ends the stream for good.
+func (s *stream) retire(err error) {
+	s.mu.Lock()
+	s.retired = true
+	s.mu.Unlock()
+	s.cancel()
+	s.disconnected(err)
+}
