Add admission limits, the retry budget and one-time tickets

Excluded: remembering each ticket refused for a full table; one counter below which unused tickets are closed is enough and takes no space. Before: nothing.

--- /dev/null
+++ b/limit/admission.go
@@ -0,0 +1,276 @@
+// Package limit bounds what a service may use at one VM: the queries that run
+// and wait at once, and the extra sub-requests that hedges and retries send.
+package limit
+
+import (
+	"container/list"
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/briarstand/briarstand/config"
+)
+
+const (
+	// serviceTimeWeight is the share of the newest sample in the moving
+	// average of service time, as one part in this number.
+	serviceTimeWeight = 8
+	// minRetryAfter and maxRetryAfter bound the advice in an OverloadError.
+	minRetryAfter = 5 * time.Millisecond
+	maxRetryAfter = 2 * time.Second
+
+	lowest  = int(config.PriorityLow)
+	highest = int(config.PriorityHigh)
+)
+
+// Limits are the bounds of one service at one VM.
+type Limits struct {
+	// MaxConcurrent is how many requests run at once; below 1 counts as 1.
+	MaxConcurrent int
+	// MaxQueued is how many requests wait; 0 refuses whatever cannot start.
+	MaxQueued int
+}
+
+// OverloadError reports a request that was refused before it started.
+type OverloadError struct {
+	// Reason says which bound refused the request.
+	Reason string
+	// RetryAfter is the time after which another try is worthwhile.
+	RetryAfter time.Duration
+}
+
+func (e *OverloadError) Error() string {
+	return fmt.Sprintf("overloaded: %s; retry after %v", e.Reason, e.RetryAfter)
+}
+
+// Admission bounds the requests of one service that run and wait at a VM.
+type Admission struct {
+	mu          sync.Mutex
+	limits      Limits
+	running     int
+	queued      int
+	queues      [highest + 1]list.List // of *waiter, first in first out, by priority
+	serviceTime time.Duration          // moving average, 0 before the first sample
+}
+
+// waiter is a queued request. The one who removes it from its queue sends to
+// ready exactly once, unless the waiter removes itself.
+type waiter struct {
+	priority int
+	latest   time.Time // latest useful start; zero without a deadline
+	element  *list.Element
+	ready    chan error
+}
+
+// NewAdmission returns an Admission with the given limits.
+func NewAdmission(limits Limits) *Admission {
+	a := &Admission{}
+	a.limits = limits.normal()
+	return a
+}
+
+func (l Limits) normal() Limits {
+	return Limits{MaxConcurrent: max(l.MaxConcurrent, 1), MaxQueued: max(l.MaxQueued, 0)}
+}
+
+// SetLimits changes the limits. Running requests keep running and count
+// against the new limit; waiting requests beyond the new queue bound are
+// refused, those of the lowest priority first.
+func (a *Admission) SetLimits(limits Limits) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.limits == limits.normal() {
+		return
+	}
+	a.limits = limits.normal()
+	a.grant()
+	for a.queued > a.limits.MaxQueued {
+		a.refuse(a.last(lowest), "queue limit was lowered")
+	}
+}
+
+// Running returns how many requests run.
+func (a *Admission) Running() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.running
+}
+
+// Queued returns how many requests wait.
+func (a *Admission) Queued() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.queued
+}
+
+// Acquire waits until the request may run and returns the function that ends
+// it, which is idempotent. It fails with an *OverloadError when the queue is
+// full, when the request cannot finish before the deadline of ctx judged by
+// recent service time, or when ctx ends.
+func (a *Admission) Acquire(ctx context.Context, priority config.Priority) (release func(), err error) {
+	w, err := a.enter(ctx, priority)
+	if err != nil {
+		return nil, err
+	}
+	if w != nil {
+		if err := a.wait(ctx, w); err != nil {
+			return nil, err
+		}
+	}
+	return a.releaser(time.Now()), nil
+}
+
+// enter starts the request (no waiter), queues it, or refuses it.
+func (a *Admission) enter(ctx context.Context, priority config.Priority) (*waiter, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	level := min(max(int(priority), lowest), highest)
+	if ctx.Err() != nil {
+		return nil, a.overload("the deadline passed before admission", 0)
+	}
+	if a.running < a.limits.MaxConcurrent && a.queued == 0 {
+		a.running++
+		return nil, nil
+	}
+	w := &waiter{priority: level, ready: make(chan error, 1)}
+	if deadline, ok := ctx.Deadline(); ok {
+		w.latest = deadline.Add(-a.serviceTime)
+	}
+	ahead := a.aheadOf(level)
+	if wait := a.waitFor(ahead); !w.latest.IsZero() && time.Now().Add(wait).After(w.latest) {
+		return nil, a.overload("the request would wait past its deadline", ahead)
+	}
+	if a.queued >= a.limits.MaxQueued {
+		victim := a.last(lowest)
+		if victim == nil || victim.priority >= level {
+			return nil, a.overload("the queue is full", ahead)
+		}
+		a.refuse(victim, "a request of higher priority took the place in the queue")
+	}
+	w.element = a.queues[level].PushBack(w)
+	a.queued++
+	return w, nil
+}
+
+func (a *Admission) wait(ctx context.Context, w *waiter) error {
+	var expired <-chan time.Time
+	if !w.latest.IsZero() {
+		timer := time.NewTimer(time.Until(w.latest))
+		defer timer.Stop()
+		expired = timer.C
+	}
+	select {
+	case err := <-w.ready:
+		return err
+	case <-expired:
+		return a.leave(w, "the request waited too long to meet its deadline")
+	case <-ctx.Done():
+		return a.leave(w, "the caller stopped waiting")
+	}
+}
+
+// leave takes the waiter out of its queue. If it was granted meanwhile, the
+// grant is given back, because the request can no longer meet its deadline.
+func (a *Admission) leave(w *waiter, reason string) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if w.element != nil {
+		a.remove(w)
+		return a.overload(reason, a.queued)
+	}
+	if err := <-w.ready; err != nil {
+		return err
+	}
+	a.running--
+	a.grant()
+	return a.overload(reason, a.queued)
+}
+
+func (a *Admission) releaser(start time.Time) func() {
+	var done atomic.Bool
+	return func() {
+		if !done.CompareAndSwap(false, true) {
+			return
+		}
+		took := time.Since(start)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.running--
+		if a.serviceTime == 0 {
+			a.serviceTime = took
+		} else {
+			a.serviceTime += (took - a.serviceTime) / serviceTimeWeight
+		}
+		a.grant()
+	}
+}
+
+// grant starts waiting requests while the limit allows it. Requests that can
+// no longer meet their deadline are refused instead of started.
+func (a *Admission) grant() {
+	now := time.Now()
+	for a.running < a.limits.MaxConcurrent {
+		w := a.first()
+		if w == nil {
+			return
+		}
+		if !w.latest.IsZero() && now.After(w.latest) {
+			a.refuse(w, "the request waited too long to meet its deadline")
+			continue
+		}
+		a.remove(w)
+		a.running++
+		w.ready <- nil
+	}
+}
+
+func (a *Admission) refuse(w *waiter, reason string) {
+	a.remove(w)
+	w.ready <- a.overload(reason, a.queued)
+}
+
+func (a *Admission) remove(w *waiter) {
+	a.queues[w.priority].Remove(w.element)
+	w.element = nil
+	a.queued--
+}
+
+// first returns the waiter that starts next.
+func (a *Admission) first() *waiter {
+	for level := highest; level >= lowest; level-- {
+		if e := a.queues[level].Front(); e != nil {
+			return e.Value.(*waiter)
+		}
+	}
+	return nil
+}
+
+// last returns the waiter that starts last, of the given priority or above.
+func (a *Admission) last(from int) *waiter {
+	for level := from; level <= highest; level++ {
+		if e := a.queues[level].Back(); e != nil {
+			return e.Value.(*waiter)
+		}
+	}
+	return nil
+}
+
+func (a *Admission) aheadOf(level int) int {
+	ahead := 0
+	for l := level; l <= highest; l++ {
+		ahead += a.queues[l].Len()
+	}
+	return ahead
+}
+
+// waitFor estimates how long a request waits behind others in the queue.
+func (a *Admission) waitFor(ahead int) time.Duration {
+	return a.serviceTime * time.Duration(ahead+1) / time.Duration(a.limits.MaxConcurrent)
+}
+
+func (a *Admission) overload(reason string, ahead int) *OverloadError {
+	retry := min(max(a.waitFor(ahead), minRetryAfter), maxRetryAfter)
+	return &OverloadError{Reason: reason, RetryAfter: retry}
+}
--- /dev/null
+++ b/limit/budget.go
@@ -0,0 +1,100 @@
+package limit
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// minBurst is the burst that even a service with little load has, in tokens.
+	minBurst = 10
+	// burstPermille bounds the burst of a service with much load, in parts per
+	// thousand of the sub-requests of the last second.
+	burstPermille = 100
+	// tokenUnit is one token in the unit of the bucket's level, so that a
+	// sub-request adds its permille without rounding.
+	tokenUnit  = 1000
+	rateWindow = time.Second
+)
+
+// Budget is the token bucket of one service for hedges and retries. Each
+// sub-request sent fills it by a fraction of a token.
+type Budget struct {
+	mu       sync.Mutex
+	permille int64
+	level    int64 // thousandths of a token
+	start    time.Time
+	current  int64 // sub-requests since start
+	previous int64 // sub-requests in the window before start
+}
+
+// NewBudget returns a full bucket that gains permille thousandths of a token
+// for each sub-request. With permille 0 it never yields a token.
+func NewBudget(permille int) *Budget {
+	b := &Budget{start: time.Now()}
+	b.SetRate(permille)
+	if permille > 0 {
+		b.level = minBurst * tokenUnit
+	}
+	return b
+}
+
+// SetRate changes the rate and keeps the level.
+func (b *Budget) SetRate(permille int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.permille = int64(max(permille, 0))
+	if b.permille == 0 {
+		b.level = 0
+	}
+}
+
+// Sent counts n sub-requests that are neither hedges nor retries.
+func (b *Budget) Sent(n int) {
+	if n <= 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	b.advance(now)
+	b.current += int64(n)
+	b.level = min(b.level+int64(n)*b.permille, b.burst(now))
+}
+
+// Take removes one token and reports whether there was one.
+func (b *Budget) Take() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	b.advance(now)
+	// A level gained under high load must not outlast that load.
+	b.level = min(b.level, b.burst(now))
+	if b.level < tokenUnit {
+		return false
+	}
+	b.level -= tokenUnit
+	return true
+}
+
+func (b *Budget) advance(now time.Time) {
+	elapsed := now.Sub(b.start)
+	switch {
+	case elapsed < rateWindow:
+		return
+	case elapsed < 2*rateWindow:
+		b.previous = b.current
+		b.start = b.start.Add(rateWindow)
+	default:
+		b.previous = 0
+		b.start = now
+	}
+	b.current = 0
+}
+
+// burst returns the highest level, in thousandths of a token.
+func (b *Budget) burst(now time.Time) int64 {
+	left := rateWindow - now.Sub(b.start)
+	lastSecond := b.current + b.previous*int64(left)/int64(rateWindow)
+	return max(minBurst*tokenUnit, lastSecond*burstPermille)
+}
--- /dev/null
+++ b/ticket/issuer.go
@@ -0,0 +1,249 @@
+// Package ticket issues the one-time tickets of non-idempotent requests and
+// remembers which were used, with their outcomes, so that each runs at most
+// once.
+package ticket
+
+import (
+	"container/heap"
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+)
+
+const (
+	// DefaultTTL is how long a ticket may be used.
+	DefaultTTL = 30 * time.Second
+	// DefaultMaxEntries bounds the table of used tickets.
+	DefaultMaxEntries = 8192
+	// DefaultMaxBytes bounds the stored outcomes.
+	DefaultMaxBytes = 8 << 20
+
+	keyBytes = 32
+)
+
+// Config holds the bounds of an Issuer. Zero values mean the defaults.
+type Config struct {
+	// TTL is how long a ticket may be used after it was issued.
+	TTL time.Duration
+	// MaxEntries is how many used tickets the table holds.
+	MaxEntries int
+	// MaxBytes is the encoded size of stored outcomes above which no further
+	// ticket is used.
+	MaxBytes int
+	// Key signs tickets. It is random by default and must not outlive the
+	// incarnation.
+	Key []byte
+}
+
+func (c Config) withDefaults() Config {
+	if c.TTL <= 0 {
+		c.TTL = DefaultTTL
+	}
+	if c.MaxEntries <= 0 {
+		c.MaxEntries = DefaultMaxEntries
+	}
+	if c.MaxBytes <= 0 {
+		c.MaxBytes = DefaultMaxBytes
+	}
+	if len(c.Key) == 0 {
+		c.Key = make([]byte, keyBytes)
+		rand.Read(c.Key) // never fails; see its documentation
+	}
+	return c
+}
+
+// Issuer issues the tickets of one incarnation of a VM and holds the table of
+// used ones.
+type Issuer struct {
+	vmID        string
+	incarnation int64
+	cfg         Config
+	start       time.Time // carries the monotonic clock
+
+	mu      sync.Mutex
+	counter uint64
+	used    map[uint64]*Use
+	expiry  expiryHeap
+	bytes   int
+	// closedBelow is the counter below which unused tickets can no longer be
+	// used. It advances when a ticket is refused for a full table: such a
+	// ticket was reported as not run and must not run on a later offer, and
+	// remembering it alone would need the space that is lacking.
+	closedBelow uint64
+}
+
+// NewIssuer returns an Issuer for one incarnation of a VM. The VM id has at
+// most 255 bytes; a longer one is cut.
+func NewIssuer(vmID string, incarnation int64, cfg Config) *Issuer {
+	return &Issuer{
+		vmID:        vmID[:min(len(vmID), maxVMIDBytes)],
+		incarnation: incarnation,
+		cfg:         cfg.withDefaults(),
+		start:       time.Now(),
+		used:        make(map[uint64]*Use),
+	}
+}
+
+// Issue returns a new ticket and how long it may be used.
+func (i *Issuer) Issue() (string, time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.counter++
+	c := claims{
+		vmID:        i.vmID,
+		incarnation: i.incarnation,
+		counter:     i.counter,
+		expiry:      time.Since(i.start) + i.cfg.TTL,
+	}
+	return c.encode(i.cfg.Key), i.cfg.TTL
+}
+
+// Incarnation returns the incarnation whose tickets the issuer accepts.
+func (i *Issuer) Incarnation() int64 { return i.incarnation }
+
+// Entries returns how many used tickets the table holds.
+func (i *Issuer) Entries() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return len(i.used)
+}
+
+// Begin uses a ticket. With first true the caller must run the request and
+// call Finish; otherwise the ticket was used before, and Wait returns the
+// outcome. Errors are *ExpiredError, *InvalidError and *FullError.
+func (i *Issuer) Begin(ticket string) (u *Use, first bool, err error) {
+	c, err := i.verify(ticket)
+	if err != nil {
+		return nil, false, err
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	// The clock is read under the lock: once an entry was dropped as expired,
+	// every later call finds its ticket expired as well.
+	now := time.Since(i.start)
+	i.dropExpired(now)
+	if u, ok := i.used[c.counter]; ok {
+		return u, false, nil
+	}
+	if now >= c.expiry {
+		return nil, false, &ExpiredError{Reason: "its time to live has passed"}
+	}
+	if full := i.full(); full || c.counter < i.closedBelow {
+		i.closedBelow = max(i.closedBelow, c.counter+1)
+		return nil, false, &FullError{Entries: len(i.used), Bytes: i.bytes}
+	}
+	u = &Use{issuer: i, counter: c.counter, expiry: c.expiry, done: make(chan struct{})}
+	i.used[c.counter] = u
+	heap.Push(&i.expiry, u)
+	return u, true, nil
+}
+
+func (i *Issuer) full() bool {
+	return len(i.used) >= i.cfg.MaxEntries || i.bytes >= i.cfg.MaxBytes
+}
+
+func (i *Issuer) verify(ticket string) (claims, error) {
+	c, payload, mac, err := decode(ticket)
+	if err != nil {
+		return c, err
+	}
+	if c.vmID != i.vmID {
+		return c, &InvalidError{Reason: "issued by another VM"}
+	}
+	if c.incarnation != i.incarnation {
+		return c, &ExpiredError{Reason: "the incarnation that issued it has ended"}
+	}
+	if !hmac.Equal(mac, sum(i.cfg.Key, payload)) {
+		return c, &InvalidError{Reason: "signature does not match"}
+	}
+	return c, nil
+}
+
+// dropExpired removes finished entries whose ticket has expired. Running ones
+// leave the heap but stay in the table until they finish.
+func (i *Issuer) dropExpired(now time.Duration) {
+	for len(i.expiry) > 0 && i.expiry[0].expiry <= now {
+		u := heap.Pop(&i.expiry).(*Use)
+		u.expired = true
+		if u.resp != nil {
+			i.drop(u)
+		}
+	}
+}
+
+func (i *Issuer) drop(u *Use) {
+	delete(i.used, u.counter)
+	i.bytes -= u.size
+}
+
+// Use is a used ticket: a request that runs or has an outcome.
+type Use struct {
+	issuer  *Issuer
+	counter uint64
+	expiry  time.Duration
+	done    chan struct{}
+
+	// Guarded by the issuer's lock until done is closed.
+	expired bool
+	resp    *briarstandv1.QueryResponse
+	size    int
+}
+
+// Finish stores the outcome and wakes all who wait for it. Only the first call
+// has an effect. The response must not be modified afterwards.
+func (u *Use) Finish(resp *briarstandv1.QueryResponse) {
+	i := u.issuer
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if u.resp != nil {
+		return
+	}
+	u.resp = resp
+	u.size = proto.Size(resp)
+	i.bytes += u.size
+	if u.expired {
+		i.drop(u)
+	}
+	close(u.done)
+}
+
+// Wait returns a copy of the outcome as soon as there is one, or the error of
+// ctx.
+func (u *Use) Wait(ctx context.Context) (*briarstandv1.QueryResponse, error) {
+	select {
+	case <-u.done:
+		return proto.CloneOf(u.resp), nil
+	default:
+	}
+	select {
+	case <-u.done:
+		return proto.CloneOf(u.resp), nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// expiryHeap orders used tickets by expiry.
+type expiryHeap []*Use
+
+func (h expiryHeap) Len() int           { return len(h) }
+func (h expiryHeap) Less(i, j int) bool { return h[i].expiry < h[j].expiry }
+func (h expiryHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push adds a *Use; it belongs to heap.Interface.
+func (h *expiryHeap) Push(x any) { *h = append(*h, x.(*Use)) }
+
+// Pop removes the last element; it belongs to heap.Interface.
+func (h *expiryHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return last
+}
