Add the query engine and the caller API

Excluded: a goroutine, timer or map entry per sub-request; one goroutine and one timer per query and one locked inbox carry all replies. Before: limits and tickets only. Conclusion: the daemon can be assembled from it.

--- /dev/null
+++ b/query/collector.go
@@ -0,0 +1,112 @@
+package query
+
+import (
+	"sync"
+	"time"
+
+	"github.com/briarstand/briarstand/backend"
+	"github.com/briarstand/briarstand/config"
+)
+
+// none is the index of no attempt.
+const none = -1
+
+// attempt is one sub-request that was handed to the transport.
+type attempt struct {
+	position int32 // of the shard among the query's shards
+	previous int32 // earlier attempt for the same shard, or none
+	round    int32 // binding of the query that the attempt belongs to
+	replied  bool  // guarded by the collector's lock
+	backend  *config.Backend
+	start    time.Time
+	call     backend.Call // only used by the query's goroutine
+}
+
+// delivery is a reply on its way to the query's goroutine.
+type delivery struct {
+	tag     int
+	latency time.Duration
+	reply   backend.Reply
+}
+
+// collector takes the replies of one query. It is the sink of the transport:
+// Deliver may be called at any time, also long after the query was answered,
+// and each attempt counts once.
+type collector struct {
+	picker Picker
+
+	mu       sync.Mutex
+	attempts []attempt
+	inbox    []delivery
+	closed   bool
+	signal   chan struct{} // holds a value while the inbox is not empty
+}
+
+func newCollector(picker Picker, n int) *collector {
+	return &collector{
+		picker:   picker,
+		attempts: make([]attempt, 0, n+n/8+1),
+		inbox:    make([]delivery, 0, n),
+		signal:   make(chan struct{}, 1),
+	}
+}
+
+// Deliver takes the reply of an attempt. Replies of unknown attempts and
+// second replies are dropped.
+func (c *collector) Deliver(tag int, r backend.Reply) {
+	now := time.Now()
+	c.mu.Lock()
+	if tag < 0 || tag >= len(c.attempts) || c.attempts[tag].replied {
+		c.mu.Unlock()
+		return
+	}
+	a := &c.attempts[tag]
+	a.replied = true
+	id, latency := a.backend.ID, now.Sub(a.start)
+	wake := false
+	if !c.closed {
+		wake = len(c.inbox) == 0
+		c.inbox = append(c.inbox, delivery{tag: tag, latency: latency, reply: r})
+	}
+	c.mu.Unlock()
+	c.picker.Finished(id, latency, r.Status)
+	if wake {
+		select {
+		case c.signal <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// add registers an attempt before it is sent and returns its tag.
+func (c *collector) add(a attempt) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.attempts = append(c.attempts, a)
+	return len(c.attempts) - 1
+}
+
+// take returns the replies that arrived and uses spare as the next inbox.
+func (c *collector) take(spare []delivery) []delivery {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	batch := c.inbox
+	c.inbox = spare[:0]
+	return batch
+}
+
+// close ends the collection and returns the replies that arrived last. Later
+// ones only reach the picker.
+func (c *collector) close() []delivery {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	return c.inbox
+}
+
+// hasReplied reports whether the reply of an attempt arrived.
+func (c *collector) hasReplied(tag int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.attempts[tag].replied
+}
--- /dev/null
+++ b/query/engine.go
@@ -0,0 +1,256 @@
+// Package query runs queries: it binds each to one configuration and index
+// version, sends a sub-request per shard, hedges and retries within a budget,
+// merges the replies and reports truthfully what ran.
+package query
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+
+	"github.com/briarstand/briarstand/backend"
+	"github.com/briarstand/briarstand/config"
+	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+	"github.com/briarstand/briarstand/limit"
+	"github.com/briarstand/briarstand/ticket"
+)
+
+// Gate tells whether the VM may admit new queries.
+type Gate interface {
+	// Admit returns nil while the VM may admit new queries, and otherwise an
+	// error that says why not, usually a *NotAdmittedError.
+	Admit() error
+}
+
+// Relay passes a query on to the VM that issued its ticket.
+type Relay interface {
+	RelayQuery(ctx context.Context, vmID string, incarnation int64, req *briarstandv1.QueryRequest) (*briarstandv1.QueryResponse, error)
+}
+
+// Picker chooses replicas and learns from how sub-requests end. It is
+// implemented by balance.Picker.
+type Picker interface {
+	Pick(choice config.ReplicaChoice, candidates []*config.Backend, tried []string) (*config.Backend, bool)
+	Started(backendID string)
+	Finished(backendID string, latency time.Duration, status backend.Status)
+}
+
+const (
+	// DefaultMissingFor is how long a missing index version is remembered.
+	DefaultMissingFor = 2 * time.Second
+	// DefaultAnswerMargin is the time before the deadline at which a query
+	// answers with what it has: twice the latency to callers, plus the work.
+	DefaultAnswerMargin = 10 * time.Millisecond
+	// marginPart bounds the margin of short deadlines, as one part in this
+	// number of the time left.
+	marginPart = 5
+)
+
+// Config holds what an Engine needs. Registry, Transport, Picker, Issuer and
+// Gate are required.
+type Config struct {
+	VMID      string
+	Registry  *config.Registry
+	Transport backend.Transport
+	Picker    Picker
+	Issuer    *ticket.Issuer
+	Gate      Gate
+	// Relay reaches other VMs; without it their tickets have outcome unknown.
+	Relay   Relay
+	Logger  *log.Logger
+	Metrics *metrics.Set
+	// MissingFor is how long a missing index version is remembered.
+	MissingFor time.Duration
+	// AnswerMargin is how long before its deadline a query answers.
+	AnswerMargin time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	if c.Logger == nil {
+		c.Logger = log.New(io.Discard)
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewSet()
+	}
+	if c.MissingFor <= 0 {
+		c.MissingFor = DefaultMissingFor
+	}
+	if c.AnswerMargin <= 0 {
+		c.AnswerMargin = DefaultAnswerMargin
+	}
+	return c
+}
+
+// Engine runs queries at one VM. Its methods may be called concurrently.
+type Engine struct {
+	cfg      Config
+	services sync.Map // name to *service
+	life     lifecycle
+}
+
+// NewEngine returns an Engine. It starts no goroutine of its own.
+func NewEngine(cfg Config) *Engine {
+	return &Engine{cfg: cfg.withDefaults()}
+}
+
+// Run runs one query and answers shortly before its deadline at the latest.
+// It never returns a nil response when err is nil. Refusals are outcomes;
+// errors report requests with which nothing was done: *InvalidRequestError,
+// *UnknownServiceError and *DeadlinePassedError.
+func (e *Engine) Run(ctx context.Context, req *briarstandv1.QueryRequest) (*briarstandv1.QueryResponse, error) {
+	return e.run(ctx, req, true)
+}
+
+// RunRelayed runs a query that another VM relayed. Unlike Run it never relays
+// it further, so that two VMs with stale views cannot pass a query in a circle.
+func (e *Engine) RunRelayed(ctx context.Context, req *briarstandv1.QueryRequest) (*briarstandv1.QueryResponse, error) {
+	return e.run(ctx, req, false)
+}
+
+func (e *Engine) run(ctx context.Context, req *briarstandv1.QueryRequest, mayRelay bool) (*briarstandv1.QueryResponse, error) {
+	e.life.enter()
+	defer e.life.leave()
+	if err := validate(req); err != nil {
+		return nil, err
+	}
+	if req.GetNonIdempotent() {
+		return e.runTicketed(ctx, req, mayRelay)
+	}
+	id := req.GetRequestId()
+	if id == "" {
+		id = uuid.NewString()
+	}
+	return e.runAdmitted(ctx, req, id)
+}
+
+// runAdmitted passes a query through the gate and the admission limits.
+func (e *Engine) runAdmitted(ctx context.Context, req *briarstandv1.QueryRequest, id string) (*briarstandv1.QueryResponse, error) {
+	start := time.Now()
+	if resp := e.closed(id); resp != nil {
+		return resp, nil
+	}
+	svc, p, ok := e.lookup(req.GetService())
+	if !ok {
+		return nil, &UnknownServiceError{Service: req.GetService()}
+	}
+	if err := p.checkShards(req.GetShards()); err != nil {
+		return nil, err
+	}
+	answerBy, err := e.answerBy(ctx, req, p.service.Policy, start)
+	if err != nil {
+		return nil, err
+	}
+	priority := config.Priority(req.GetPriority())
+	if priority == 0 {
+		priority = p.service.Policy.Priority
+	}
+	release, err := svc.admission.Acquire(deadlineContext{ctx, answerBy}, priority)
+	if err != nil {
+		resp := e.notRun(id, err.Error(), retryAfterOf(err))
+		svc.metrics.observe(resp, start)
+		return resp, nil
+	}
+	defer release()
+	resp := e.dispatch(ctx, req, id, svc, answerBy)
+	svc.metrics.observe(resp, start)
+	return resp, nil
+}
+
+// dispatch binds an admitted query and runs it. The gate and the deadline are
+// checked again, because the VM may have been frozen since the first check.
+func (e *Engine) dispatch(ctx context.Context, req *briarstandv1.QueryRequest, id string, svc *service, answerBy time.Time) *briarstandv1.QueryResponse {
+	doc, ok := e.cfg.Registry.Snapshot().Service(svc.name)
+	if !ok {
+		return e.notRun(id, "the service was deleted", 0)
+	}
+	p := svc.current(doc)
+	b := p.bind(req.GetShards(), svc.exclusions(p, e.cfg.Transport))
+	if b == nil {
+		return e.notRun(id, "no index version has the requested shards", 0)
+	}
+	if err := e.cfg.Gate.Admit(); err != nil {
+		return e.notRun(id, err.Error(), retryAfterOf(err))
+	}
+	if !time.Now().Before(answerBy) {
+		return e.notRun(id, "the deadline passed before dispatch", 0)
+	}
+	return newRun(e, req, id, svc, p, b, answerBy).execute(ctx)
+}
+
+// closed returns the refusal of a VM that admits no queries, or nil.
+func (e *Engine) closed(id string) *briarstandv1.QueryResponse {
+	if e.life.isDraining() {
+		return e.notRun(id, "the VM is shutting down", 0)
+	}
+	if err := e.cfg.Gate.Admit(); err != nil {
+		return e.notRun(id, err.Error(), retryAfterOf(err))
+	}
+	return nil
+}
+
+// lookup returns the state and the plan of a service that exists.
+func (e *Engine) lookup(name string) (*service, *plan, bool) {
+	doc, ok := e.cfg.Registry.Snapshot().Service(name)
+	if !ok {
+		return nil, nil, false
+	}
+	value, ok := e.services.Load(name)
+	if !ok {
+		value, _ = e.services.LoadOrStore(name, newService(doc, e.cfg.Metrics, e.cfg.MissingFor))
+	}
+	svc := value.(*service)
+	return svc, svc.current(doc), true
+}
+
+// BeginRequest issues a ticket for a non-idempotent query of a service. It
+// fails with *NotAdmittedError at a VM that admits no queries, so that callers
+// get their ticket where it can be used.
+func (e *Engine) BeginRequest(service string) (string, time.Duration, error) {
+	if e.life.isDraining() {
+		return "", 0, &NotAdmittedError{Reason: "the VM is shutting down"}
+	}
+	if err := e.cfg.Gate.Admit(); err != nil {
+		return "", 0, asNotAdmitted(err)
+	}
+	if _, ok := e.cfg.Registry.Snapshot().Service(service); !ok {
+		return "", 0, &UnknownServiceError{Service: service}
+	}
+	t, ttl := e.cfg.Issuer.Issue()
+	return t, ttl, nil
+}
+
+// Drain makes the engine refuse new queries as not run. Queries in flight
+// finish.
+func (e *Engine) Drain() { e.life.drain() }
+
+// InFlight returns how many calls of Run have not returned.
+func (e *Engine) InFlight() int { return e.life.inFlight() }
+
+// Wait returns when no query is in flight, or with the error of ctx.
+func (e *Engine) Wait(ctx context.Context) error { return e.life.wait(ctx) }
+
+func asNotAdmitted(err error) error {
+	if na := new(NotAdmittedError); errors.As(err, &na) {
+		return err
+	}
+	return &NotAdmittedError{Reason: err.Error()}
+}
+
+// retryAfterOf returns the advice that a refusal carries, or 0.
+func retryAfterOf(err error) time.Duration {
+	var overload *limit.OverloadError
+	if errors.As(err, &overload) {
+		return overload.RetryAfter
+	}
+	var refused *NotAdmittedError
+	if errors.As(err, &refused) {
+		return refused.RetryAfter
+	}
+	return 0
+}
--- /dev/null
+++ b/query/lifecycle.go
@@ -0,0 +1,67 @@
+package query
+
+import (
+	"context"
+	"sync"
+)
+
+// lifecycle counts the queries in flight and knows whether the engine drains.
+type lifecycle struct {
+	mu       sync.Mutex
+	count    int
+	draining bool
+	idle     chan struct{} // closed when count is 0; nil unless someone waits
+}
+
+func (l *lifecycle) enter() {
+	l.mu.Lock()
+	l.count++
+	l.mu.Unlock()
+}
+
+func (l *lifecycle) leave() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.count--
+	if l.count == 0 && l.idle != nil {
+		close(l.idle)
+		l.idle = nil
+	}
+}
+
+func (l *lifecycle) drain() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.draining = true
+}
+
+func (l *lifecycle) isDraining() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.draining
+}
+
+func (l *lifecycle) inFlight() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.count
+}
+
+func (l *lifecycle) wait(ctx context.Context) error {
+	l.mu.Lock()
+	if l.count == 0 {
+		l.mu.Unlock()
+		return nil
+	}
+	if l.idle == nil {
+		l.idle = make(chan struct{})
+	}
+	idle := l.idle
+	l.mu.Unlock()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/query/outcome.go
@@ -0,0 +1,199 @@
+package query
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+)
+
+// missCause says why a shard did not answer.
+type missCause uint8
+
+const (
+	causeDeadline missCause = iota // no reply in time; also the zero value
+	causeNoReplica
+	causeVersion
+	causeRefused
+	causeFailed
+	causeBudget
+	causeUnknown
+	causeCount
+)
+
+var causeNames = [causeCount]string{
+	causeDeadline:  "no reply in time",
+	causeNoReplica: "no usable replica",
+	causeVersion:   "no replica has the index version",
+	causeRefused:   "refused by all replicas",
+	causeFailed:    "failed",
+	causeBudget:    "the budget for retries is spent",
+	causeUnknown:   "failed and must not run twice",
+}
+
+// unavailableRetryAfter is the advice to callers when all replicas refused.
+const unavailableRetryAfter = 50 * time.Millisecond
+
+// outcomeName returns the name of an outcome as used in metrics.
+func outcomeName(o briarstandv1.Outcome) string {
+	return strings.ToLower(strings.TrimPrefix(o.String(), "OUTCOME_"))
+}
+
+func (m *serviceMetrics) observe(resp *briarstandv1.QueryResponse, start time.Time) {
+	m.outcomes[resp.GetOutcome()].Inc()
+	m.duration.UpdateDuration(start)
+}
+
+// notRun returns the answer to a query of which nothing left the VM.
+func (e *Engine) notRun(id, reason string, retryAfter time.Duration) *briarstandv1.QueryResponse {
+	return &briarstandv1.QueryResponse{
+		RequestId:    id,
+		Outcome:      briarstandv1.Outcome_OUTCOME_NOT_RUN,
+		Coverage:     &briarstandv1.Coverage{},
+		Reason:       reason,
+		VmId:         e.cfg.VMID,
+		RetryAfterMs: retryAfter.Milliseconds(),
+	}
+}
+
+// unknown returns the answer to a query that may or may not have run.
+func (e *Engine) unknown(id, reason string) *briarstandv1.QueryResponse {
+	return &briarstandv1.QueryResponse{
+		RequestId: id,
+		Outcome:   briarstandv1.Outcome_OUTCOME_UNKNOWN,
+		Coverage:  &briarstandv1.Coverage{},
+		Reason:    reason,
+		VmId:      e.cfg.VMID,
+	}
+}
+
+// answer states what the shards of the query came to.
+func (r *run) answer() *briarstandv1.QueryResponse {
+	resp := &briarstandv1.QueryResponse{
+		RequestId:    r.id,
+		Coverage:     r.coverage(),
+		IndexVersion: r.binding.version.name,
+		Revision:     r.plan.service.Revision,
+		VmId:         r.engine.cfg.VMID,
+	}
+	resp.Outcome = r.outcome(int(resp.Coverage.ShardsAnswered))
+	if resp.Outcome != briarstandv1.Outcome_OUTCOME_COMPLETE {
+		resp.Reason = r.reason(len(resp.Coverage.MissingShards))
+	}
+	switch resp.Outcome {
+	case briarstandv1.Outcome_OUTCOME_COMPLETE:
+		resp.Hits = r.merge()
+	case briarstandv1.Outcome_OUTCOME_PARTIAL:
+		r.partial(resp)
+	case briarstandv1.Outcome_OUTCOME_NOT_RUN:
+		resp.RetryAfterMs = unavailableRetryAfter.Milliseconds()
+	}
+	return resp
+}
+
+// partial adds the hits unless the coverage is below the service's minimum.
+func (r *run) partial(resp *briarstandv1.QueryResponse) {
+	minimum := int64(r.plan.service.Policy.MinCoveragePermille)
+	c := resp.Coverage
+	if int64(c.ShardsAnswered)*1000 < minimum*int64(c.ShardsTotal) {
+		resp.Reason += fmt.Sprintf("; below the minimum coverage of %d permille", minimum)
+		return
+	}
+	resp.Hits = r.merge()
+}
+
+func (r *run) coverage() *briarstandv1.Coverage {
+	c := &briarstandv1.Coverage{ShardsTotal: int32(len(r.shards))}
+	for i := range r.shards {
+		if r.shards[i].state == shardAnswered {
+			c.ShardsAnswered++
+		} else {
+			c.MissingShards = append(c.MissingShards, r.shards[i].shard)
+		}
+	}
+	slices.Sort(c.MissingShards)
+	return c
+}
+
+func (r *run) outcome(answered int) briarstandv1.Outcome {
+	if answered == len(r.shards) {
+		return briarstandv1.Outcome_OUTCOME_COMPLETE
+	}
+	ran, lost := r.mayHaveRun, false
+	for i := range r.shards {
+		s := &r.shards[i]
+		ran = ran || s.mayHaveRun
+		lost = lost || s.mayHaveRun && s.state != shardAnswered
+	}
+	switch {
+	case !ran:
+		return briarstandv1.Outcome_OUTCOME_NOT_RUN
+	case lost && r.req.GetNonIdempotent():
+		return briarstandv1.Outcome_OUTCOME_UNKNOWN
+	case answered > 0:
+		return briarstandv1.Outcome_OUTCOME_PARTIAL
+	case r.timedOut:
+		return briarstandv1.Outcome_OUTCOME_DEADLINE_EXCEEDED
+	}
+	return briarstandv1.Outcome_OUTCOME_UNKNOWN
+}
+
+// reason counts the missing shards by cause.
+func (r *run) reason(missing int) string {
+	var counts [causeCount]int
+	for i := range r.shards {
+		if r.shards[i].state != shardAnswered {
+			counts[r.shards[i].cause]++
+		}
+	}
+	var parts []string
+	for cause, n := range counts {
+		if n > 0 {
+			parts = append(parts, fmt.Sprintf("%d %s", n, causeNames[cause]))
+		}
+	}
+	if r.stopped {
+		parts = append(parts, "the caller stopped waiting")
+	}
+	return fmt.Sprintf("%d of %d shards missing: %s", missing, len(r.shards), strings.Join(parts, ", "))
+}
+
+// merge returns the best hits of all answered shards, ordered by score, then
+// by shard and document id.
+func (r *run) merge() []*briarstandv1.Hit {
+	total := 0
+	for i := range r.shards {
+		total += len(r.shards[i].hits)
+	}
+	hits := make([]*briarstandv1.Hit, 0, total)
+	for i := range r.shards {
+		if r.shards[i].state != shardAnswered {
+			continue
+		}
+		for _, h := range r.shards[i].hits {
+			if h == nil {
+				continue
+			}
+			if h.Shard != r.shards[i].shard {
+				h.Shard = r.shards[i].shard
+			}
+			hits = append(hits, h)
+		}
+	}
+	slices.SortFunc(hits, compareHits)
+	return hits[:min(len(hits), r.limit)]
+}
+
+func compareHits(a, b *briarstandv1.Hit) int {
+	// A score that is not a number sorts last.
+	if c := cmp.Compare(b.Score, a.Score); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.Shard, b.Shard); c != 0 {
+		return c
+	}
+	return strings.Compare(a.Id, b.Id)
+}
--- /dev/null
+++ b/query/run.go
@@ -0,0 +1,369 @@
+package query
+
+import (
+	"context"
+	"time"
+
+	"github.com/briarstand/briarstand/backend"
+	"github.com/briarstand/briarstand/config"
+	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+)
+
+const (
+	// minHedgeDelay keeps the noise of fast sub-requests from causing hedges.
+	minHedgeDelay = time.Millisecond
+	// coldHedgePart is the part of the query's time, as one in this number,
+	// after which a hedge is sent while too few latencies are known.
+	coldHedgePart = 4
+	// parkDelay is how long a shard waits for a token or for a backend server
+	// that sheds load before it tries again.
+	parkDelay = 5 * time.Millisecond
+)
+
+// shardState says how far a shard of a query is.
+type shardState uint8
+
+const (
+	shardOpen shardState = iota
+	shardAnswered
+	shardMissing
+)
+
+// shardRun is the progress of one shard of a query.
+type shardRun struct {
+	shard       int32
+	last        int32 // newest attempt, or none
+	outstanding int32
+	state       shardState
+	cause       missCause
+	hedged      bool
+	// freeRetry says that the retry for a missing version was used that does
+	// not draw from the budget.
+	freeRetry bool
+	// parked says that the shard waits for its next try.
+	parked bool
+	// mayHaveRun says that some attempt is not provably unrun.
+	mayHaveRun     bool
+	versionMissing bool
+	hits           []*briarstandv1.Hit
+}
+
+// run is one query in progress. All its decisions are made by the goroutine
+// that calls execute.
+type run struct {
+	engine   *Engine
+	svc      *service
+	plan     *plan
+	binding  *binding
+	req      *briarstandv1.QueryRequest
+	id       string
+	limit    int
+	answerBy time.Time
+	start    time.Time
+
+	collector  *collector
+	spare      []delivery
+	samples    []time.Duration
+	tried      []string
+	requests   []backend.Request
+	shards     []shardRun
+	open       int
+	round      int32
+	hedgeDelay time.Duration
+	nextHedge  time.Time // zero when no hedge is due
+	nextPark   time.Time // zero when no shard is parked
+	timedOut   bool
+	stopped    bool // the caller stopped waiting
+	mayHaveRun bool // some attempt of an earlier round is not provably unrun
+}
+
+func newRun(e *Engine, req *briarstandv1.QueryRequest, id string, svc *service, p *plan, b *binding, answerBy time.Time) *run {
+	n := len(b.candidates)
+	r := &run{
+		engine:    e,
+		svc:       svc,
+		plan:      p,
+		req:       req,
+		id:        id,
+		limit:     int(req.GetLimit()),
+		answerBy:  answerBy,
+		start:     time.Now(),
+		collector: newCollector(e.cfg.Picker, n),
+		spare:     make([]delivery, 0, n),
+	}
+	if r.limit == 0 {
+		r.limit = p.service.Policy.DefaultLimit
+	}
+	if r.limit <= 0 {
+		r.limit = defaultLimit
+	}
+	r.bindTo(p, b)
+	return r
+}
+
+// bindTo starts a round on one index version. Nothing of an earlier round is
+// kept, so that no answer mixes versions.
+func (r *run) bindTo(p *plan, b *binding) {
+	n := len(b.candidates)
+	r.plan, r.binding = p, b
+	r.shards = make([]shardRun, n)
+	r.requests = make([]backend.Request, n)
+	r.open = n
+	shards := r.req.GetShards()
+	for i := range r.shards {
+		shard := int32(i)
+		if len(shards) > 0 {
+			shard = shards[i]
+		}
+		r.shards[i] = shardRun{shard: shard, last: none}
+		r.requests[i] = r.request(int(shard))
+	}
+}
+
+func (r *run) request(shard int) backend.Request {
+	id := r.id
+	if r.req.GetNonIdempotent() {
+		id = r.req.GetTicket()
+	}
+	return backend.Request{
+		Service:       r.svc.name,
+		IndexVersion:  r.binding.version.name,
+		Shard:         shard,
+		Deadline:      r.answerBy,
+		Body:          r.req.GetBody(),
+		Limit:         r.limit,
+		NonIdempotent: r.req.GetNonIdempotent(),
+		RequestID:     id,
+	}
+}
+
+// execute sends the sub-requests and returns the answer.
+func (r *run) execute(ctx context.Context) *briarstandv1.QueryResponse {
+	sent := r.sendAll()
+	r.svc.budget.Sent(sent)
+	r.svc.metrics.primary.Add(sent)
+	r.planHedge()
+	r.loop(ctx)
+	r.finish()
+	return r.answer()
+}
+
+// sendAll sends the first sub-request of every shard that has a candidate.
+func (r *run) sendAll() int {
+	now, sent := time.Now(), 0
+	for i := range r.shards {
+		b, ok := r.pick(i, nil)
+		if !ok {
+			r.miss(i, causeNoReplica)
+			continue
+		}
+		r.send(i, b, now)
+		sent++
+	}
+	return sent
+}
+
+func (r *run) pick(position int, tried []string) (*config.Backend, bool) {
+	candidates := r.binding.candidates[position]
+	if len(candidates) <= len(tried) {
+		return nil, false
+	}
+	return r.engine.cfg.Picker.Pick(r.plan.service.Policy.ReplicaChoice, candidates, tried)
+}
+
+func (r *run) send(position int, b *config.Backend, now time.Time) {
+	s := &r.shards[position]
+	r.engine.cfg.Picker.Started(b.ID)
+	tag := r.collector.add(attempt{
+		position: int32(position), previous: s.last, round: r.round, backend: b, start: now,
+	})
+	s.last = int32(tag)
+	s.outstanding++
+	s.parked = false
+	r.collector.attempts[tag].call = r.engine.cfg.Transport.Send(b, &r.requests[position], tag, r.collector)
+}
+
+// loop handles replies and the timer until every shard is decided, the time
+// is over, or the caller stopped waiting.
+func (r *run) loop(ctx context.Context) {
+	done := ctx.Done()
+	if r.req.GetNonIdempotent() {
+		// The outcome is stored for later offers of the ticket, whether or not
+		// the caller still waits.
+		done = nil
+	}
+	timer := time.NewTimer(time.Until(r.nextEvent()))
+	defer timer.Stop()
+	for r.open > 0 {
+		select {
+		case <-r.collector.signal:
+			r.handleReplies()
+		case <-timer.C:
+			if r.handleTimer() {
+				return
+			}
+		case <-done:
+			r.stopped = true
+			return
+		}
+		if r.open > 0 {
+			timer.Reset(time.Until(r.nextEvent()))
+		}
+	}
+}
+
+func (r *run) nextEvent() time.Time {
+	next := r.answerBy
+	for _, t := range [...]time.Time{r.nextHedge, r.nextPark} {
+		if !t.IsZero() && t.Before(next) {
+			next = t
+		}
+	}
+	return next
+}
+
+// handleTimer does what is due and reports whether the time is over.
+func (r *run) handleTimer() bool {
+	now := time.Now()
+	if !now.Before(r.answerBy) {
+		r.timedOut = true
+		return true
+	}
+	if !r.nextPark.IsZero() && !now.Before(r.nextPark) {
+		r.retryParked(now)
+	}
+	if !r.nextHedge.IsZero() && !now.Before(r.nextHedge) {
+		r.hedge(now)
+	}
+	return false
+}
+
+func (r *run) handleReplies() {
+	batch := r.collector.take(r.spare)
+	now := time.Now()
+	for i := range batch {
+		r.handle(&batch[i], now)
+	}
+	clear(batch)
+	r.spare = batch
+	r.recordLatency(now)
+}
+
+func (r *run) recordLatency(now time.Time) {
+	r.svc.latency.record(r.samples, r.plan.service.Policy.HedgePermille, now)
+	r.samples = r.samples[:0]
+}
+
+// handle takes one reply into account.
+func (r *run) handle(d *delivery, now time.Time) {
+	a := &r.collector.attempts[d.tag]
+	if a.round != r.round {
+		r.mayHaveRun = r.mayHaveRun || !d.reply.Status.NotRun()
+		return
+	}
+	position := int(a.position)
+	s := &r.shards[position]
+	s.outstanding--
+	if d.reply.Status == backend.OK && r.matches(s, &d.reply) {
+		r.samples = append(r.samples, d.latency)
+		r.answered(s, &d.reply, now)
+		return
+	}
+	if !d.reply.Status.NotRun() {
+		s.mayHaveRun = true
+	}
+	if s.state != shardOpen {
+		return
+	}
+	r.learnMissing(s, a.backend.ID, d.reply.Status)
+	if s.outstanding == 0 {
+		r.retry(position, d.reply.Status, now)
+	}
+}
+
+// matches reports whether a reply belongs to the bound version and the shard.
+func (r *run) matches(s *shardRun, reply *backend.Reply) bool {
+	return reply.IndexVersion == r.binding.version.name && reply.Shard == int(s.shard)
+}
+
+// answered counts the first reply of a shard and cancels its other attempts.
+func (r *run) answered(s *shardRun, reply *backend.Reply, now time.Time) {
+	s.mayHaveRun = true
+	if s.state != shardOpen {
+		return
+	}
+	s.state = shardAnswered
+	s.hits = reply.Hits
+	r.open--
+	if s.outstanding > 0 {
+		r.cancel(s, now)
+	}
+}
+
+// cancel withdraws the attempts of a shard that have not replied. The time
+// they took so far counts as their latency: without it the slowest would never
+// be counted, and the hedge delay would shrink.
+func (r *run) cancel(s *shardRun, now time.Time) {
+	for tag := s.last; tag != none; {
+		a := &r.collector.attempts[tag]
+		if !r.collector.hasReplied(int(tag)) {
+			r.samples = append(r.samples, now.Sub(a.start))
+			a.call.Cancel()
+		}
+		tag = a.previous
+	}
+}
+
+// learnMissing remembers that a backend server lacks the shard in the bound
+// version. A reply of another version says the same.
+func (r *run) learnMissing(s *shardRun, backendID string, status backend.Status) {
+	if status != backend.VersionMissing && status != backend.OK {
+		return
+	}
+	s.versionMissing = true
+	r.svc.missing.add(missingKey{r.binding.version.name, int(s.shard), backendID})
+}
+
+func (r *run) miss(position int, cause missCause) {
+	s := &r.shards[position]
+	s.state = shardMissing
+	s.cause = cause
+	s.parked = false
+	r.open--
+}
+
+// finish takes the last replies and cancels what is still outstanding.
+func (r *run) finish() {
+	now := time.Now()
+	batch := r.collector.close()
+	for i := range batch {
+		r.handleLast(&batch[i])
+	}
+	for i := range r.shards {
+		s := &r.shards[i]
+		if s.state == shardOpen && s.outstanding > 0 {
+			s.mayHaveRun = true
+			r.cancel(s, now)
+		}
+	}
+	r.recordLatency(now)
+}
+
+// handleLast takes a reply into account that arrived while the query ended.
+// Nothing more is sent for it.
+func (r *run) handleLast(d *delivery) {
+	a := &r.collector.attempts[d.tag]
+	if a.round != r.round {
+		r.mayHaveRun = r.mayHaveRun || !d.reply.Status.NotRun()
+		return
+	}
+	s := &r.shards[a.position]
+	s.outstanding--
+	s.mayHaveRun = s.mayHaveRun || !d.reply.Status.NotRun()
+	if d.reply.Status == backend.OK && r.matches(s, &d.reply) && s.state == shardOpen {
+		r.samples = append(r.samples, d.latency)
+		s.state = shardAnswered
+		s.hits = d.reply.Hits
+		r.open--
+	}
+}
--- /dev/null
+++ b/query/service.go
@@ -0,0 +1,122 @@
+package query
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/briarstand/briarstand/backend"
+	"github.com/briarstand/briarstand/config"
+	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+	"github.com/briarstand/briarstand/limit"
+)
+
+// service is what a VM keeps for one service across revisions.
+type service struct {
+	name      string
+	admission *limit.Admission
+	budget    *limit.Budget
+	latency   *latencies
+	missing   missingTable
+	plan      atomic.Pointer[plan]
+	mu        sync.Mutex // serializes changes of plan
+	metrics   serviceMetrics
+}
+
+// serviceMetrics are the counters of one service.
+type serviceMetrics struct {
+	outcomes [briarstandv1.Outcome_OUTCOME_DEADLINE_EXCEEDED + 1]*metrics.Counter
+	duration *metrics.Histogram
+	primary  *metrics.Counter
+	hedges   *metrics.Counter
+	retries  *metrics.Counter
+	restarts *metrics.Counter
+	denied   *metrics.Counter
+}
+
+func newService(svc *config.Service, set *metrics.Set, missingFor time.Duration) *service {
+	s := &service{
+		name:      svc.Name,
+		admission: limit.NewAdmission(limitsOf(svc)),
+		budget:    limit.NewBudget(svc.Policy.ExtraLoadPermille),
+		latency:   newLatencies(),
+		missing:   missingTable{keep: missingFor},
+		metrics:   newServiceMetrics(svc.Name, set),
+	}
+	s.plan.Store(newPlan(svc))
+	return s
+}
+
+func newServiceMetrics(name string, set *metrics.Set) serviceMetrics {
+	m := serviceMetrics{
+		duration: set.GetOrCreateHistogram(fmt.Sprintf("briarstand_query_duration_seconds{service=%q}", name)),
+		denied:   set.GetOrCreateCounter(fmt.Sprintf("briarstand_extra_denied_total{service=%q}", name)),
+	}
+	for i := range m.outcomes {
+		m.outcomes[i] = set.GetOrCreateCounter(fmt.Sprintf(
+			"briarstand_queries_total{service=%q,outcome=%q}", name, outcomeName(briarstandv1.Outcome(i))))
+	}
+	kind := func(k string) *metrics.Counter {
+		return set.GetOrCreateCounter(fmt.Sprintf("briarstand_sub_requests_total{service=%q,kind=%q}", name, k))
+	}
+	m.primary, m.hedges, m.retries, m.restarts = kind("primary"), kind("hedge"), kind("retry"), kind("restart")
+	return m
+}
+
+func limitsOf(svc *config.Service) limit.Limits {
+	return limit.Limits{MaxConcurrent: svc.Policy.MaxConcurrent, MaxQueued: svc.Policy.MaxQueued}
+}
+
+// current returns the plan of a service document, or of a newer one if another
+// query saw it already. The plan and the limits are updated on the first query
+// that sees a new revision.
+func (s *service) current(svc *config.Service) *plan {
+	p := s.plan.Load()
+	if p.service.Revision >= svc.Revision {
+		return p
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p = s.plan.Load(); p.service.Revision >= svc.Revision {
+		return p
+	}
+	p = newPlan(svc)
+	s.plan.Store(p)
+	s.admission.SetLimits(limitsOf(svc))
+	s.budget.SetRate(svc.Policy.ExtraLoadPermille)
+	return p
+}
+
+// exclusions answers which backend servers a query must not use, at the time
+// of its binding.
+type exclusions struct {
+	draining []string // announced by the backend servers themselves
+	missing  *missingTable
+}
+
+func (s *service) exclusions(p *plan, t backend.Transport) *exclusions {
+	ex := &exclusions{}
+	if !s.missing.empty() {
+		ex.missing = &s.missing
+	}
+	for _, id := range p.backends {
+		if t.Draining(id) {
+			ex.draining = append(ex.draining, id)
+		}
+	}
+	return ex
+}
+
+func (ex *exclusions) excluding() bool { return ex.missing != nil || len(ex.draining) > 0 }
+
+func (ex *exclusions) excludes(version string, shard int, backendID string) bool {
+	for _, id := range ex.draining {
+		if id == backendID {
+			return true
+		}
+	}
+	return ex.missing != nil && ex.missing.has(missingKey{version, shard, backendID})
+}
--- /dev/null
+++ b/server/callerapi/callerapi.go
@@ -0,0 +1,91 @@
+// Package callerapi serves CallerService: it finds addresses for callers,
+// issues tickets and runs queries.
+package callerapi
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+	"github.com/briarstand/briarstand/gen/briarstand/v1/briarstandv1connect"
+	"github.com/briarstand/briarstand/query"
+)
+
+// DefaultMaxMessageBytes bounds the size of a request.
+const DefaultMaxMessageBytes = 1 << 20
+
+// Config holds what the handler needs.
+type Config struct {
+	Engine *query.Engine
+	// Resolve answers which addresses a caller should use.
+	Resolve func(*briarstandv1.ResolveRequest) *briarstandv1.ResolveResponse
+	// Address is the host:port of this VM's caller API, returned with tickets.
+	Address string
+	// MaxMessageBytes bounds the size of a request; 0 means the default.
+	MaxMessageBytes int
+	// Options are added to those of the handler.
+	Options []connect.HandlerOption
+}
+
+// New returns the path prefix and the handler of CallerService.
+func New(cfg Config) (string, http.Handler) {
+	if cfg.MaxMessageBytes <= 0 {
+		cfg.MaxMessageBytes = DefaultMaxMessageBytes
+	}
+	options := append([]connect.HandlerOption{connect.WithReadMaxBytes(cfg.MaxMessageBytes)}, cfg.Options...)
+	return briarstandv1connect.NewCallerServiceHandler(&handler{cfg: cfg}, options...)
+}
+
+// handler implements briarstandv1connect.CallerServiceHandler.
+type handler struct{ cfg Config }
+
+// Resolve returns the addresses that the caller should use.
+func (h *handler) Resolve(_ context.Context, req *connect.Request[briarstandv1.ResolveRequest]) (*connect.Response[briarstandv1.ResolveResponse], error) {
+	return connect.NewResponse(h.cfg.Resolve(req.Msg)), nil
+}
+
+// BeginRequest issues a ticket.
+func (h *handler) BeginRequest(_ context.Context, req *connect.Request[briarstandv1.BeginRequestRequest]) (*connect.Response[briarstandv1.BeginRequestResponse], error) {
+	ticket, ttl, err := h.cfg.Engine.BeginRequest(req.Msg.GetService())
+	if err != nil {
+		return nil, connectError(err)
+	}
+	return connect.NewResponse(&briarstandv1.BeginRequestResponse{
+		Ticket:  ticket,
+		TtlMs:   ttl.Milliseconds(),
+		Address: h.cfg.Address,
+	}), nil
+}
+
+// Query runs one query. Refusals are outcomes in the response.
+func (h *handler) Query(ctx context.Context, req *connect.Request[briarstandv1.QueryRequest]) (*connect.Response[briarstandv1.QueryResponse], error) {
+	resp, err := h.cfg.Engine.Run(ctx, req.Msg)
+	if err != nil {
+		return nil, connectError(err)
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// connectError maps the engine's errors to Connect codes.
+func connectError(err error) *connect.Error {
+	var (
+		invalid     *query.InvalidRequestError
+		unknown     *query.UnknownServiceError
+		late        *query.DeadlinePassedError
+		notAdmitted *query.NotAdmittedError
+	)
+	switch {
+	case errors.As(err, &invalid):
+		return connect.NewError(connect.CodeInvalidArgument, err)
+	case errors.As(err, &unknown):
+		return connect.NewError(connect.CodeNotFound, err)
+	case errors.As(err, &late):
+		return connect.NewError(connect.CodeDeadlineExceeded, err)
+	case errors.As(err, &notAdmitted):
+		return connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewError(connect.CodeInternal, err)
+}
