--- a/query/ticketed.go
+++ b/query/ticketed.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
@@ -30,7 +32,7 @@
 	if vmID != e.cfg.VMID {
 		return e.relay(ctx, req, id, vmID, incarnation, mayRelay)
 	}
-	u, first, err := e.cfg.Issuer.Begin(req.GetTicket())
+	u, first, err := e.cfg.Issuer.BeginFor(req.GetTicket(), fingerprint(req))
 	if err != nil {
 		return e.ticketRefused(id, err)
 	}
@@ -52,6 +54,26 @@
 	return nil, &InvalidRequestError{Field: "ticket", Reason: err.Error(), Err: err}
 }
 
+// fingerprint identifies what a request asks for. The request id, the timeout
+// and the priority may differ between offers of the same ticket.
+func fingerprint(req *briarstandv1.QueryRequest) uint64 {
+	d := xxhash.New()
+	var word [8]byte
+	number := func(n int) {
+		binary.LittleEndian.PutUint64(word[:], uint64(n))
+		d.Write(word[:]) // never fails
+	}
+	number(len(req.GetService()))
+	d.WriteString(req.GetService()) // never fails
+	number(len(req.GetBody()))
+	d.Write(req.GetBody())
+	number(int(req.GetLimit()))
+	for _, shard := range req.GetShards() {
+		number(int(shard))
+	}
+	return d.Sum64()
+}
+
 // runFirst runs the query of a ticket that was not used before and stores its
 // outcome.
 func (e *Engine) runFirst(ctx context.Context, req *briarstandv1.QueryRequest, id string, u *ticket.Use) (*briarstandv1.QueryResponse, error) {
--- a/ticket/errors.go
+++ b/ticket/errors.go
@@ -20,3 +20,8 @@
 func (e *FullError) Error() string {
 	return fmt.Sprintf("table of used tickets is full: %d entries, %d bytes of outcomes", e.Entries, e.Bytes)
 }
+
+// ReusedError reports a ticket that was used before for another request.
+type ReusedError struct{}
+
+func (e *ReusedError) Error() string { return "ticket was used for another request" }
--- a/ticket/issuer.go
+++ b/ticket/issuer.go
@@ -118,6 +118,13 @@
 // call Finish; otherwise the ticket was used before, and Wait returns the
 // outcome. Errors are *ExpiredError, *InvalidError and *FullError.
 func (i *Issuer) Begin(ticket string) (u *Use, first bool, err error) {
+	return i.BeginFor(ticket, 0)
+}
+
+// BeginFor is Begin with a fingerprint of the request, so that a ticket that
+// is offered again with another request fails with a *ReusedError instead of
+// returning the outcome of the first.
+func (i *Issuer) BeginFor(ticket string, fingerprint uint64) (u *Use, first bool, err error) {
 	c, err := i.verify(ticket)
 	if err != nil {
 		return nil, false, err
@@ -129,6 +136,9 @@
 	now := time.Since(i.start)
 	i.dropExpired(now)
 	if u, ok := i.used[c.counter]; ok {
+		if u.fingerprint != fingerprint {
+			return nil, false, &ReusedError{}
+		}
 		return u, false, nil
 	}
 	if now >= c.expiry {
@@ -138,7 +148,10 @@
 		i.closedBelow = max(i.closedBelow, c.counter+1)
 		return nil, false, &FullError{Entries: len(i.used), Bytes: i.bytes}
 	}
-	u = &Use{issuer: i, counter: c.counter, expiry: c.expiry, done: make(chan struct{})}
+	u = &Use{
+		issuer: i, counter: c.counter, expiry: c.expiry, fingerprint: fingerprint,
+		done: make(chan struct{}),
+	}
 	i.used[c.counter] = u
 	heap.Push(&i.expiry, u)
 	return u, true, nil
@@ -184,10 +197,11 @@
 
 // Use is a used ticket: a request that runs or has an outcome.
 type Use struct {
-	issuer  *Issuer
-	counter uint64
-	expiry  time.Duration
-	done    chan struct{}
+	issuer      *Issuer
+	counter     uint64
+	expiry      time.Duration
+	fingerprint uint64
+	done        chan struct{}
 
 	// Guarded by the issuer's lock until done is closed.
 	expired bool
--- /dev/null
+++ b/ticket/ticket_test.go
@@ -0,0 +1,267 @@
+package ticket
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var testKey = []byte(strings.Repeat("k", keyBytes))
+
+func outcome(reason string) *briarstandv1.QueryResponse {
+	return &briarstandv1.QueryResponse{Outcome: briarstandv1.Outcome_OUTCOME_COMPLETE, Reason: reason}
+}
+
+// Guards against a ticket that runs again after expiry, and against losing the
+// entry of a request that still runs then.
+func TestExpiry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		i := NewIssuer("vm-1", 1, Config{TTL: time.Second})
+		running, ttl := i.Issue()
+		unused, _ := i.Issue()
+		c.Assert(ttl, qt.Equals, time.Second)
+		u, first, err := i.Begin(running)
+		c.Assert(err, qt.IsNil)
+		c.Assert(first, qt.IsTrue)
+		time.Sleep(2 * time.Second)
+
+		var expired *ExpiredError
+		_, _, err = i.Begin(unused)
+		c.Assert(errors.As(err, &expired), qt.IsTrue)
+		joined, first, err := i.Begin(running)
+		c.Assert(err, qt.IsNil)
+		c.Assert(first, qt.IsFalse)
+		u.Finish(outcome("done"))
+		u.Finish(outcome("again"))
+		resp, err := joined.Wait(context.Background())
+		c.Assert(err, qt.IsNil)
+		c.Assert(resp.Reason, qt.Equals, "done")
+		c.Assert(i.Entries(), qt.Equals, 0)
+		_, _, err = i.Begin(running)
+		c.Assert(errors.As(err, &expired), qt.IsTrue)
+	})
+}
+
+// Guards against an unbounded table, and against running a ticket later that
+// was reported as not run.
+func TestFullTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		i := NewIssuer("vm-1", 1, Config{TTL: time.Second, MaxEntries: 1})
+		older, _ := i.Issue()
+		used, _ := i.Issue()
+		refused, _ := i.Issue()
+		u, _, err := i.Begin(used)
+		c.Assert(err, qt.IsNil)
+		u.Finish(outcome("done"))
+		time.Sleep(500 * time.Millisecond)
+		later, _ := i.Issue()
+		var full *FullError
+		_, _, err = i.Begin(refused)
+		c.Assert(errors.As(err, &full), qt.IsTrue)
+		_, first, err := i.Begin(used)
+		c.Assert(err, qt.IsNil)
+		c.Assert(first, qt.IsFalse)
+		time.Sleep(499 * time.Millisecond)
+		for _, ticket := range []string{refused, older} {
+			_, _, err = i.Begin(ticket)
+			c.Assert(errors.As(err, &full), qt.IsTrue)
+		}
+		time.Sleep(2 * time.Millisecond)
+		_, first, err = i.Begin(later)
+		c.Assert(err, qt.IsNil)
+		c.Assert(first, qt.IsTrue)
+	})
+}
+
+// Guards against forged tickets, tickets of others, and one ticket that stands
+// for two requests.
+func TestRejected(t *testing.T) {
+	c := qt.New(t)
+	i := NewIssuer("vm-1", 2, Config{Key: testKey})
+	good, _ := i.Issue()
+	other, _ := NewIssuer("vm-2", 2, Config{Key: testKey}).Issue()
+	before, _ := NewIssuer("vm-1", 1, Config{Key: testKey}).Issue()
+	forged, _ := NewIssuer("vm-1", 2, Config{}).Issue()
+	var invalid *InvalidError
+	for _, ticket := range []string{"", "x", other, forged, good + "A", good[:len(good)-2], strings.Repeat("A", 2000)} {
+		_, _, err := i.Begin(ticket)
+		c.Assert(errors.As(err, &invalid), qt.IsTrue, qt.Commentf("%q: %v", ticket, err))
+	}
+	var expired *ExpiredError
+	_, _, err := i.Begin(before)
+	c.Assert(errors.As(err, &expired), qt.IsTrue)
+	_, first, err := i.BeginFor(good, 1)
+	c.Assert(err, qt.IsNil)
+	c.Assert(first, qt.IsTrue)
+	var reused *ReusedError
+	_, _, err = i.BeginFor(good, 2)
+	c.Assert(errors.As(err, &reused), qt.IsTrue)
+}
+
+// machine models an issuer through restarts: what ran, and what was reported.
+type machine struct {
+	issuer      *Issuer
+	incarnation int64
+	tickets     []string
+	ran         map[string]int
+	running     map[string]*Use
+	finished    map[string]string
+	refused     map[string]bool // reported as not run
+}
+
+func (m *machine) restart(*rapid.T) {
+	m.incarnation++
+	m.issuer = NewIssuer("vm-1", m.incarnation, Config{TTL: time.Second, MaxEntries: 4, MaxBytes: 60})
+	m.running = map[string]*Use{}
+}
+
+func (m *machine) issue(*rapid.T) {
+	ticket, _ := m.issuer.Issue()
+	m.tickets = append(m.tickets, ticket)
+}
+
+func (m *machine) offer(t *rapid.T) {
+	if len(m.tickets) == 0 {
+		t.Skip("no ticket yet")
+	}
+	ticket := rapid.SampledFrom(m.tickets).Draw(t, "ticket")
+	u, first, err := m.issuer.Begin(ticket)
+	var expired *ExpiredError
+	var full *FullError
+	switch {
+	case errors.As(err, &full):
+		if m.ran[ticket] > 0 && m.finished[ticket] != "" {
+			t.Fatal("a ticket that ran was refused as not run")
+		}
+		m.refused[ticket] = true
+	case errors.As(err, &expired):
+	case err != nil:
+		t.Fatal(err)
+	case first:
+		m.ran[ticket]++
+		m.running[ticket] = u
+		if m.ran[ticket] > 1 || m.refused[ticket] {
+			t.Fatalf("ran %d times, refused before: %v", m.ran[ticket], m.refused[ticket])
+		}
+	default:
+		m.checkJoined(t, ticket, u)
+	}
+}
+
+func (m *machine) checkJoined(t *rapid.T, ticket string, u *Use) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Nanosecond)
+	defer cancel()
+	resp, err := u.Wait(ctx)
+	if want, ok := m.finished[ticket]; ok {
+		if err != nil || resp.GetReason() != want {
+			t.Fatalf("got outcome %v, %v; want %q", resp, err, want)
+		}
+	} else if err == nil || m.running[ticket] != u {
+		t.Fatal("joined something other than the running request")
+	}
+}
+
+func (m *machine) finish(t *rapid.T) {
+	for ticket, u := range m.running {
+		m.finished[ticket] = fmt.Sprintf("outcome %d", len(m.finished))
+		u.Finish(outcome(m.finished[ticket]))
+		delete(m.running, ticket)
+		return
+	}
+	t.Skip("nothing runs")
+}
+
+// Guards against any order of offers, repeats, freezes, expiry and restarts by
+// which a ticket runs twice, runs after it was refused, or loses its outcome.
+func TestMachine(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		inBubble(t, func() {
+			m := &machine{ran: map[string]int{}, finished: map[string]string{}, refused: map[string]bool{}}
+			m.restart(rt)
+			rt.Repeat(map[string]func(*rapid.T){
+				"issue":  m.issue,
+				"offer":  m.offer,
+				"offer2": m.offer,
+				"finish": m.finish,
+				"pause":  func(*rapid.T) { time.Sleep(150 * time.Millisecond) },
+				"freeze": func(rt *rapid.T) {
+					time.Sleep(time.Duration(rapid.IntRange(1, 3).Draw(rt, "seconds")) * time.Second)
+				},
+				"restart": func(rt *rapid.T) {
+					if rapid.IntRange(0, 9).Draw(rt, "chance") == 0 {
+						m.restart(rt)
+					}
+				},
+				"": func(rt *rapid.T) {
+					if m.issuer.Entries() > 4+len(m.running) {
+						rt.Fatal("the table outgrew its bound")
+					}
+				},
+			})
+		})
+	})
+}
+
+// inBubble runs f on a virtual clock and passes its panics on, with which
+// rapid ends a test case.
+func inBubble(t *testing.T, f func()) {
+	var failure any
+	synctest.Test(t, func(*testing.T) {
+		defer func() { failure = recover() }()
+		f()
+	})
+	if failure != nil {
+		panic(failure)
+	}
+}
+
+// Guards against panics on hostile tickets and against accepting any string
+// that the issuer did not issue.
+func FuzzTicket(f *testing.F) {
+	i := NewIssuer("vm-1", 1, Config{Key: testKey, TTL: time.Hour})
+	good, _ := i.Issue()
+	for _, seed := range []string{"", "x", good, good + "=", good[1:], strings.Repeat("AQ", 100)} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, s string) {
+		_, _, originErr := Origin(s)
+		if _, _, err := i.Begin(s); err != nil {
+			return
+		}
+		// Fuzz workers are processes of their own, so an accepted ticket may be
+		// one of another process with the same key.
+		c, _, _, _ := decode(s)
+		if originErr != nil || c.encode(testKey) != s {
+			t.Fatalf("accepted %q, which is no encoded ticket: %v", s, originErr)
+		}
+	})
+}
+
+// Guards against a caller that changes a stored outcome for all others.
+func TestWaitCopies(t *testing.T) {
+	c := qt.New(t)
+	i := NewIssuer("vm-1", 1, Config{})
+	ticket, _ := i.Issue()
+	u, _, err := i.Begin(ticket)
+	c.Assert(err, qt.IsNil)
+	u.Finish(outcome("done"))
+	one, _ := u.Wait(context.Background())
+	one.Reason = "changed"
+	two, _ := u.Wait(context.Background())
+	c.Assert(proto.Equal(two, outcome("done")), qt.IsTrue)
+}
