Add the stand-in backend server and tests of the pool

Cause: the pool needs a peer whose record is the ground truth. Excluded: a goroutine or timer per sub-request in the stand-in; one event loop serves all. Queueing sub-requests during a reconnect was tried: a request to a silent peer then expired in the queue instead of going to another replica. Before: the pool was untested. Conclusion: sub-requests queue only during the first attempt to connect.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -169,8 +169,9 @@
 	return p
 }
 
-// now returns the time in nanoseconds since the pool was created.
-func (p *Pool) now() int64 { return int64(time.Since(p.epoch)) }
+// now returns the time in nanoseconds since the pool was created. It is never
+// 0, which stands for no time.
+func (p *Pool) now() int64 { return max(1, int64(time.Since(p.epoch))) }
 
 func (p *Pool) deliver(c *call, r Reply) {
 	p.counters.replies[r.Status].Inc()
--- a/backend/session.go
+++ b/backend/session.go
@@ -41,7 +41,6 @@
 	cfg := &s.pool.cfg
 	wait := backoff{base: cfg.BackoffBase, max: cfg.BackoffMax, random: cfg.Random}
 	for ctx.Err() == nil {
-		s.connecting()
 		err := s.runSession(ctx, &wait)
 		if ctx.Err() != nil {
 			break
--- /dev/null
+++ b/backend/standin/events.go
@@ -0,0 +1,114 @@
+package standin
+
+import "time"
+
+// event is something that a server does at a time.
+type event struct {
+	at     int64 // nanoseconds since the server's epoch
+	kind   eventKind
+	job    *job
+	stream *stream
+	reply  reply
+}
+
+type eventKind uint8
+
+const (
+	eventArrive eventKind = iota
+	eventCancel
+	eventFinish
+	eventReply
+)
+
+// eventHeap is a binary heap by time. It holds values, so that an event costs
+// no allocation.
+type eventHeap []event
+
+func (h *eventHeap) push(e event) {
+	*h = append(*h, e)
+	a := *h
+	i := len(a) - 1
+	for i > 0 {
+		parent := (i - 1) / 2
+		if a[parent].at <= a[i].at {
+			break
+		}
+		a[parent], a[i] = a[i], a[parent]
+		i = parent
+	}
+}
+
+func (h *eventHeap) pop() event {
+	a := *h
+	top := a[0]
+	last := len(a) - 1
+	a[0], a[last] = a[last], event{}
+	a = a[:last]
+	*h = a
+	for i := 0; ; {
+		child := 2*i + 1
+		if child >= len(a) {
+			break
+		}
+		if child+1 < len(a) && a[child+1].at < a[child].at {
+			child++
+		}
+		if a[i].at <= a[child].at {
+			break
+		}
+		a[i], a[child] = a[child], a[i]
+		i = child
+	}
+	return top
+}
+
+// schedule adds an event. It is called with the lock held.
+func (s *Server) schedule(e event) {
+	s.events.push(e)
+	if e.at < s.nextEvent {
+		select {
+		case s.kick <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// loop runs events. One goroutine and one timer serve all sub-requests.
+func (s *Server) loop() {
+	const idle = time.Hour
+	timer := time.NewTimer(idle)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		now := s.now()
+		for len(s.events) > 0 && s.events[0].at <= now {
+			s.handle(s.events.pop(), now)
+		}
+		s.nextEvent = now + int64(idle)
+		if len(s.events) > 0 {
+			s.nextEvent = s.events[0].at
+		}
+		wait := time.Duration(s.nextEvent - now)
+		s.mu.Unlock()
+		timer.Reset(wait)
+		select {
+		case <-s.stop:
+			return
+		case <-s.kick:
+		case <-timer.C:
+		}
+	}
+}
+
+func (s *Server) handle(e event, now int64) {
+	switch e.kind {
+	case eventArrive:
+		s.admit(e.job, now)
+	case eventCancel:
+		s.cancel(e.job, now)
+	case eventFinish:
+		s.finish(e.job, now)
+	case eventReply:
+		e.stream.push(e.reply)
+	}
+}
--- /dev/null
+++ b/backend/standin/listener.go
@@ -0,0 +1,111 @@
+package standin
+
+import (
+	"bytes"
+	"net"
+	"sync"
+	"time"
+)
+
+// listener wraps the connections of a backend server.
+type listener struct {
+	net.Listener
+	server *Server
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	wrapped := &conn{Conn: c, server: l.server}
+	l.server.track(wrapped)
+	return wrapped, nil
+}
+
+var http2Preface = []byte("PRI")
+
+// conn counts itself as a connection once it turns out to be HTTP/2, so that
+// the control API does not use up the connection cap.
+type conn struct {
+	net.Conn
+	server *Server
+	sniff  sync.Once
+	close  sync.Once
+	// counted is guarded by the server's lock.
+	counted bool
+}
+
+// Read discards what arrives while the server is silent.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil {
+			return n, err
+		}
+		c.sniff.Do(func() { err = c.admit(p[:n]) })
+		if err != nil {
+			return 0, err
+		}
+		if !c.server.silent.Load() {
+			return n, nil
+		}
+	}
+}
+
+// admit applies the connection cap and the cost of a connection.
+func (c *conn) admit(first []byte) error {
+	if !bytes.HasPrefix(first, http2Preface) {
+		return nil
+	}
+	cost, ok := c.server.admitConnection(c)
+	if !ok {
+		c.Close()
+		return net.ErrClosed
+	}
+	time.Sleep(cost)
+	return nil
+}
+
+// Write pretends to write while the server is silent.
+func (c *conn) Write(p []byte) (int, error) {
+	if c.server.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *conn) Close() error {
+	c.close.Do(func() { c.server.untrack(c) })
+	return c.Conn.Close()
+}
+
+func (s *Server) track(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+}
+
+func (s *Server) untrack(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+	if c.counted {
+		s.record.Connections.Open--
+	}
+}
+
+func (s *Server) admitConnection(c *conn) (cost time.Duration, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := &s.record.Connections
+	if limit := s.settings.MaxConnections; limit > 0 && count.Open >= limit {
+		count.Refused++
+		return 0, false
+	}
+	c.counted = true
+	count.Accepted++
+	count.Open++
+	count.Peak = max(count.Peak, count.Open)
+	return time.Duration(s.settings.ConnectionCost), true
+}
--- /dev/null
+++ b/backend/standin/settings.go
@@ -0,0 +1,127 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Duration is a time.Duration that JSON holds as a string such as "5ms".
+type Duration time.Duration
+
+// MarshalJSON writes the duration as a string.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
+
+// UnmarshalJSON reads a duration string.
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return fmt.Errorf("duration: %w", err)
+	}
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		return fmt.Errorf("duration: %w", err)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// Holding names shards that a backend server holds.
+type Holding struct {
+	// Service is the service's name; empty means any.
+	Service string `json:"service,omitempty"`
+	// Version is the index version's name; empty means any.
+	Version string `json:"version,omitempty"`
+	// Shards lists the shards; empty means all.
+	Shards []int `json:"shards,omitempty"`
+}
+
+func (h *Holding) covers(service, version string, shard int) bool {
+	return (h.Service == "" || h.Service == service) &&
+		(h.Version == "" || h.Version == version) &&
+		(len(h.Shards) == 0 || slices.Contains(h.Shards, shard))
+}
+
+// Settings are the size and speed of a backend server.
+type Settings struct {
+	// Slots is how many sub-requests run at once.
+	Slots int `json:"slots"`
+	// QueueLimit is how many sub-requests wait for a slot; more are shed.
+	QueueLimit int `json:"queue_limit"`
+	// MaxConnections is how many HTTP/2 connections are accepted; 0 means any
+	// number.
+	MaxConnections int `json:"max_connections"`
+	// ConnectionCost is the time that a new connection takes.
+	ConnectionCost Duration `json:"connection_cost"`
+	// ServiceBase is the shortest service time. A time up to ServiceJitter is
+	// added, evenly distributed, and ServiceTail with TailProbability.
+	ServiceBase     Duration `json:"service_base"`
+	ServiceJitter   Duration `json:"service_jitter"`
+	ServiceTail     Duration `json:"service_tail"`
+	TailProbability float64  `json:"tail_probability"`
+	// NetworkLatency is added one way to sub-requests and to replies.
+	NetworkLatency Duration `json:"network_latency"`
+	// ColdFor is how long after the start service times are longer. They start
+	// at ColdFactor times the usual and fall evenly.
+	ColdFor    Duration `json:"cold_for"`
+	ColdFactor float64  `json:"cold_factor"`
+	// Holdings lists what the backend server holds; empty means everything.
+	Holdings []Holding `json:"holdings"`
+}
+
+func (s *Settings) holds(service, version string, shard int) bool {
+	if len(s.Holdings) == 0 {
+		return true
+	}
+	for i := range s.Holdings {
+		if s.Holdings[i].covers(service, version, shard) {
+			return true
+		}
+	}
+	return false
+}
+
+// DefaultSettings returns a fast backend server with two slots.
+func DefaultSettings() Settings {
+	return Settings{Slots: 2, QueueLimit: 64, ServiceBase: Duration(time.Millisecond)}
+}
+
+// Faults are deviations from what a backend server should do. Probabilities lie
+// between 0 and 1 and apply to each sub-request on its own.
+type Faults struct {
+	// StragglerFactor multiplies service times; 0 means 1.
+	StragglerFactor float64 `json:"straggler_factor"`
+	// IgnoreCancellation runs sub-requests that were cancelled or whose stream
+	// has ended.
+	IgnoreCancellation bool `json:"ignore_cancellation"`
+	// FailProbability is how often a sub-request runs and then fails.
+	FailProbability float64 `json:"fail_probability"`
+	// ShedProbability is how often a sub-request is shed without need.
+	ShedProbability float64 `json:"shed_probability"`
+	// DropProbability is how often a reply is lost.
+	DropProbability float64 `json:"drop_probability"`
+	// DuplicateProbability is how often a reply is sent twice.
+	DuplicateProbability float64 `json:"duplicate_probability"`
+	// InventProbability is how often a reply to a sub-request that was never
+	// sent accompanies a reply.
+	InventProbability float64 `json:"invent_probability"`
+	// WrongVersionProbability is how often a reply names another index version.
+	WrongVersionProbability float64 `json:"wrong_version_probability"`
+	// WrongShardProbability is how often a reply names another shard.
+	WrongShardProbability float64 `json:"wrong_shard_probability"`
+	// DelayProbability is how often ReplyDelay is added to a reply.
+	DelayProbability float64  `json:"delay_probability"`
+	ReplyDelay       Duration `json:"reply_delay"`
+	// ReportLoad replaces the reported load.
+	ReportLoad *float64 `json:"report_load"`
+	// ReportHealthy replaces the reported health.
+	ReportHealthy *bool `json:"report_healthy"`
+	// StatusDelay delays the answer of Status.
+	StatusDelay Duration `json:"status_delay"`
+	// Silent discards all bytes on connections without closing them, as when a
+	// peer vanishes.
+	Silent bool `json:"silent"`
+}
--- a/backend/stream.go
+++ b/backend/stream.go
@@ -53,10 +53,11 @@
 type linkState uint8
 
 const (
-	// linkConnecting queues sub-requests until the connection is there.
+	// linkConnecting queues sub-requests during the first attempt to connect.
 	linkConnecting linkState = iota
 	linkUp
-	// linkDown refuses sub-requests at once, so that they go elsewhere.
+	// linkDown refuses sub-requests from the end of a connection or attempt to
+	// the next success, so that they go elsewhere while there is time left.
 	linkDown
 )
 
@@ -407,13 +408,6 @@
 	return buf, earliest
 }
 
-// connecting lets sub-requests queue for the connection that is being opened.
-func (s *stream) connecting() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.link = linkConnecting
-}
-
 // connected publishes the session that carries the sub-requests from now on.
 func (s *stream) connected(session *session) {
 	s.mu.Lock()
