--- a/backend/bench_test.go
+++ b/backend/bench_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/briarstand/briarstand/backend"
 	"github.com/briarstand/briarstand/backend/standin"
 	"github.com/briarstand/briarstand/config"
@@ -55,7 +57,8 @@
 	} {
 		b.Run(fmt.Sprintf("shards=%d/backends=%d/callers=%d", shape.perQuery, shape.backends, shape.callers), func(b *testing.B) {
 			backends := serveBench(b, shape.backends)
-			pool := backend.NewPool(backend.PoolConfig{})
+			set := metrics.NewSet()
+			pool := backend.NewPool(backend.PoolConfig{Metrics: set})
 			defer pool.Close()
 			query := func() {
 				var s waitSink
@@ -83,6 +86,9 @@
 			callers.Wait()
 			used := cpuTime(b) - before
 			b.ReportMetric(float64(used.Nanoseconds())/1e3/float64(queries*shape.callers*shape.perQuery), "cpu-us/subreq")
+			written := set.GetOrCreateCounter("briarstand_backend_subrequests_written_total").Get()
+			messages := set.GetOrCreateCounter("briarstand_backend_messages_written_total").Get()
+			b.ReportMetric(float64(written)/float64(messages), "subreq/message")
 		})
 	}
 }
--- a/backend/pool_test.go
+++ b/backend/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"flag"
 	"fmt"
 	"sync"
 	"testing"
@@ -17,7 +18,15 @@
 	"github.com/briarstand/briarstand/config"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+// TestMain fixes the seed of the state machines unless one is given.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	goleak.VerifyTestMain(m) // parses the command line, which takes precedence
+}
 
 // sink counts the deliveries of each tag and keeps the last reply.
 type sink struct {
--- a/backend/standin/exchange.go
+++ b/backend/standin/exchange.go
@@ -25,13 +25,17 @@
 }
 
 // message builds the reply. It needs no lock.
-func (r reply) message() *briarstandv1.SubResponse {
+func (r reply) message(known map[shardKey]*documents) *briarstandv1.SubResponse {
 	req := r.job.request
 	m := &briarstandv1.SubResponse{
 		Id: req.GetId(), Status: r.status, IndexVersion: req.GetIndexVersion(), Shard: req.GetShard(),
 	}
 	if r.status == briarstandv1.SubStatus_SUB_STATUS_OK {
-		m.Hits = Documents(req.GetService(), req.GetIndexVersion(), int(req.GetShard()), req.GetBody(), int(req.GetLimit()))
+		key := shardKey{req.GetService(), req.GetIndexVersion(), req.GetShard()}
+		if known[key] == nil {
+			known[key] = newDocuments(key)
+		}
+		m.Hits = known[key].search(req.GetBody(), int(req.GetLimit()))
 	} else {
 		m.Error = r.status.String()
 	}
@@ -52,6 +56,7 @@
 	exchange *connect.BidiStream[briarstandv1.ExchangeRequest, briarstandv1.ExchangeResponse]
 	cancel   context.CancelFunc
 	wake     chan struct{}
+	known    map[shardKey]*documents // used by the writer only
 
 	// Guarded by the server's lock.
 	jobs   map[uint64]*job
@@ -80,7 +85,7 @@
 ) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	st := &stream{exchange: x, cancel: cancel, wake: make(chan struct{}, 1), jobs: map[uint64]*job{}}
+	st := &stream{exchange: x, cancel: cancel, wake: make(chan struct{}, 1), jobs: map[uint64]*job{}, known: map[shardKey]*documents{}}
 	if !s.openStream(st) {
 		return connect.NewError(connect.CodeUnavailable, errors.New("server is closed"))
 	}
@@ -187,7 +192,7 @@
 		n := min(len(replies), maxReplies)
 		m.Responses = m.Responses[:0]
 		for _, r := range replies[:n] {
-			m.Responses = append(m.Responses, r.message())
+			m.Responses = append(m.Responses, r.message(st.known))
 		}
 		if err := st.exchange.Send(m); err != nil {
 			return err
