Guard closed tickets and single restarts in tests

Cause: trial mutations showed that no test failed when refused tickets were left open, or when a query restarted more than once. Before: both mutations passed. After: both fail; go test -race passes. Conclusion: the two rules are covered.

--- a/query/machine_test.go
+++ b/query/machine_test.go
@@ -48,7 +48,9 @@
 // checkAnswer compares an answer with the fake's own record of the request.
 func checkAnswer(resp *briarstandv1.QueryResponse, records []*record, nonIdempotent bool) error {
 	ran, okay := map[int]int{}, map[int]bool{}
+	versions := map[string]bool{}
 	for _, r := range records {
+		versions[r.req.IndexVersion] = true
 		if r.ran {
 			ran[r.req.Shard]++
 		}
@@ -56,6 +58,9 @@
 			okay[r.req.Shard] = true
 		}
 	}
+	if len(versions) > 2 || nonIdempotent && len(versions) > 1 {
+		return fmt.Errorf("restarted too often: %v", versions)
+	}
 	cov := resp.Coverage
 	missing := map[int]bool{}
 	for _, shard := range cov.MissingShards {
--- a/ticket/ticket_test.go
+++ b/ticket/ticket_test.go
@@ -62,13 +62,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		i := NewIssuer("vm-1", 1, Config{TTL: time.Second, MaxEntries: 1})
-		older, _ := i.Issue()
 		used, _ := i.Issue()
-		refused, _ := i.Issue()
 		u, _, err := i.Begin(used)
 		c.Assert(err, qt.IsNil)
 		u.Finish(outcome("done"))
 		time.Sleep(500 * time.Millisecond)
+		older, _ := i.Issue()
+		refused, _ := i.Issue()
 		later, _ := i.Issue()
 		var full *FullError
 		_, _, err = i.Begin(refused)
@@ -76,12 +76,11 @@
 		_, first, err := i.Begin(used)
 		c.Assert(err, qt.IsNil)
 		c.Assert(first, qt.IsFalse)
-		time.Sleep(499 * time.Millisecond)
+		time.Sleep(600 * time.Millisecond) // the used ticket expires
 		for _, ticket := range []string{refused, older} {
 			_, _, err = i.Begin(ticket)
 			c.Assert(errors.As(err, &full), qt.IsTrue)
 		}
-		time.Sleep(2 * time.Millisecond)
 		_, first, err = i.Begin(later)
 		c.Assert(err, qt.IsNil)
 		c.Assert(first, qt.IsTrue)
