Let one query at a time try an index version on probation

Cause: whenever the memory of a missing version faded, every query in flight tried the version again and sent its sub-requests twice, outside the budget. Before: as many restarts as queries in flight, every 2 s. Conclusion: a version change costs a bounded number of sub-requests.

--- a/query/engine.go
+++ b/query/engine.go
@@ -170,15 +170,14 @@
 		return e.notRun(id, "the service was deleted", 0)
 	}
 	p := svc.current(doc)
-	b := p.bind(req.GetShards(), svc.exclusions(p, e.cfg.Transport))
+	b := p.bind(req.GetShards(), svc.exclusions(p, e.cfg.Transport), !req.GetNonIdempotent())
 	if b == nil {
 		return e.notRun(id, "no index version has the requested shards", 0)
 	}
-	if err := e.cfg.Gate.Admit(); err != nil {
-		return e.notRun(id, err.Error(), retryAfterOf(err))
-	}
-	if !time.Now().Before(answerBy) {
-		return e.notRun(id, "the deadline passed before dispatch", 0)
+	refusal := e.closedAtDispatch(id, answerBy)
+	if refusal != nil {
+		svc.missing.tried(b.version.name, b.probing, false)
+		return refusal
 	}
 	return newRun(e, req, id, svc, p, b, answerBy).execute(ctx)
 }
@@ -194,6 +193,18 @@
 	return nil
 }
 
+// closedAtDispatch returns the refusal of a query that must not be sent any
+// more, or nil.
+func (e *Engine) closedAtDispatch(id string, answerBy time.Time) *briarstandv1.QueryResponse {
+	if err := e.cfg.Gate.Admit(); err != nil {
+		return e.notRun(id, err.Error(), retryAfterOf(err))
+	}
+	if !time.Now().Before(answerBy) {
+		return e.notRun(id, "the deadline passed before dispatch", 0)
+	}
+	return nil
+}
+
 // lookup returns the state and the plan of a service that exists.
 func (e *Engine) lookup(name string) (*service, *plan, bool) {
 	doc, ok := e.cfg.Registry.Snapshot().Service(name)
--- a/query/engine_test.go
+++ b/query/engine_test.go
@@ -128,6 +128,58 @@
 	})
 }
 
+// Guards against every query in flight sending its sub-requests twice, each
+// time that the memory of a missing version fades, and against a new version
+// that is never taken.
+func TestVersionProbation(t *testing.T) {
+	bubble(t, testService(4, 2, 1), func(h *harness) {
+		missing := script{status: backend.VersionMissing, delay: 20 * time.Millisecond}
+		h.transport.behave = only("v2", missing)
+		h.run("before")
+		h.apply(func(svc *config.Service) { svc.Versions = testService(4, 2, 2).Versions })
+		const seconds, perSecond = 10, 200
+		var wg sync.WaitGroup
+		for range seconds * perSecond {
+			wg.Go(func() { h.c.Check(h.run("q").Outcome, qt.Equals, complete) })
+			time.Sleep(time.Second / perSecond)
+		}
+		wg.Wait()
+		extra := len(h.transport.of("q")) - seconds*perSecond*4
+		h.c.Assert(extra <= 8*(1+seconds/2), qt.IsTrue, qt.Commentf("%d", extra))
+		h.transport.behave = only("", script{})
+		time.Sleep(2 * DefaultMissingFor)
+		_, id := h.runTicket()
+		h.c.Assert(h.transport.of(id)[0].req.IndexVersion, qt.Equals, "v2")
+		h.c.Assert(h.run("after").IndexVersion, qt.Equals, "v2")
+		s, _, _ := h.lookup("desk")
+		h.c.Assert(s.missing.empty(), qt.IsTrue)
+	})
+}
+
+// Guards against limits and budgets that stay as they were when the service's
+// policy changes.
+func TestPolicyChange(t *testing.T) {
+	svc := testService(2, 2, 1)
+	svc.Policy.MaxConcurrent, svc.Policy.MaxQueued = 1, 0
+	bubble(t, svc, func(h *harness) {
+		h.transport.behave = always(script{status: backend.OK, delay: 20 * time.Millisecond})
+		var wg sync.WaitGroup
+		wg.Go(func() { h.run("first") })
+		synctest.Wait()
+		h.c.Assert(h.run("refused").Outcome, qt.Equals, notRun)
+		h.apply(func(svc *config.Service) {
+			svc.Policy.MaxConcurrent, svc.Policy.ExtraLoadPermille = 2, 0
+		})
+		wg.Go(func() { h.run("second") })
+		synctest.Wait()
+		h.c.Assert(h.run("third").Outcome, qt.Equals, notRun)
+		wg.Wait()
+		h.transport.behave = always(script{status: backend.Shed})
+		h.run("no retries")
+		h.c.Assert(h.transport.of("no retries"), qt.HasLen, 2)
+	})
+}
+
 // Guards against a version that no preference asks for.
 func TestPreference(t *testing.T) {
 	for preference, want := range map[config.Preference]string{
@@ -279,6 +331,9 @@
 		h.c.Assert(resp.Outcome, qt.Equals, notRun)
 		h.c.Assert(resp.RetryAfterMs, qt.Equals, int64(1000))
 		h.c.Assert(h.transport.of("gate"), qt.HasLen, 0)
+		h.gate.n, h.gate.freeze = 2, time.Second
+		h.c.Assert(h.run("deadline").Outcome, qt.Equals, notRun)
+		h.c.Assert(h.transport.of("deadline"), qt.HasLen, 0)
 	})
 }
 
--- a/query/fake_test.go
+++ b/query/fake_test.go
@@ -192,17 +192,21 @@
 	p.inFlight--
 }
 
-// fakeGate fails its checks from the n-th on, if n is set.
+// fakeGate fails its n-th check, or freezes the VM during it.
 type fakeGate struct {
 	mu     sync.Mutex
 	closed bool
 	n      int
+	freeze time.Duration
 }
 
 func (g *fakeGate) Admit() error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.n--; g.closed || g.n == 0 {
+	g.n--
+	if g.n == 0 && g.freeze > 0 {
+		time.Sleep(g.freeze)
+	} else if g.closed || g.n == 0 {
 		return &NotAdmittedError{Reason: "configuration is not fresh", RetryAfter: time.Second}
 	}
 	return nil
--- a/query/plan.go
+++ b/query/plan.go
@@ -78,33 +78,43 @@
 	version    *versionPlan
 	candidates [][]*config.Backend // by position in the query's shards
 	available  int
+	// probing says that the query tries a version on probation.
+	probing bool
 }
 
-// excluder tells which backend servers must not be used for a shard now.
-type excluder interface {
-	// excluding reports whether anything is excluded at all.
-	excluding() bool
-	excludes(version string, shard int, backendID string) bool
+func (p *plan) has(version string) bool {
+	return slices.ContainsFunc(p.versions, func(v *versionPlan) bool { return v.name == version })
 }
 
-// bind chooses the newest version with full coverage. Without one, the
-// preference decides: coverage takes the version with the most shards
-// available, latency the newest. It returns nil when no version contains the
-// shards.
-func (p *plan) bind(subset []int32, ex excluder) *binding {
-	var best *binding
+// bind chooses the newest version with full coverage that the query may try.
+// If there is none, one with full coverage that another query tries is taken.
+// Without any, the preference decides: coverage takes the version with the
+// most shards available, latency the newest. It returns nil when no version
+// contains the shards.
+func (p *plan) bind(subset []int32, ex *exclusions, restartable bool) *binding {
+	var best, fallback *binding
 	for _, v := range p.versions {
 		if len(v.shards) == 0 || !v.hasShards(subset) {
 			continue
 		}
 		b := v.candidatesFor(subset, ex)
 		if b.available == len(b.candidates) {
-			return b
+			var ok bool
+			if ok, b.probing = ex.try(v.name, restartable); ok {
+				return b
+			}
+			if fallback == nil {
+				fallback = b
+			}
+			continue
 		}
 		if best == nil || p.prefers(b, best) {
 			best = b
 		}
 	}
+	if fallback != nil {
+		return fallback
+	}
 	return best
 }
 
@@ -120,7 +130,7 @@
 	return float64(b.available) / float64(len(b.candidates))
 }
 
-func (v *versionPlan) candidatesFor(subset []int32, ex excluder) *binding {
+func (v *versionPlan) candidatesFor(subset []int32, ex *exclusions) *binding {
 	if len(subset) == 0 && !ex.excluding() {
 		return &binding{version: v, candidates: v.shards, available: v.available}
 	}
@@ -142,7 +152,7 @@
 	return b
 }
 
-func (v *versionPlan) usable(shard int, ex excluder) []*config.Backend {
+func (v *versionPlan) usable(shard int, ex *exclusions) []*config.Backend {
 	all := v.shards[shard]
 	if !ex.excluding() {
 		return all
--- a/query/retry.go
+++ b/query/retry.go
@@ -144,25 +144,30 @@
 			r.hedgeAt(due)
 			continue
 		}
-		r.hedgeShard(i, now)
+		if !r.hedgeShard(i, now) {
+			r.hedgeAt(now.Add(r.hedgeDelay))
+			return
+		}
 	}
 }
 
-func (r *run) hedgeShard(position int, now time.Time) {
+// hedgeShard sends a hedge if there is another replica. It returns false when
+// the budget is spent.
+func (r *run) hedgeShard(position int, now time.Time) bool {
 	s := &r.shards[position]
 	b, ok := r.pick(position, r.triedBy(s))
 	if !ok {
 		s.hedged = true
-		return
+		return true
 	}
 	if !r.svc.budget.Take() {
 		r.svc.metrics.denied.Inc()
-		r.hedgeAt(now.Add(r.hedgeDelay))
-		return
+		return false
 	}
 	s.hedged = true
 	r.svc.metrics.hedges.Inc()
 	r.send(position, b, now)
+	return true
 }
 
 func (r *run) hedgeAt(t time.Time) {
@@ -183,13 +188,17 @@
 	}
 	p := r.svc.current(doc)
 	ex := r.svc.exclusions(p, r.engine.cfg.Transport)
-	b := p.bind(r.req.GetShards(), ex)
+	b := p.bind(r.req.GetShards(), ex, true)
 	if b == nil || b.version.name == r.binding.version.name || b.share() <= r.reachable() {
+		if b != nil {
+			r.svc.missing.tried(b.version.name, b.probing, false)
+		}
 		return false
 	}
 	r.engine.cfg.Logger.Debug("query restarts on another index version", "service", r.svc.name,
 		"request_id", r.id, "from", r.binding.version.name, "to", b.version.name)
 	r.abandonRound(now)
+	r.endTry()
 	r.round++
 	r.bindTo(p, b)
 	r.svc.metrics.restarts.Add(r.sendAll())
--- a/query/run.go
+++ b/query/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/briarstand/briarstand/backend"
@@ -347,6 +348,13 @@
 		}
 	}
 	r.recordLatency(now)
+	r.endTry()
+}
+
+// endTry reports whether the bound version was missing at a backend server.
+func (r *run) endTry() {
+	clean := !slices.ContainsFunc(r.shards, func(s shardRun) bool { return s.versionMissing })
+	r.svc.missing.tried(r.binding.version.name, r.binding.probing, clean)
 }
 
 // handleLast takes a reply into account that arrived while the query ended.
--- a/query/service.go
+++ b/query/service.go
@@ -20,7 +20,7 @@
 	admission *limit.Admission
 	budget    *limit.Budget
 	latency   *latencies
-	missing   missingTable
+	missing   *missingTable
 	plan      atomic.Pointer[plan]
 	mu        sync.Mutex // serializes changes of plan
 	metrics   serviceMetrics
@@ -43,7 +43,7 @@
 		admission: limit.NewAdmission(limitsOf(svc)),
 		budget:    limit.NewBudget(svc.Policy.ExtraLoadPermille),
 		latency:   newLatencies(),
-		missing:   missingTable{keep: missingFor},
+		missing:   newMissingTable(missingFor),
 		metrics:   newServiceMetrics(svc.Name, set),
 	}
 	s.plan.Store(newPlan(svc))
@@ -83,15 +83,17 @@
 	if p = s.plan.Load(); p.service.Revision >= svc.Revision {
 		return p
 	}
+	old := p
 	p = newPlan(svc)
+	s.missing.replace(old, p)
 	s.plan.Store(p)
 	s.admission.SetLimits(limitsOf(svc))
 	s.budget.SetRate(svc.Policy.ExtraLoadPermille)
 	return p
 }
 
-// exclusions answers which backend servers a query must not use, at the time
-// of its binding.
+// exclusions answers which backend servers and index versions a query must not
+// use, at the time of its binding.
 type exclusions struct {
 	draining []string // announced by the backend servers themselves
 	missing  *missingTable
@@ -100,7 +102,7 @@
 func (s *service) exclusions(p *plan, t backend.Transport) *exclusions {
 	ex := &exclusions{}
 	if !s.missing.empty() {
-		ex.missing = &s.missing
+		ex.missing = s.missing
 	}
 	for _, id := range p.backends {
 		if t.Draining(id) {
@@ -120,3 +122,11 @@
 	}
 	return ex.missing != nil && ex.missing.has(missingKey{version, shard, backendID})
 }
+
+// try is missingTable.try, for a query that may have nothing to exclude.
+func (ex *exclusions) try(version string, restartable bool) (ok, probing bool) {
+	if ex.missing == nil {
+		return true, false
+	}
+	return ex.missing.try(version, restartable)
+}
