Keep half of the budget for retries; report admission gauges

Cause: steady hedging kept the bucket empty, so that a lost replica found no token for retries; a shard whose replicas shed was given up in a service that prefers coverage if another replica lacked the version. Excluded: a second bucket, which the design does not have. Before: hedges take the last token. After: hedges take tokens only while the bucket is more than half full; go test -race passes. Conclusion: retries come before hedges.

--- a/limit/budget.go
+++ b/limit/budget.go
@@ -63,14 +63,23 @@
 }
 
 // Take removes one token and reports whether there was one.
-func (b *Budget) Take() bool {
+func (b *Budget) Take() bool { return b.take(1) }
+
+// TakeSpare is Take while the bucket is more than half full. Hedges use it: a
+// hedge only saves time, while a retry without a token loses a shard.
+func (b *Budget) TakeSpare() bool { return b.take(2) }
+
+// take removes a token if that leaves the bucket at (part-1)/part of its
+// highest level or above.
+func (b *Budget) take(part int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
 	b.advance(now)
+	burst := b.burst(now)
 	// A level gained under high load must not outlast that load.
-	b.level = min(b.level, b.burst(now))
-	if b.level < tokenUnit {
+	b.level = min(b.level, burst)
+	if b.level < tokenUnit+burst*(part-1)/part {
 		return false
 	}
 	b.level -= tokenUnit
--- a/limit/budget_test.go
+++ b/limit/budget_test.go
@@ -50,6 +50,17 @@
 	})
 }
 
+// Guards against hedges that leave no token for retries.
+func TestBudgetReserve(t *testing.T) {
+	c := qt.New(t)
+	b := NewBudget(50)
+	for range minBurst / 2 {
+		c.Assert(b.TakeSpare(), qt.IsTrue)
+	}
+	c.Assert(b.TakeSpare(), qt.IsFalse)
+	c.Assert(takeAll(b), qt.Equals, minBurst/2)
+}
+
 // Guards against hedges where the policy allows no extra load.
 func TestBudgetOff(t *testing.T) {
 	c := qt.New(t)
--- a/query/retry.go
+++ b/query/retry.go
@@ -70,12 +70,12 @@
 	s := &r.shards[position]
 	switch {
 	case s.versionMissing && r.restart(now):
-	case s.versionMissing:
-		r.miss(position, causeVersion)
 	case status == backend.Shed && r.prefersCoverage():
 		// Backend servers that shed load may take the sub-request later.
 		s.last = none
 		r.park(position, causeRefused, now)
+	case s.versionMissing:
+		r.miss(position, causeVersion)
 	case status.NotRun():
 		r.miss(position, causeRefused)
 	default:
@@ -160,7 +160,7 @@
 		s.hedged = true
 		return true
 	}
-	if !r.svc.budget.Take() {
+	if !r.svc.budget.TakeSpare() {
 		r.svc.metrics.denied.Inc()
 		return false
 	}
--- a/query/service.go
+++ b/query/service.go
@@ -47,6 +47,12 @@
 		metrics:   newServiceMetrics(svc.Name, set),
 	}
 	s.plan.Store(newPlan(svc))
+	gauge := func(kind string, value func() int) {
+		name := fmt.Sprintf("briarstand_admission_%s{service=%q}", kind, svc.Name)
+		set.GetOrCreateGauge(name, func() float64 { return float64(value()) })
+	}
+	gauge("running", s.admission.Running)
+	gauge("queued", s.admission.Queued)
 	return s
 }
 
