--- /dev/null
+++ b/membership/handle.go
@@ -0,0 +1,111 @@
+package membership
+
+import (
+	"context"
+	"time"
+)
+
+// HandleProbe answers a probe.
+func (m *Membership) HandleProbe(req *ProbeRequest) (*ProbeReply, error) {
+	if err := validateAll(req.From, req.Updates, 2*m.cfg.MaxUpdates); err != nil {
+		return nil, err
+	}
+	if err := m.receive(req); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	d := m.delegate
+	m.mu.Unlock()
+	if d != nil {
+		d.Probed(req.From, req.Config)
+	}
+	return (*ProbeReply)(m.message(req.From.ID, m.configState())), nil
+}
+
+// HandleIndirectProbe probes the target for another VM.
+func (m *Membership) HandleIndirectProbe(ctx context.Context, req *IndirectProbeRequest) (*IndirectProbeReply, error) {
+	if err := validateAll(req.From, []Member{req.Target}, 1); err != nil {
+		return nil, err
+	}
+	if err := m.take(req.From, nil); err != nil {
+		return nil, err
+	}
+	if err := m.direct(ctx, req.Target); err != nil {
+		return &IndirectProbeReply{Target: req.Target}, nil
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if e := m.table.entries[req.Target.ID]; e != nil && e.State != Dead {
+		return &IndirectProbeReply{Reached: true, Target: e.Member}, nil
+	}
+	return &IndirectProbeReply{Target: req.Target}, nil
+}
+
+// HandleSync answers a comparison of tables.
+func (m *Membership) HandleSync(req *SyncRequest) (*SyncReply, error) {
+	if err := validateAll(req.From, req.Members, maxSyncMembers); err != nil {
+		return nil, err
+	}
+	if err := m.take(req.From, req.Members); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	reply := &SyncReply{From: m.table.entries[m.table.self].Member, Digests: m.table.digests}
+	if !req.Push {
+		reply.Members = m.table.differing(&req.Digests)
+	}
+	return reply, nil
+}
+
+// compare starts a comparison of tables when digests have differed for longer
+// than an update takes to spread.
+func (m *Membership) compare(ctx context.Context, reply *ProbeReply, address string) {
+	m.mu.Lock()
+	now := time.Now()
+	if reply.Digest == m.table.digests.Sum() {
+		m.differ = time.Time{}
+	} else if m.differ.IsZero() {
+		m.differ = now
+	}
+	due := !m.differ.IsZero() &&
+		now.Sub(m.differ) >= patience(len(m.table.entries), m.cfg.ProbeInterval) &&
+		now.Sub(m.lastSync) >= m.cfg.SyncInterval
+	m.mu.Unlock()
+	if due {
+		if err := m.sync(ctx, address); err != nil {
+			m.cfg.Logger.Debug("tables not compared", "address", address, "error", err)
+		}
+	}
+}
+
+// sync compares tables with the VM at an address: it takes the members in the
+// parts that differ and sends back those that the VM lacks.
+func (m *Membership) sync(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, 4*m.cfg.ProbeTimeout)
+	defer cancel()
+	m.mu.Lock()
+	m.lastSync = time.Now()
+	m.differ = time.Time{}
+	req := &SyncRequest{From: m.table.entries[m.table.self].Member, Digests: m.table.digests}
+	m.mu.Unlock()
+	reply, err := m.cfg.Transport.Sync(ctx, address, req)
+	if err != nil {
+		return err
+	}
+	if err := validateAll(reply.From, reply.Members, maxSyncMembers); err != nil {
+		return err
+	}
+	if err := m.take(reply.From, reply.Members); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	missing := m.table.missing(&reply.Digests, reply.Members)
+	push := &SyncRequest{From: m.table.entries[m.table.self].Member, Digests: m.table.digests, Members: missing, Push: true}
+	m.mu.Unlock()
+	if len(missing) == 0 {
+		return nil
+	}
+	_, err = m.cfg.Transport.Sync(ctx, address, push)
+	return err
+}
--- /dev/null
+++ b/membership/membership.go
@@ -0,0 +1,284 @@
+package membership
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/briarstand/briarstand/platform"
+)
+
+// Defaults of Config.
+const (
+	DefaultProbeInterval = time.Second
+	DefaultProbeTimeout  = 500 * time.Millisecond
+	DefaultSuspicionTime = 5 * time.Second
+	DefaultTombstoneTime = 60 * time.Second
+	DefaultSyncInterval  = 30 * time.Second
+	DefaultListInterval  = 60 * time.Second
+	DefaultSeedInterval  = 2 * time.Second
+	DefaultIndirect      = 3
+	DefaultMaxUpdates    = 32
+)
+
+// Config holds what a Membership needs. Zero durations and counts take the
+// defaults.
+type Config struct {
+	// Self is this VM's own entry. Its state is usually Joining at first.
+	Self      Member
+	Transport Transport
+	// VMLister may be nil: then only Seeds seed the table.
+	VMLister platform.VMLister
+	// Seeds are peer addresses that are tried until they answer.
+	Seeds    []string
+	Delegate Delegate
+	Rand     *rand.Rand
+	Logger   *slog.Logger
+
+	ProbeInterval time.Duration
+	// ProbeTimeout bounds a direct probe, and again the indirect probes.
+	ProbeTimeout  time.Duration
+	SuspicionTime time.Duration
+	TombstoneTime time.Duration
+	// SyncInterval is the shortest time between two comparisons of tables.
+	SyncInterval time.Duration
+	// ListInterval is the time between two reads of the platform's list.
+	ListInterval time.Duration
+	// SeedInterval is the time between two probes of listed VMs and seeds that
+	// are not in the table.
+	SeedInterval time.Duration
+	Indirect     int
+	MaxUpdates   int
+}
+
+func (c *Config) setDefaults() {
+	setDefault(&c.ProbeInterval, DefaultProbeInterval)
+	setDefault(&c.ProbeTimeout, DefaultProbeTimeout)
+	setDefault(&c.SuspicionTime, DefaultSuspicionTime)
+	setDefault(&c.TombstoneTime, DefaultTombstoneTime)
+	setDefault(&c.SyncInterval, DefaultSyncInterval)
+	setDefault(&c.ListInterval, DefaultListInterval)
+	setDefault(&c.SeedInterval, DefaultSeedInterval)
+	setDefault(&c.Indirect, DefaultIndirect)
+	setDefault(&c.MaxUpdates, DefaultMaxUpdates)
+	if c.Logger == nil {
+		c.Logger = slog.New(slog.DiscardHandler)
+	}
+	if c.Rand == nil {
+		c.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+}
+
+func setDefault[T int | time.Duration](v *T, def T) {
+	if *v <= 0 {
+		*v = def
+	}
+}
+
+// Membership is the member table of one VM together with its failure detector.
+type Membership struct {
+	cfg  Config
+	view atomic.Pointer[View]
+
+	mu       sync.Mutex // guards the fields below
+	table    *table
+	delegate Delegate
+	rand     *rand.Rand
+	order    []string // ids left to probe in this turn
+	urgent   []string // ids to probe next
+	seeds    seedList
+	differ   time.Time // since when digests differ; zero when they agree
+	lastSync time.Time
+
+	hosts   atomic.Pointer[map[string]struct{}]
+	refresh chan struct{} // asks for a read of the platform's list
+}
+
+// New returns a membership that knows only itself. Run starts the detector.
+func New(cfg Config) (*Membership, error) {
+	cfg.setDefaults()
+	if cfg.Self.State == "" {
+		cfg.Self.State = Joining
+	}
+	if cfg.Transport == nil {
+		return nil, &ConfigError{"Transport", "is required"}
+	}
+	if err := cfg.Self.Validate(); err != nil {
+		return nil, &ConfigError{"Self", err.Error()}
+	}
+	m := &Membership{
+		cfg:      cfg,
+		table:    newTable(cfg.Self),
+		delegate: cfg.Delegate,
+		rand:     cfg.Rand,
+		seeds:    newSeedList(cfg.Seeds),
+		refresh:  make(chan struct{}, 1),
+	}
+	m.publish()
+	return m, nil
+}
+
+// SetDelegate sets the delegate. It must be called before Run and before the
+// first message is handled.
+func (m *Membership) SetDelegate(d Delegate) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.delegate = d
+}
+
+// View returns the current picture of the fleet.
+func (m *Membership) View() *View { return m.view.Load() }
+
+// Self returns this VM's own entry.
+func (m *Membership) Self() Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.entries[m.table.self].Member
+}
+
+// SetState sets the state that this VM reports about itself: Joining, Alive or
+// Leaving.
+func (m *Membership) SetState(s State) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	self := m.table.entries[m.table.self].Member
+	if self.State == s {
+		return
+	}
+	self.State = s
+	self.Sequence++
+	m.table.put(self, time.Now())
+	m.publish()
+}
+
+// ProbeInterval returns the time between two probes of this VM.
+func (m *Membership) ProbeInterval() time.Duration { return m.cfg.ProbeInterval }
+
+// Contact is a member with what only this VM knows of it.
+type Contact struct {
+	Member
+	// Heard is when the last message came from the VM itself; zero if never.
+	Heard time.Time
+	// Listed says that the platform's list has had the VM at some time.
+	Listed bool
+}
+
+// Contacts returns all entries of the table other than this VM, tombstones
+// included, ordered by id.
+func (m *Membership) Contacts() []Contact {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.contacts()
+}
+
+// KnownHost reports whether an IP address is that of a member, of a VM on the
+// platform's list or of a seed.
+func (m *Membership) KnownHost(ip string) bool {
+	_, ok := (*m.hosts.Load())[ip]
+	return ok
+}
+
+// RefreshList asks for a read of the platform's list, at most once every few
+// seconds. It is used when a message comes from an unknown address.
+func (m *Membership) RefreshList() {
+	select {
+	case m.refresh <- struct{}{}:
+	default:
+	}
+}
+
+// publish replaces the view and the known hosts. The caller holds mu, or is New.
+func (m *Membership) publish() {
+	m.view.Store(m.table.view())
+	hosts := make(map[string]struct{}, len(m.table.entries))
+	for _, e := range m.table.entries {
+		addHost(hosts, e.PeerAddress)
+	}
+	for _, s := range m.seeds.addresses() {
+		addHost(hosts, s)
+	}
+	m.hosts.Store(&hosts)
+}
+
+func addHost(hosts map[string]struct{}, address string) {
+	if host, _, err := net.SplitHostPort(address); err == nil {
+		hosts[host] = struct{}{}
+	}
+}
+
+// configState returns the delegate's state. The caller does not hold mu.
+func (m *Membership) configState() ConfigState {
+	m.mu.Lock()
+	d := m.delegate
+	m.mu.Unlock()
+	if d == nil {
+		return ConfigState{}
+	}
+	return d.ConfigState()
+}
+
+// setConfig takes the configuration state into this VM's own entry. A change
+// of the fresh flag is news, because callers must not be sent to a lapsed VM.
+// The caller holds mu.
+func (m *Membership) setConfig(state ConfigState) {
+	self := m.table.entries[m.table.self]
+	self.ConfigIndex = state.Index
+	if self.Fresh == state.Fresh {
+		return
+	}
+	next := self.Member
+	next.Fresh = state.Fresh
+	next.Sequence++
+	m.table.put(next, time.Now())
+	m.publish()
+}
+
+// UnknownMemberError reports a message from a VM that is not in the table.
+type UnknownMemberError struct{ ID string }
+
+// Error implements error.
+func (e *UnknownMemberError) Error() string {
+	return "VM " + e.ID + " is not a known member; it has to announce itself first"
+}
+
+// Hear records that a message came from a VM itself. It fails for a VM that
+// is not in the table and for an incarnation that was replaced.
+func (m *Membership) Hear(id string, incarnation int64) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e := m.table.entries[id]
+	switch {
+	case e == nil || incarnation > e.Incarnation:
+		return &UnknownMemberError{ID: id}
+	case incarnation < e.Incarnation:
+		return &SupersededError{ID: id, Incarnation: incarnation, Known: e.Incarnation}
+	}
+	e.heard = time.Now()
+	return nil
+}
+
+// Alone reports whether neither the table, tombstones included, nor the
+// platform's list nor the seeds have another VM. It is false while the list
+// was never read.
+func (m *Membership) Alone() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.cfg.VMLister != nil && m.seeds.read.IsZero() {
+		return false
+	}
+	self := m.table.entries[m.table.self]
+	for _, address := range m.seeds.static {
+		if address != self.PeerAddress {
+			return false
+		}
+	}
+	for _, vm := range m.seeds.rows {
+		if vm.ID != self.ID {
+			return false
+		}
+	}
+	return len(m.table.entries) == 1
+}
--- /dev/null
+++ b/membership/message.go
@@ -0,0 +1,145 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// ConfigState is what a VM says about its configuration in each probe.
+type ConfigState struct {
+	// Index is the highest revision in force.
+	Index int64 `json:"x,omitempty"`
+	// Complete is an index up to which no revision is missing.
+	Complete int64 `json:"m,omitempty"`
+	// Digest is the hash of all names and revisions in force.
+	Digest uint64 `json:"d,omitempty"`
+	Fresh  bool   `json:"f,omitempty"`
+}
+
+// Delegate connects the configuration to the probes.
+type Delegate interface {
+	// ConfigState returns the state that probes and replies carry.
+	ConfigState() ConfigState
+	// Replied is called with the reply to a probe that was sent at the given
+	// time. It must not block.
+	Replied(peer Member, state ConfigState, sent time.Time)
+	// Probed is called when a peer's probe arrives. It must not block.
+	Probed(peer Member, state ConfigState)
+}
+
+// Transport sends messages to the peer API at an address.
+type Transport interface {
+	Probe(ctx context.Context, address string, req *ProbeRequest) (*ProbeReply, error)
+	IndirectProbe(ctx context.Context, address string, req *IndirectProbeRequest) (*IndirectProbeReply, error)
+	Sync(ctx context.Context, address string, req *SyncRequest) (*SyncReply, error)
+}
+
+// ProbeRequest asks a VM whether it is there, and carries news.
+type ProbeRequest struct {
+	From    Member      `json:"f"`
+	Digest  uint64      `json:"d"`
+	Config  ConfigState `json:"c"`
+	Updates []Member    `json:"u,omitempty"`
+}
+
+// ProbeReply answers a probe in the same form.
+type ProbeReply ProbeRequest
+
+// IndirectProbeRequest asks a VM to probe another one.
+type IndirectProbeRequest struct {
+	From   Member `json:"f"`
+	Target Member `json:"t"`
+}
+
+// IndirectProbeReply carries the target's own entry when the target answered.
+type IndirectProbeReply struct {
+	Reached bool   `json:"r"`
+	Target  Member `json:"t"`
+}
+
+// SyncRequest carries the digests of the sender's table, or the members that
+// the receiver lacks.
+type SyncRequest struct {
+	From    Member   `json:"f"`
+	Digests Digests  `json:"d"`
+	Members []Member `json:"m,omitempty"`
+	// Push says that the request only brings members and wants none.
+	Push bool `json:"p,omitempty"`
+}
+
+// SyncReply carries the members in the parts of the table that differ.
+type SyncReply struct {
+	From    Member   `json:"f"`
+	Digests Digests  `json:"d"`
+	Members []Member `json:"m,omitempty"`
+}
+
+// MessageError reports a message from a peer that is not well formed.
+type MessageError struct {
+	Field  string
+	Reason string
+}
+
+func (e *MessageError) Error() string {
+	return fmt.Sprintf("peer message: field %s: %s", e.Field, e.Reason)
+}
+
+// SupersededError reports a message from an incarnation of a VM that a newer
+// incarnation has replaced.
+type SupersededError struct {
+	ID          string
+	Incarnation int64
+	Known       int64
+}
+
+func (e *SupersededError) Error() string {
+	return fmt.Sprintf("VM %s: incarnation %d is superseded by %d", e.ID, e.Incarnation, e.Known)
+}
+
+// ConfigError reports a Config that cannot work.
+type ConfigError struct {
+	Field  string
+	Reason string
+}
+
+func (e *ConfigError) Error() string {
+	return fmt.Sprintf("membership: config field %s: %s", e.Field, e.Reason)
+}
+
+const (
+	maxNameBytes   = 128
+	maxSyncMembers = 4096
+)
+
+// Validate checks a member that came from a peer.
+func (m *Member) Validate() error {
+	switch {
+	case m.ID == "" || len(m.ID) > maxNameBytes:
+		return &MessageError{"member id", "must have 1 to 128 bytes"}
+	case m.PeerAddress == "" || len(m.PeerAddress) > maxNameBytes || len(m.CallerAddress) > maxNameBytes:
+		return &MessageError{"member address", "must have 1 to 128 bytes"}
+	case len(m.Zone) > maxNameBytes || len(m.Region) > maxNameBytes:
+		return &MessageError{"member zone", "must have at most 128 bytes"}
+	case m.Incarnation <= 0 || m.Sequence < 0 || m.ConfigIndex < 0:
+		return &MessageError{"member incarnation", "must be positive"}
+	case !m.State.Valid():
+		return &MessageError{"member state", "unknown"}
+	}
+	return nil
+}
+
+func validateAll(from Member, members []Member, limit int) error {
+	if err := from.Validate(); err != nil {
+		return err
+	}
+	if len(members) > limit {
+		return &MessageError{"members", "too many"}
+	}
+	for i := range members {
+		if err := members[i].Validate(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/membership/seed.go
@@ -0,0 +1,155 @@
+package membership
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/briarstand/briarstand/platform"
+)
+
+const (
+	listTimeout = 5 * time.Second
+	// listRetry is the time until the next read after a failed one, and the
+	// shortest time between two reads.
+	listRetry = 5 * time.Second
+	listRows  = 8192
+)
+
+// seedList holds the addresses at which VMs may be found that are not in the
+// table: the configured seeds and the platform's list. The list lags, so it
+// adds nothing to the table itself.
+type seedList struct {
+	static []string
+	rows   []platform.VM
+	read   time.Time // when the last successful read began
+	next   int
+}
+
+func newSeedList(static []string) seedList {
+	return seedList{static: slices.Clone(static)}
+}
+
+func (s *seedList) addresses() []string {
+	out := slices.Clone(s.static)
+	for _, vm := range s.rows {
+		out = append(out, vm.PeerAddress)
+	}
+	return out
+}
+
+// unknown returns the next address of a VM that no living member has, in turn.
+func (s *seedList) unknown(living []Member, self string) (string, bool) {
+	have := make(map[string]bool, len(living)+1)
+	have[self] = true
+	for _, m := range living {
+		have[m.PeerAddress] = true
+	}
+	all := s.addresses()
+	for range all {
+		s.next = (s.next + 1) % len(all)
+		if !have[all[s.next]] {
+			return all[s.next], true
+		}
+	}
+	return "", false
+}
+
+// runList reads the platform's list slowly, and sooner when asked to.
+func (m *Membership) runList(ctx context.Context) {
+	if m.cfg.VMLister == nil {
+		return
+	}
+	for {
+		wait := m.jitter(m.cfg.ListInterval)
+		if err := m.ReadList(ctx); err != nil {
+			m.cfg.Logger.Warn("platform's VM list not read", "error", err)
+			wait = m.jitter(listRetry)
+		}
+		if !sleep(ctx, min(listRetry, wait)) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.refresh:
+		case <-time.After(wait - min(listRetry, wait)):
+		}
+	}
+}
+
+// ReadList reads the platform's list once and takes its addresses as seeds.
+func (m *Membership) ReadList(ctx context.Context) error {
+	if m.cfg.VMLister == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	began := time.Now()
+	rows, err := m.cfg.VMLister.ListVMs(ctx)
+	if err != nil {
+		return err
+	}
+	m.TakeList(rows, began)
+	return nil
+}
+
+// TakeList takes a reading of the platform's list that began at the given
+// time.
+func (m *Membership) TakeList(rows []platform.VM, began time.Time) {
+	rows = slices.Clone(rows[:min(len(rows), listRows)])
+	slices.SortFunc(rows, func(a, b platform.VM) int { return cmp.Compare(a.ID, b.ID) })
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if began.Before(m.seeds.read) {
+		return
+	}
+	m.seeds.rows, m.seeds.read = rows, began
+	m.markListed()
+	m.publish()
+}
+
+// markListed notes which members the platform's list has. The caller holds mu.
+func (m *Membership) markListed() {
+	for _, vm := range m.seeds.rows {
+		if e := m.table.entries[vm.ID]; e != nil {
+			e.listed = true
+		}
+	}
+}
+
+// List returns the last reading of the platform's list and when it began; the
+// time is zero if the list was never read.
+func (m *Membership) List() ([]platform.VM, time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.seeds.rows, m.seeds.read
+}
+
+// SelfListed reports whether the platform's list has had this VM.
+func (m *Membership) SelfListed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.entries[m.table.self].listed
+}
+
+// jitter returns a time within a tenth of d, so that VMs that start together
+// do not call together.
+func (m *Membership) jitter(d time.Duration) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return d - d/10 + time.Duration(m.rand.Int64N(int64(d/5)+1))
+}
+
+// sleep waits and reports whether ctx is still valid.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/peer/client.go
@@ -0,0 +1,275 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+	"github.com/briarstand/briarstand/membership"
+	"github.com/briarstand/briarstand/rollout"
+	"google.golang.org/protobuf/encoding/protojson"
+)
+
+// Defaults of ClientConfig.
+const (
+	DefaultCallTimeout  = 5 * time.Second
+	DefaultRelayTimeout = 30 * time.Second
+	DefaultMaxCalls     = 64
+)
+
+const (
+	dialTimeout = 2 * time.Second
+	// relayIdle is how long a connection for relayed queries is kept.
+	relayIdle      = 30 * time.Second
+	relayIdleConns = 32
+	relayPerHost   = 8
+)
+
+// ClientConfig holds the settings of a Client. Zero values take the defaults.
+type ClientConfig struct {
+	// View returns the member table, in which RelayQuery finds addresses.
+	View func() *membership.View
+	// Metrics takes the counters of control traffic.
+	Metrics *metrics.Set
+	// CallTimeout bounds a call whose context has no earlier deadline.
+	CallTimeout  time.Duration
+	RelayTimeout time.Duration
+	// MaxCalls is how many control calls run at once; others wait.
+	MaxCalls int
+}
+
+// Client calls the peer API of other VMs. It implements the transports of
+// membership and rollout, and relays queries.
+type Client struct {
+	cfg      ClientConfig
+	counters *counters
+	control  *http.Client
+	relay    *http.Client
+	calls    chan struct{}
+}
+
+var (
+	_ membership.Transport = (*Client)(nil)
+	_ rollout.Transport    = (*Client)(nil)
+)
+
+// NewClient returns a client. Control calls use a new connection each: a VM
+// probes another member every second, so a kept connection would be idle until
+// the whole fleet was probed.
+func NewClient(cfg ClientConfig) *Client {
+	setDefault(&cfg.CallTimeout, DefaultCallTimeout)
+	setDefault(&cfg.RelayTimeout, DefaultRelayTimeout)
+	setDefault(&cfg.MaxCalls, DefaultMaxCalls)
+	c := &Client{cfg: cfg, counters: newCounters(cfg.Metrics), calls: make(chan struct{}, cfg.MaxCalls)}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	c.control = &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConn{Conn: conn, counters: c.counters}, nil
+		},
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+		ReadBufferSize:     2 << 10,
+		WriteBufferSize:    2 << 10,
+	}}
+	c.relay = &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConns:        relayIdleConns,
+		MaxIdleConnsPerHost: relayPerHost,
+		MaxConnsPerHost:     relayPerHost,
+		IdleConnTimeout:     relayIdle,
+		DisableCompression:  true,
+	}}
+	return c
+}
+
+func setDefault[T int | time.Duration](v *T, def T) {
+	if *v <= 0 {
+		*v = def
+	}
+}
+
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.control.CloseIdleConnections()
+	c.relay.CloseIdleConnections()
+}
+
+// Probe implements membership.Transport.
+func (c *Client) Probe(ctx context.Context, address string, req *membership.ProbeRequest) (*membership.ProbeReply, error) {
+	return post[membership.ProbeReply](ctx, c, address, PathProbe, req, maxProbeBytes)
+}
+
+// IndirectProbe implements membership.Transport.
+func (c *Client) IndirectProbe(ctx context.Context, address string, req *membership.IndirectProbeRequest) (*membership.IndirectProbeReply, error) {
+	return post[membership.IndirectProbeReply](ctx, c, address, PathIndirectProbe, req, maxProbeBytes)
+}
+
+// Sync implements membership.Transport.
+func (c *Client) Sync(ctx context.Context, address string, req *membership.SyncRequest) (*membership.SyncReply, error) {
+	return post[membership.SyncReply](ctx, c, address, PathSync, req, maxSyncBytes)
+}
+
+// Push implements rollout.Transport.
+func (c *Client) Push(ctx context.Context, address string, req *rollout.PushRequest) (*rollout.PushReply, error) {
+	return post[rollout.PushReply](ctx, c, address, PathPush, req, maxPushBytes)
+}
+
+// Pull implements rollout.Transport.
+func (c *Client) Pull(ctx context.Context, address string, req *rollout.PullRequest) (*rollout.PullReply, error) {
+	reply := new(rollout.PullReply)
+	target := "http://" + address + PathConfig + "?" + pullQuery(req).Encode()
+	return reply, c.call(ctx, http.MethodGet, address, PathConfig, target, nil, maxPullBytes, reply)
+}
+
+// pullQuery puts a pull request into query parameters.
+func pullQuery(req *rollout.PullRequest) url.Values {
+	q := url.Values{}
+	q.Set("since", strconv.FormatInt(req.Since, 10))
+	q.Set("vm", req.From.ID)
+	q.Set("n", strconv.FormatInt(req.From.Incarnation, 10))
+	for name, revision := range req.Have {
+		q.Add("have", name+":"+strconv.FormatInt(revision, 10))
+	}
+	return q
+}
+
+func post[R any](ctx context.Context, c *Client, address, path string, req any, limit int64) (*R, error) {
+	body, err := json.Marshal(req)
+	if err != nil {
+		return nil, fmt.Errorf("encode %s: %w", path, err)
+	}
+	reply := new(R)
+	if err := c.call(ctx, http.MethodPost, address, path, "http://"+address+path, body, limit, reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+// call makes one control call and decodes the reply.
+func (c *Client) call(ctx context.Context, method, address, path, target string, body []byte, limit int64, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
+	defer cancel()
+	select {
+	case c.calls <- struct{}{}:
+		defer func() { <-c.calls }()
+	case <-ctx.Done():
+		return &CallError{path, address, ctx.Err()}
+	}
+	c.counters.message("client", path).Inc()
+	b, err := send(ctx, c.control, method, path, address, target, body, limit)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(b, reply); err != nil {
+		return &CallError{path, address, err}
+	}
+	return nil
+}
+
+// send makes an HTTP call and returns the body of a 200 answer.
+func send(ctx context.Context, client *http.Client, method, path, address, target string, body []byte, limit int64) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, &CallError{path, address, err}
+	}
+	req.Header["User-Agent"] = []string{""} // leaves the header out
+	if len(body) > 0 {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, &CallError{path, address, err}
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, remoteError(resp)
+	}
+	b, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err == nil && int64(len(b)) > limit {
+		err = &RemoteError{resp.StatusCode, codeMalformed, "reply too large"}
+	}
+	if err != nil {
+		return nil, &CallError{path, address, err}
+	}
+	return b, nil
+}
+
+func remoteError(resp *http.Response) error {
+	b, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	var body errorBody
+	if json.Unmarshal(b, &body) != nil {
+		body.Message = string(b)
+	}
+	return &RemoteError{resp.StatusCode, body.Code, body.Message}
+}
+
+// RelayQuery sends a query to the VM that issued its ticket. It fails with an
+// *UnknownVMError or *IncarnationError when that run of the VM is known to be
+// over; after any other error the query may have run.
+func (c *Client) RelayQuery(ctx context.Context, vmID string, incarnation int64, req *briarstandv1.QueryRequest) (*briarstandv1.QueryResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.RelayTimeout)
+	defer cancel()
+	if c.cfg.View == nil {
+		return nil, &UnknownVMError{vmID}
+	}
+	m, ok := c.cfg.View().Member(vmID)
+	switch {
+	case !ok:
+		return nil, &UnknownVMError{vmID}
+	case m.Incarnation != incarnation:
+		return nil, &IncarnationError{vmID, incarnation}
+	}
+	body, err := protojson.Marshal(req)
+	if err != nil {
+		return nil, fmt.Errorf("encode query: %w", err)
+	}
+	target := fmt.Sprintf("http://%s%s?vm=%s&n=%d", m.PeerAddress, PathQuery, url.QueryEscape(vmID), incarnation)
+	c.counters.message("client", PathQuery).Inc()
+	b, err := send(ctx, c.relay, http.MethodPost, PathQuery, m.PeerAddress, target, body, maxQueryBytes)
+	var remote *RemoteError
+	if errors.As(err, &remote) && remote.Code == codeIncarnation {
+		return nil, &IncarnationError{vmID, incarnation}
+	}
+	if err != nil {
+		return nil, err
+	}
+	resp := &briarstandv1.QueryResponse{}
+	if err := protojson.Unmarshal(b, resp); err != nil {
+		return nil, &CallError{PathQuery, m.PeerAddress, err}
+	}
+	return resp, nil
+}
+
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	counters *counters
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.counters.receivedBytes.Add(n)
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.counters.sentBytes.Add(n)
+	return n, err
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,330 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+	"github.com/briarstand/briarstand/membership"
+	"github.com/briarstand/briarstand/rollout"
+	"github.com/go-chi/chi/v5"
+	"github.com/go-chi/chi/v5/middleware"
+	"golang.org/x/time/rate"
+	"google.golang.org/protobuf/encoding/protojson"
+)
+
+// Limits of requests that are handled at once.
+const (
+	maxControlRequests = 256
+	maxQueryRequests   = 1024
+	// refusalLogInterval is the shortest time between two log lines about
+	// refused messages; the counter has them all.
+	refusalLogInterval = time.Second
+)
+
+// Members is what the server needs of the membership.
+type Members interface {
+	HandleProbe(req *membership.ProbeRequest) (*membership.ProbeReply, error)
+	HandleIndirectProbe(ctx context.Context, req *membership.IndirectProbeRequest) (*membership.IndirectProbeReply, error)
+	HandleSync(req *membership.SyncRequest) (*membership.SyncReply, error)
+	KnownHost(ip string) bool
+	RefreshList()
+}
+
+// Rollout is what the server needs of the rollout controller.
+type Rollout interface {
+	HandlePush(ctx context.Context, req *rollout.PushRequest) (*rollout.PushReply, error)
+	HandlePull(req *rollout.PullRequest) (*rollout.PullReply, error)
+}
+
+// ServerConfig holds what the peer API serves.
+type ServerConfig struct {
+	// VMID and Incarnation identify this run of the daemon.
+	VMID        string
+	Incarnation int64
+	Membership  Members
+	Rollout     Rollout
+	// Query runs a relayed query at this VM. Its context is marked, see
+	// Relayed, and it must not relay the query again.
+	Query   func(ctx context.Context, req *briarstandv1.QueryRequest) (*briarstandv1.QueryResponse, error)
+	Logger  *slog.Logger
+	Metrics *metrics.Set
+	// AllowLoopback accepts messages from loopback addresses.
+	AllowLoopback bool
+	// Allowed lists networks from which messages are accepted although the
+	// sender is not known yet.
+	Allowed []netip.Prefix
+}
+
+type relayedKey struct{}
+
+// Relayed reports whether a query came from another VM, so that it must not be
+// relayed again.
+func Relayed(ctx context.Context) bool {
+	relayed, _ := ctx.Value(relayedKey{}).(bool)
+	return relayed
+}
+
+type server struct {
+	cfg      ServerConfig
+	counters *counters
+	refusals rate.Sometimes
+}
+
+// NewServer returns the handler of the peer API.
+func NewServer(cfg ServerConfig) http.Handler {
+	if cfg.Logger == nil {
+		cfg.Logger = slog.New(slog.DiscardHandler)
+	}
+	s := &server{
+		cfg:      cfg,
+		counters: newCounters(cfg.Metrics),
+		refusals: rate.Sometimes{Interval: refusalLogInterval},
+	}
+	r := chi.NewRouter()
+	r.Use(s.checkSource)
+	r.Group(func(r chi.Router) {
+		r.Use(middleware.Throttle(maxControlRequests), s.count)
+		r.Post(PathProbe, handle(s, maxProbeBytes, func(_ context.Context, req *membership.ProbeRequest) (*membership.ProbeReply, error) {
+			return cfg.Membership.HandleProbe(req)
+		}))
+		r.Post(PathIndirectProbe, handle(s, maxProbeBytes, cfg.Membership.HandleIndirectProbe))
+		r.Post(PathSync, handle(s, maxSyncBytes, func(_ context.Context, req *membership.SyncRequest) (*membership.SyncReply, error) {
+			return cfg.Membership.HandleSync(req)
+		}))
+		r.Post(PathPush, handle(s, maxPushBytes, cfg.Rollout.HandlePush))
+		r.Get(PathConfig, s.pull)
+	})
+	r.With(middleware.Throttle(maxQueryRequests)).Post(PathQuery, s.query)
+	return r
+}
+
+// checkSource refuses messages from addresses that belong to no known VM.
+func (s *server) checkSource(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.allowed(r.RemoteAddr) {
+			next.ServeHTTP(w, r)
+			return
+		}
+		s.counters.refused.Inc()
+		s.refusals.Do(func() {
+			s.cfg.Logger.Warn("peer message refused: unknown source", "remote", r.RemoteAddr, "path", r.URL.Path)
+		})
+		s.cfg.Membership.RefreshList()
+		writeError(w, http.StatusForbidden, codeRefused, "source address is not that of a known VM")
+	})
+}
+
+func (s *server) allowed(remote string) bool {
+	host, _, err := net.SplitHostPort(remote)
+	if err != nil {
+		return false
+	}
+	if s.cfg.Membership.KnownHost(host) {
+		return true
+	}
+	ip, err := netip.ParseAddr(host)
+	if err != nil {
+		return false
+	}
+	ip = ip.Unmap()
+	if s.cfg.AllowLoopback && ip.IsLoopback() || s.cfg.Membership.KnownHost(ip.String()) {
+		return true
+	}
+	for _, p := range s.cfg.Allowed {
+		if p.Contains(ip) {
+			return true
+		}
+	}
+	return false
+}
+
+// handle decodes a request, calls f and encodes its reply.
+func handle[Q, R any](s *server, limit int64, f func(context.Context, *Q) (*R, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		req := new(Q)
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit)).Decode(req); err != nil {
+			writeError(w, http.StatusBadRequest, codeMalformed, err.Error())
+			return
+		}
+		reply, err := f(r.Context(), req)
+		s.answer(w, reply, err)
+	}
+}
+
+func (s *server) answer(w http.ResponseWriter, reply any, err error) {
+	if err != nil {
+		status, code := classify(err)
+		s.cfg.Logger.Debug("peer message not served", "code", code, "error", err)
+		writeError(w, status, code, err.Error())
+		return
+	}
+	b, err := json.Marshal(reply)
+	if err != nil {
+		writeError(w, http.StatusInternalServerError, codeInternal, err.Error())
+		return
+	}
+	writeJSON(w, http.StatusOK, b)
+}
+
+// classify maps a handler's error to a status and a code.
+func classify(err error) (int, string) {
+	var (
+		malformed  *membership.MessageError
+		document   *rollout.MessageError
+		superseded *membership.SupersededError
+		unknown    *membership.UnknownMemberError
+	)
+	switch {
+	case errors.As(err, &malformed), errors.As(err, &document):
+		return http.StatusBadRequest, codeMalformed
+	case errors.As(err, &superseded):
+		return http.StatusConflict, codeSuperseded
+	case errors.As(err, &unknown):
+		return http.StatusConflict, codeUnknown
+	}
+	return http.StatusInternalServerError, codeInternal
+}
+
+func writeError(w http.ResponseWriter, status int, code, message string) {
+	b, _ := json.Marshal(errorBody{code, message}) // two strings always encode
+	writeJSON(w, status, b)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body []byte) {
+	h := w.Header()
+	h["Date"] = nil // leaves the header out: no reader uses it
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body) // the caller notices a broken connection
+}
+
+// pull serves GET /peer/v1/config.
+func (s *server) pull(w http.ResponseWriter, r *http.Request) {
+	req, err := parsePull(r.URL.Query())
+	if err != nil {
+		s.answer(w, nil, err)
+		return
+	}
+	reply, err := s.cfg.Rollout.HandlePull(req)
+	s.answer(w, reply, err)
+}
+
+// maxHave is how many revisions a pull request may name.
+const maxHave = 4096
+
+// parsePull is the inverse of pullQuery.
+func parsePull(q map[string][]string) (*rollout.PullRequest, error) {
+	first := func(name string) string {
+		if v := q[name]; len(v) > 0 {
+			return v[0]
+		}
+		return ""
+	}
+	req := &rollout.PullRequest{Have: map[string]int64{}}
+	var err error
+	if req.Since, err = strconv.ParseInt(first("since"), 10, 64); err != nil || req.Since < 0 {
+		return nil, &rollout.MessageError{Field: "since", Reason: "must be a number of 0 or more"}
+	}
+	req.From.ID = first("vm")
+	if req.From.Incarnation, err = strconv.ParseInt(first("n"), 10, 64); err != nil || req.From.ID == "" {
+		return nil, &rollout.MessageError{Field: "vm", Reason: "sender is missing"}
+	}
+	if len(q["have"]) > maxHave {
+		return nil, &rollout.MessageError{Field: "have", Reason: "too many"}
+	}
+	for _, h := range q["have"] {
+		i := strings.LastIndexByte(h, ':')
+		if i < 0 {
+			return nil, &rollout.MessageError{Field: "have", Reason: "must be name:revision"}
+		}
+		revision, err := strconv.ParseInt(h[i+1:], 10, 64)
+		if err != nil {
+			return nil, &rollout.MessageError{Field: "have", Reason: "must be name:revision"}
+		}
+		req.Have[h[:i]] = revision
+	}
+	return req, nil
+}
+
+// query runs a relayed query, but only for the run of the daemon that issued
+// its ticket.
+func (s *server) query(w http.ResponseWriter, r *http.Request) {
+	s.counters.message("server", PathQuery).Inc()
+	q := r.URL.Query()
+	n, err := strconv.ParseInt(q.Get("n"), 10, 64)
+	if err != nil || q.Get("vm") != s.cfg.VMID || n != s.cfg.Incarnation {
+		writeError(w, http.StatusConflict, codeIncarnation, "the query is for another run of this daemon")
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxQueryBytes))
+	req := &briarstandv1.QueryRequest{}
+	if err == nil {
+		err = protojson.Unmarshal(body, req)
+	}
+	if err != nil {
+		writeError(w, http.StatusBadRequest, codeMalformed, err.Error())
+		return
+	}
+	resp, err := s.cfg.Query(context.WithValue(r.Context(), relayedKey{}, true), req)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, codeMalformed, err.Error())
+		return
+	}
+	b, err := protojson.Marshal(resp)
+	if err != nil {
+		writeError(w, http.StatusInternalServerError, codeInternal, err.Error())
+		return
+	}
+	writeJSON(w, http.StatusOK, b)
+}
+
+// count adds the bytes of control messages to the counters.
+func (s *server) count(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.counters.message("server", r.URL.Path).Inc()
+		body := &countedBody{ReadCloser: r.Body}
+		r.Body = body
+		ww := &countedWriter{ResponseWriter: w}
+		next.ServeHTTP(ww, r)
+		head := len(r.Method) + len(r.URL.RequestURI()) + len("  HTTP/1.1\r\n\r\n") + len("Host: \r\n") + len(r.Host)
+		s.counters.receivedBytes.Add(head + headerBytes(r.Header) + body.n)
+		s.counters.sentBytes.Add(len("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n") + headerBytes(ww.Header()) + ww.n)
+	})
+}
+
+type countedBody struct {
+	io.ReadCloser
+	n int
+}
+
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.n += n
+	return n, err
+}
+
+type countedWriter struct {
+	http.ResponseWriter
+	n int
+}
+
+func (w *countedWriter) Write(p []byte) (int, error) {
+	n, err := w.ResponseWriter.Write(p)
+	w.n += n
+	return n, err
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (w *countedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- /dev/null
+++ b/resolve/resolve.go
@@ -0,0 +1,78 @@
+// Package resolve chooses the addresses that a caller is told to use.
+package resolve
+
+import (
+	"time"
+
+	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+	"github.com/briarstand/briarstand/membership"
+)
+
+// Defaults of Config.
+const (
+	DefaultTTL = 30 * time.Second
+	DefaultMax = 6
+)
+
+// Config holds the settings of address selection. Zero values take the
+// defaults.
+type Config struct {
+	// TTL is how long a caller may keep an answer.
+	TTL time.Duration
+	// Max is the most addresses in an answer.
+	Max int
+}
+
+func (c *Config) setDefaults() {
+	if c.TTL <= 0 {
+		c.TTL = DefaultTTL
+	}
+	if c.Max <= 0 {
+		c.Max = DefaultMax
+	}
+}
+
+// Select returns the addresses for a caller: those in its zone first, and at
+// least one in another zone if there is one. The order within each group is
+// the rendezvous hash of the caller's id, so callers spread evenly and a VM
+// that leaves moves only its own callers.
+func Select(view *membership.View, req *briarstandv1.ResolveRequest, cfg Config) *briarstandv1.ResolveResponse {
+	cfg.setDefaults()
+	near, far := usable(view, req)
+	chosen := append(near[:min(len(near), nearLimit(cfg.Max, len(far)))], far...)
+	chosen = chosen[:min(len(chosen), cfg.Max)]
+	resp := &briarstandv1.ResolveResponse{TtlMs: cfg.TTL.Milliseconds()}
+	for _, m := range chosen {
+		resp.Endpoints = append(resp.Endpoints, &briarstandv1.Endpoint{
+			VmId: m.ID, Address: m.CallerAddress, Zone: m.Zone,
+		})
+	}
+	return resp
+}
+
+// nearLimit leaves one place for a VM of another zone.
+func nearLimit(most, far int) int {
+	if far > 0 && most > 1 {
+		return most - 1
+	}
+	return most
+}
+
+// usable returns the VMs that may be given to callers, in the caller's order:
+// those in its zone, and the others.
+func usable(view *membership.View, req *briarstandv1.ResolveRequest) (near, far []membership.Member) {
+	var candidates []membership.Member
+	for _, m := range view.Members {
+		if m.State == membership.Alive && m.Fresh && m.CallerAddress != "" {
+			candidates = append(candidates, m)
+		}
+	}
+	for _, m := range membership.Rendezvous(req.GetCallerId(), candidates) {
+		if m.Zone == req.GetZone() && m.Zone != "" {
+			near = append(near, m)
+		} else {
+			far = append(far, m)
+		}
+	}
+	return near, far
+}
--- /dev/null
+++ b/rollout/decide.go
@@ -0,0 +1,255 @@
+package rollout
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/briarstand/briarstand/membership"
+	"github.com/briarstand/briarstand/platform"
+	"github.com/cespare/xxhash/v2"
+)
+
+// watchers returns the n members that watch the store, in rank order: the
+// first by rendezvous hash, with one in each zone before a second in any, so
+// that the loss of a zone leaves a watcher.
+func watchers(members []membership.Member, n int) []membership.Member {
+	var candidates []membership.Member
+	for _, m := range members {
+		if m.State == membership.Alive || m.State == membership.Joining {
+			candidates = append(candidates, m)
+		}
+	}
+	ranked := membership.Rendezvous("watch", candidates)
+	taken := map[string]int{}
+	for i := range ranked {
+		taken[ranked[i].Zone] = 0
+	}
+	round := make(map[string]int, len(ranked))
+	for _, m := range ranked {
+		round[m.ID] = taken[m.Zone]
+		taken[m.Zone]++
+	}
+	slices.SortStableFunc(ranked, func(a, b membership.Member) int {
+		return cmp.Compare(round[a.ID], round[b.ID])
+	})
+	return ranked[:min(n, len(ranked))]
+}
+
+// position returns the index of a VM, or -1.
+func position(members []membership.Member, id string) int {
+	return slices.IndexFunc(members, func(m membership.Member) bool { return m.ID == id })
+}
+
+// split cuts targets into at most fanout slices of nearly equal size. The
+// first target of each slice is the child that serves the rest.
+func split(targets []Target, fanout int) [][]Target {
+	n := min(fanout, len(targets))
+	out := make([][]Target, 0, n)
+	for i := range n {
+		out = append(out, targets[i*len(targets)/n:(i+1)*len(targets)/n])
+	}
+	return out
+}
+
+// knownVMs returns what this VM reports with a confirmation: itself and every
+// VM in its table. A dead VM is waited for while its own freshness may last,
+// and while its tombstone is kept if the platform's list never had it, because
+// then the list's lack of it says nothing.
+func knownVMs(self membership.Member, contacts []membership.Contact, now time.Time, window time.Duration) []Known {
+	out := make([]Known, 0, len(contacts)+1)
+	out = append(out, Known{self.ID, self.Incarnation, self.PeerAddress, true})
+	for _, c := range contacts {
+		recent := !c.Heard.IsZero() && now.Sub(c.Heard) <= window
+		waited := c.State != membership.Dead || recent || !c.Listed
+		out = append(out, Known{c.ID, c.Incarnation, c.PeerAddress, waited})
+	}
+	return out
+}
+
+// knownDigest hashes known VMs independently of their order.
+func knownDigest(known []Known) uint64 {
+	var sum uint64
+	for _, k := range known {
+		var b [9]byte
+		for i := range 8 {
+			b[i] = byte(k.Incarnation >> (8 * i))
+		}
+		if k.Waited {
+			b[8] = 1
+		}
+		var d xxhash.Digest
+		d.Reset()
+		_, _ = d.WriteString(k.ID)
+		_, _ = d.Write(b[:])
+		sum ^= d.Sum64()
+	}
+	return sum
+}
+
+// mergeKnown adds reports of VMs to those gathered so far. The newest
+// incarnation counts, and a VM that any report waits for is waited for.
+func mergeKnown(all map[string]Known, reports ...Known) {
+	for _, k := range reports {
+		have, ok := all[k.ID]
+		switch {
+		case !ok || k.Incarnation > have.Incarnation:
+			all[k.ID] = k
+		case k.Incarnation == have.Incarnation && k.Waited:
+			have.Waited = true
+			all[k.ID] = have
+		}
+	}
+}
+
+// listReading is a reading of the platform's list.
+type listReading struct {
+	rows []platform.VM
+	// current says that the reading was made in this round. Otherwise it is
+	// an older one, which cannot show that a VM is gone.
+	current bool
+}
+
+// responsible returns the VMs that have to confirm, ordered by id: those on
+// the platform's list and those that a report waits for. Without a current
+// reading of the list nobody that is known is left out.
+func responsible(list listReading, known map[string]Known) []Known {
+	set := map[string]Known{}
+	for _, vm := range list.rows {
+		set[vm.ID] = Known{ID: vm.ID, Address: vm.PeerAddress, Waited: true}
+	}
+	for id, k := range known {
+		if _, listed := set[id]; listed || k.Waited || !list.current {
+			k.Waited = true
+			set[id] = k
+		}
+	}
+	out := make([]Known, 0, len(set))
+	for _, k := range set {
+		out = append(out, k)
+	}
+	slices.SortFunc(out, func(a, b Known) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// confirmations maps a VM to the newest revision that it confirmed.
+type confirmations map[string]Confirmation
+
+func (c confirmations) add(all ...Confirmation) {
+	for _, n := range all {
+		if have, ok := c[n.ID]; !ok || n.Incarnation > have.Incarnation ||
+			n.Incarnation == have.Incarnation && n.Revision > have.Revision {
+			c[n.ID] = n
+		}
+	}
+}
+
+// revision returns what a VM confirmed; 0 if nothing, or if the confirmation
+// came from an incarnation that was since replaced.
+func (c confirmations) revision(k Known) int64 {
+	if n, ok := c[k.ID]; ok && n.Incarnation >= k.Incarnation {
+		return n.Revision
+	}
+	return 0
+}
+
+// acceptance decides when a revision is accepted. Each round passes the
+// responsible set and its confirmations.
+type acceptance struct {
+	accepted  int64
+	candidate int64
+	since     time.Time
+	members   map[string]int64 // incarnations by id
+}
+
+// observe takes a round and returns the accepted revision. A revision is
+// accepted when the whole set has it in two rounds, the second of which began
+// at least the settle time after the first ended, with no new member in
+// between.
+func (a *acceptance) observe(began, ended time.Time, settle time.Duration, set []Known, confirmed confirmations) int64 {
+	lowest := lowestRevision(set, confirmed)
+	grown := a.takeMembers(set)
+	switch {
+	case lowest <= a.accepted:
+		a.candidate = 0
+	case a.candidate == 0 || lowest < a.candidate || grown:
+		a.candidate, a.since = lowest, ended
+	case began.Sub(a.since) >= settle:
+		a.accepted = a.candidate
+		a.candidate, a.since = lowest, ended
+		if lowest == a.accepted {
+			a.candidate = 0
+		}
+	}
+	return a.accepted
+}
+
+// takeMembers remembers the set and reports whether it has a member, or an
+// incarnation of one, that the last round did not have.
+func (a *acceptance) takeMembers(set []Known) bool {
+	grown := false
+	members := make(map[string]int64, len(set))
+	for _, k := range set {
+		members[k.ID] = k.Incarnation
+		if n, ok := a.members[k.ID]; !ok || k.Incarnation > n {
+			grown = true
+		}
+	}
+	a.members = members
+	return grown
+}
+
+// lowestRevision returns the revision that every VM of the set confirmed at
+// least; 0 if one did not confirm any.
+func lowestRevision(set []Known, confirmed confirmations) int64 {
+	if len(set) == 0 {
+		return 0
+	}
+	lowest := confirmed.revision(set[0])
+	for _, k := range set[1:] {
+		lowest = min(lowest, confirmed.revision(k))
+	}
+	return lowest
+}
+
+// waiting returns the VMs of the set that did not confirm a revision.
+func waiting(set []Known, confirmed confirmations, revision int64) []Known {
+	var out []Known
+	for _, k := range set {
+		if confirmed.revision(k) < revision {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+// takeover says when a VM starts to drive a rollout that it has learned of.
+type takeover struct {
+	learned  time.Time
+	observed time.Time // last message of another reporter; zero if none
+	rank     int       // by rendezvous hash of service and revision
+	watcher  int       // rank among the watchers; -1 if none
+}
+
+// due returns the time to start. A watcher starts soon when no reporter has
+// shown itself, because the VM that made the change may have failed.
+func (t takeover) due(step, watcherStep time.Duration) time.Time {
+	if t.observed.IsZero() {
+		start := t.learned.Add(time.Duration(t.rank) * step)
+		if t.watcher >= 0 {
+			soon := t.learned.Add(watcherStep/4 + time.Duration(t.watcher)*watcherStep)
+			if soon.Before(start) {
+				return soon
+			}
+		}
+		return start
+	}
+	return t.observed.Add(time.Duration(t.rank+1) * step)
+}
+
+// pollPlan returns the time between two full readings of the store by one of n
+// VMs. A full reading returns all documents, so the fleet shares them instead
+// of each VM making one every interval.
+func pollPlan(n int, interval time.Duration) time.Duration {
+	return max(interval, time.Duration(n)*interval/30)
+}
--- /dev/null
+++ b/rollout/freshness.go
@@ -0,0 +1,96 @@
+package rollout
+
+import (
+	"fmt"
+	"sync/atomic"
+	"time"
+)
+
+// NotAdmittedError reports that this VM may not admit new queries.
+type NotAdmittedError struct{ Reason string }
+
+func (e *NotAdmittedError) Error() string {
+	return fmt.Sprintf("not admitting queries: %s", e.Reason)
+}
+
+var (
+	errNotLoaded = &NotAdmittedError{"no configuration was read since the start"}
+	errLapsed    = &NotAdmittedError{"the configuration was not confirmed within the freshness window"}
+)
+
+// freshness holds until when this VM may admit queries. It uses the monotonic
+// clock, so a paused VM finds on its first reading that the time has passed.
+type freshness struct {
+	base   time.Time
+	window time.Duration
+	// until is the end of admission in nanoseconds after base; 0 until the
+	// first grant.
+	until atomic.Int64
+	// contact is when the last answered request to a peer was sent, in
+	// nanoseconds after base.
+	contact atomic.Int64
+}
+
+// newFreshness returns a freshness without a grant. The VM's own window is a
+// tenth shorter than that of its peers, so that it lapses before they leave it
+// out although clocks run at slightly different rates.
+func newFreshness(now time.Time, window time.Duration) *freshness {
+	return &freshness{base: now, window: window - window/10}
+}
+
+// grant extends admission to one window after a request was sent. The time of
+// the reply does not count, because the state it reflects may be as old as the
+// request.
+func (f *freshness) grant(sent time.Time) {
+	raise(&f.until, int64(sent.Add(f.window).Sub(f.base)))
+}
+
+// met records that a peer answered a request sent at the given time.
+func (f *freshness) met(sent time.Time) {
+	raise(&f.contact, int64(sent.Sub(f.base)))
+}
+
+// lastMet returns when the last answered request to a peer was sent; false if
+// there was none.
+func (f *freshness) lastMet() (time.Time, bool) {
+	n := f.contact.Load()
+	return f.base.Add(time.Duration(n)), n > 0
+}
+
+// left returns how long admission lasts; it is negative after a lapse.
+func (f *freshness) left() time.Duration {
+	return time.Duration(f.until.Load()) - time.Since(f.base)
+}
+
+// fresh reports whether the VM may admit queries.
+func (f *freshness) fresh() bool { return f.left() > 0 }
+
+// loaded reports whether the VM ever was fresh.
+func (f *freshness) loaded() bool { return f.until.Load() > 0 }
+
+// lapsedAt returns when admission ended or will end.
+func (f *freshness) lapsedAt() time.Time {
+	return f.base.Add(time.Duration(f.until.Load()))
+}
+
+// admit returns nil while the VM may admit queries.
+func (f *freshness) admit() error {
+	until := f.until.Load()
+	switch {
+	case int64(time.Since(f.base)) < until:
+		return nil
+	case until == 0:
+		return errNotLoaded
+	default:
+		return errLapsed
+	}
+}
+
+func raise(v *atomic.Int64, to int64) {
+	for {
+		old := v.Load()
+		if to <= old || v.CompareAndSwap(old, to) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/rollout/handle.go
@@ -0,0 +1,229 @@
+package rollout
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/briarstand/briarstand/membership"
+)
+
+// ConfigState implements membership.Delegate. Freshness is read first: the
+// configuration is then at least as new as when the VM was fresh.
+func (c *Controller) ConfigState() membership.ConfigState {
+	fresh := c.freshness.fresh()
+	complete := c.inventory.completeIndex()
+	snap, digest := c.inventory.digest()
+	return membership.ConfigState{Index: snap.Index, Complete: complete, Digest: digest, Fresh: fresh}
+}
+
+// Replied implements membership.Delegate.
+func (c *Controller) Replied(peer membership.Member, state membership.ConfigState, sent time.Time) {
+	c.freshness.met(sent)
+	if _, digest := c.inventory.digest(); digest != state.Digest {
+		c.schedulePull(peer)
+		return
+	}
+	c.inventory.completeTo(state.Complete)
+	if state.Fresh && c.freshness.loaded() {
+		c.freshness.grant(sent)
+	}
+}
+
+// Probed implements membership.Delegate.
+func (c *Controller) Probed(peer membership.Member, state membership.ConfigState) {
+	if snap, digest := c.inventory.digest(); digest != state.Digest && state.Index > snap.Index {
+		c.schedulePull(peer)
+	}
+}
+
+// schedulePull has the missing documents read from a peer, unless that is
+// already under way or too much is waiting; the next probe tries again.
+func (c *Controller) schedulePull(peer membership.Member) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pulling[peer.ID] {
+		return
+	}
+	select {
+	case c.pulls <- peer:
+		c.pulling[peer.ID] = true
+	default:
+	}
+}
+
+func (c *Controller) runPulls(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case peer := <-c.pulls:
+			if _, err := c.pull(ctx, peer.PeerAddress, peer.ID); err != nil {
+				c.cfg.Logger.Debug("documents not read from peer", "vm", peer.ID, "error", err)
+			}
+			c.mu.Lock()
+			delete(c.pulling, peer.ID)
+			c.mu.Unlock()
+		}
+	}
+}
+
+// pull reads the missing documents from a peer. Afterwards this VM has
+// everything that the peer had, so it is as fresh as the peer.
+func (c *Controller) pull(ctx context.Context, address, id string) (*PullReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	since := c.inventory.completeIndex()
+	snap, _ := c.inventory.digest()
+	sent := time.Now()
+	reply, err := c.cfg.Transport.Pull(ctx, address, &PullRequest{From: c.self, Since: since, Have: have(snap, since)})
+	if err != nil {
+		return nil, err
+	}
+	if id != "" && reply.From.ID != id {
+		return nil, &MessageError{"sender", "is " + reply.From.ID + ", not " + id}
+	}
+	if err := c.takeDocuments(reply.Documents); err != nil {
+		return nil, err
+	}
+	for name, revision := range reply.Accepted {
+		c.accept(name, revision)
+	}
+	c.freshness.met(sent)
+	c.inventory.completeTo(reply.Config.Complete)
+	if reply.Config.Fresh {
+		c.freshness.grant(sent)
+	}
+	return reply, nil
+}
+
+func (c *Controller) takeDocuments(documents [][]byte) error {
+	for _, d := range documents {
+		svc, err := decodeDocument(d)
+		if err != nil {
+			return err
+		}
+		c.cfg.Registry.Apply(svc)
+	}
+	return nil
+}
+
+// HandlePull answers a peer with the documents that it lacks. The peer has to
+// be a known member, so that a rollout waits for whoever reads from this VM.
+func (c *Controller) HandlePull(req *PullRequest) (*PullReply, error) {
+	if err := c.cfg.Membership.Hear(req.From.ID, req.From.Incarnation); err != nil {
+		return nil, err
+	}
+	state := c.ConfigState()
+	reply := &PullReply{From: c.self, Config: state, Accepted: map[string]int64{}}
+	snap := c.cfg.Registry.Snapshot()
+	for _, svc := range snap.Since(req.Since) {
+		if svc.Revision <= req.Have[svc.Name] {
+			continue
+		}
+		d, err := encodeDocument(svc)
+		if err != nil {
+			return nil, err
+		}
+		reply.Documents = append(reply.Documents, d)
+		if a := c.acceptedRevision(svc.Name); a > 0 {
+			reply.Accepted[svc.Name] = a
+		}
+	}
+	return reply, nil
+}
+
+func (c *Controller) acceptedRevision(service string) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t := c.tasks[service]; t != nil {
+		return t.accepted
+	}
+	return 0
+}
+
+// HandlePush puts a document in force, serves the slice of the tree below
+// this VM and returns the confirmations.
+func (c *Controller) HandlePush(ctx context.Context, req *PushRequest) (*PushReply, error) {
+	if err := req.Validate(); err != nil {
+		return nil, err
+	}
+	if len(req.Document) > 0 {
+		svc, err := decodeDocument(req.Document)
+		if err != nil {
+			return nil, err
+		}
+		if svc.Name != req.Service {
+			return nil, &MessageError{"document", "is of another service"}
+		}
+		c.cfg.Registry.Apply(svc)
+	}
+	_ = c.cfg.Membership.Hear(req.From.ID, req.From.Incarnation) // an unknown sender announces itself by its probes
+	c.observed(req)
+	budget := min(time.Duration(req.BudgetMS)*time.Millisecond, c.cfg.RoundTimeout)
+	gathered := newGathering()
+	c.pushDown(ctx, req, req.Slice, budget, gathered)
+	gathered.addOwn(c, req.Service)
+	return gathered.reply(req.KnownDigest), nil
+}
+
+// observed notes the message of another reporter.
+func (c *Controller) observed(req *PushRequest) {
+	if req.Accepted > 0 {
+		c.accept(req.Service, req.Accepted)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t := c.task(req.Service); req.Revision >= t.revision {
+		t.observed, t.reporter = time.Now(), req.Reporter
+	}
+}
+
+// gathering collects the replies of a round.
+type gathering struct {
+	mu        sync.Mutex
+	confirmed confirmations
+	known     map[string]Known
+}
+
+func newGathering() *gathering {
+	return &gathering{confirmed: confirmations{}, known: map[string]Known{}}
+}
+
+func (g *gathering) add(reply *PushReply) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.confirmed.add(reply.Confirmed...)
+	mergeKnown(g.known, reply.Known...)
+}
+
+// addOwn adds what the VM itself confirms and knows. What it knows is read
+// after its configuration: a VM that read an older configuration from it has
+// been heard before.
+func (g *gathering) addOwn(c *Controller, service string) {
+	revision := c.cfg.Registry.Snapshot().Revision(service)
+	now := time.Now()
+	known := knownVMs(c.cfg.Membership.Self(), c.cfg.Membership.Contacts(), now, c.cfg.FreshnessWindow)
+	g.add(&PushReply{
+		Confirmed: []Confirmation{{c.self.ID, c.self.Incarnation, revision}},
+		Known:     known,
+	})
+}
+
+// reply returns the collected confirmations. The known VMs are left out when
+// they are those that the reporter knows.
+func (g *gathering) reply(reporter uint64) *PushReply {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	reply := &PushReply{}
+	for _, n := range g.confirmed {
+		reply.Confirmed = append(reply.Confirmed, n)
+	}
+	for _, k := range g.known {
+		reply.Known = append(reply.Known, k)
+	}
+	if knownDigest(reply.Known) == reporter {
+		reply.Known = nil
+	}
+	return reply
+}
--- /dev/null
+++ b/rollout/keep.go
@@ -0,0 +1,397 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/membership"
+	"github.com/briarstand/briarstand/platform"
+)
+
+// runWatch watches the store while this VM is one of the watchers.
+func (c *Controller) runWatch(ctx context.Context) {
+	retry := minRetry
+	for {
+		if !c.watching() {
+			if !sleep(ctx, c.jitter(2*time.Second)) {
+				return
+			}
+			continue
+		}
+		if err := c.watch(ctx); err == nil {
+			retry = minRetry
+			continue
+		} else if ctx.Err() == nil {
+			c.cfg.Logger.Warn("store not watched", "error", err)
+		}
+		if !sleep(ctx, c.jitter(2*retry)) {
+			return
+		}
+		retry = min(2*retry, maxStoreRetry)
+	}
+}
+
+func (c *Controller) watching() bool {
+	chosen := watchers(c.cfg.Membership.View().Members, c.cfg.Watchers)
+	return c.freshness.loaded() && position(chosen, c.self.ID) >= 0
+}
+
+// watch waits once for a change in the store.
+func (c *Controller) watch(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+storeTimeout)
+	defer cancel()
+	listing, err := c.cfg.Store.Watch(ctx, config.ServicesPrefix, c.inventory.completeIndex(), watchWait)
+	if err != nil {
+		return err
+	}
+	return c.takeListing(listing)
+}
+
+// runPoll reads the store slowly, in case the other ways have missed a change:
+// the small accepted marks each interval, and all documents more rarely in a
+// large fleet.
+func (c *Controller) runPoll(ctx context.Context) {
+	full := time.Now()
+	for sleep(ctx, c.jitter(4*c.cfg.PollInterval/3)) {
+		if !c.freshness.loaded() {
+			continue
+		}
+		if err := c.poll(ctx, &full); err != nil {
+			c.cfg.Logger.Warn("store not polled", "error", err)
+		}
+	}
+}
+
+func (c *Controller) poll(ctx context.Context, full *time.Time) error {
+	n := len(c.cfg.Membership.View().Members)
+	if time.Since(*full) >= pollPlan(n, c.cfg.PollInterval)*9/10 {
+		if err := c.load(ctx); err != nil {
+			return err
+		}
+		*full = time.Now()
+	}
+	behind, err := c.readMarks(ctx)
+	for _, name := range behind {
+		if err := c.fetch(ctx, name); err != nil {
+			c.cfg.Logger.Warn("accepted document not read", "service", name, "error", err)
+		}
+	}
+	return err
+}
+
+// runFreshen keeps this VM fresh when the probes do not, and makes it fresh
+// again after a lapse.
+func (c *Controller) runFreshen(ctx context.Context) {
+	var r recovery
+	for sleep(ctx, c.jitter(2*scheduleInterval)) {
+		switch {
+		case !c.freshness.loaded():
+		case c.cfg.Membership.Alone():
+			r = recovery{}
+			c.freshenAlone(ctx)
+		case c.freshness.left() > c.freshness.window/2:
+			r = recovery{}
+		default:
+			c.freshenByPeers(ctx)
+			if !c.freshness.fresh() {
+				c.recover(ctx, &r)
+			}
+		}
+	}
+}
+
+// freshenAlone reads the store now and then. While the store is down, a VM
+// that has met no other since it was last fresh stays fresh: nothing can have
+// been accepted without it. A lapsed VM may have missed others.
+func (c *Controller) freshenAlone(ctx context.Context) {
+	if c.freshness.left() > 2*c.freshness.window/3 {
+		return
+	}
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, c.freshness.window/4)
+	defer cancel()
+	err := c.load(ctx)
+	var decode *DecodeError
+	if err == nil || errors.As(err, &decode) {
+		return
+	}
+	if c.cfg.Membership.Alone() && c.freshness.fresh() {
+		c.freshness.grant(began)
+	}
+}
+
+// freshenByPeers asks a few peers that were heard of lately.
+func (c *Controller) freshenByPeers(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, peer := range c.freshenCandidates() {
+		wg.Go(func() { _, _ = c.pull(ctx, peer.PeerAddress, peer.ID) })
+	}
+	wg.Wait()
+}
+
+// freshenCandidates returns random members, those heard of lately first.
+func (c *Controller) freshenCandidates() []membership.Contact {
+	contacts := c.cfg.Membership.Contacts()
+	contacts = slices.DeleteFunc(contacts, func(m membership.Contact) bool { return m.State == membership.Dead })
+	c.shuffle(len(contacts), func(i, j int) { contacts[i], contacts[j] = contacts[j], contacts[i] })
+	now := time.Now()
+	recent := func(m membership.Contact) int {
+		if now.Sub(m.Heard) <= c.cfg.FreshnessWindow {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(contacts, func(a, b membership.Contact) int { return recent(a) - recent(b) })
+	return contacts[:min(len(contacts), freshenPeers)]
+}
+
+// recovery is the state of the attempts after a lapse.
+type recovery struct {
+	lapsed    time.Time
+	store     time.Time // next reading of the store
+	fleet     time.Time // next attempt to reach the whole fleet
+	storeWait time.Duration
+}
+
+// recover reads the store, and later tries to reach every listed VM. The times
+// differ between VMs, because after a store outage the whole fleet may have
+// lapsed and one recovered VM makes the others fresh by probes.
+func (c *Controller) recover(ctx context.Context, r *recovery) {
+	now := time.Now()
+	if r.lapsed.IsZero() {
+		c.cfg.Logger.Warn("lapsed: new queries are refused", "lapsed_at", c.freshness.lapsedAt())
+		r.lapsed, r.storeWait = now, minRetry
+		r.store = now.Add(c.jitter(2 * time.Second))
+		r.fleet = now.Add(time.Second + time.Duration(c.recoveryRank())*time.Second)
+	}
+	if !now.Before(r.store) {
+		if err := c.load(ctx); err == nil {
+			return
+		}
+		r.storeWait = min(2*r.storeWait, maxStoreRetry)
+		r.store = time.Now().Add(c.jitter(r.storeWait))
+	}
+	if !now.Before(r.fleet) {
+		if err := c.reachFleet(ctx, r.lapsed); err != nil {
+			c.cfg.Logger.Debug("fleet not reached", "error", err)
+		}
+		r.fleet = time.Now().Add(c.jitter(maxRetry))
+	}
+}
+
+// maxRecoveryRank bounds the delay of the attempts to reach the fleet.
+const maxRecoveryRank = 20
+
+func (c *Controller) recoveryRank() int {
+	ranked := membership.Rendezvous("recovery", c.cfg.Membership.View().Members)
+	return min(max(position(ranked, c.self.ID), 0), maxRecoveryRank)
+}
+
+// FleetError reports a listed VM that could not be reached.
+type FleetError struct {
+	ID  string
+	Err error
+}
+
+func (e *FleetError) Error() string { return "VM " + e.ID + " not reached: " + e.Err.Error() }
+
+func (e *FleetError) Unwrap() error { return e.Err }
+
+// reachFleet makes this VM fresh when every VM on a platform list read after
+// the lapse was reached: then it has the highest revision among them.
+func (c *Controller) reachFleet(ctx context.Context, lapsed time.Time) error {
+	if c.cfg.VMLister == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.freshness.window)
+	defer cancel()
+	began := time.Now()
+	if !began.After(lapsed) {
+		return nil
+	}
+	rows, err := c.cfg.VMLister.ListVMs(ctx)
+	if err != nil {
+		return err
+	}
+	c.cfg.Membership.TakeList(rows, began)
+	if err := c.reachAll(ctx, rows); err != nil {
+		return err
+	}
+	c.freshness.grant(began)
+	c.cfg.Logger.Info("fresh again: every listed VM was reached", "vms", len(rows))
+	return nil
+}
+
+func (c *Controller) reachAll(ctx context.Context, rows []platform.VM) error {
+	var wg sync.WaitGroup
+	limit := make(chan struct{}, repairs)
+	errs := make(chan error, len(rows))
+	for _, vm := range rows {
+		if vm.ID == c.self.ID {
+			continue
+		}
+		limit <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-limit }()
+			if _, err := c.pull(ctx, vm.PeerAddress, vm.ID); err != nil && vm.State != platform.VMLeaving {
+				errs <- &FleetError{vm.ID, err}
+			}
+		})
+	}
+	wg.Wait()
+	select {
+	case err := <-errs:
+		return err
+	default:
+		return nil
+	}
+}
+
+// Start reads the configuration: it makes this VM known to peers first, and
+// then reads the store or a fresh peer. It returns when the VM is fresh, or
+// with a *NotReadyError when ctx ends.
+func (c *Controller) Start(ctx context.Context) error {
+	retry := minRetry
+	for {
+		err := c.start(ctx)
+		if err == nil {
+			return nil
+		}
+		c.cfg.Logger.Warn("configuration not read yet", "error", err)
+		if !sleep(ctx, c.jitter(2*retry)) {
+			return &NotReadyError{err}
+		}
+		retry = min(2*retry, maxRetry)
+	}
+}
+
+// announceTimeout bounds the announcement. The reading that follows counts
+// only with an announcement in the same attempt, because peers forget a VM
+// that stays silent.
+const announceTimeout = 2 * time.Second
+
+func (c *Controller) start(ctx context.Context) error {
+	if err := c.cfg.Membership.ReadList(ctx); err != nil {
+		c.cfg.Logger.Warn("platform's VM list not read", "error", err)
+	}
+	announce, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	c.cfg.Membership.Announce(announce, c.cfg.Announce)
+	storeErr := c.load(ctx)
+	if storeErr == nil && c.freshness.fresh() {
+		if _, err := c.readMarks(ctx); err != nil {
+			c.cfg.Logger.Warn("accepted marks not read", "error", err)
+		}
+		return nil
+	}
+	c.freshenByPeers(ctx)
+	switch {
+	case c.freshness.fresh():
+		return nil
+	case storeErr != nil:
+		return storeErr
+	default:
+		return errUnannounced
+	}
+}
+
+var errUnannounced = &NotAdmittedError{"no peer answered, and the platform's list lacks this VM"}
+
+// Status returns how far a revision is in force; 0 means the newest that this
+// VM knows. When no rollout runs here, it makes one round of confirmations.
+func (c *Controller) Status(ctx context.Context, service string, revision int64) (Status, error) {
+	svc, revision, err := c.resolveRevision(ctx, service, revision)
+	if err != nil {
+		return Status{}, err
+	}
+	if s, ok := c.knownStatus(service, revision); ok {
+		return s, nil
+	}
+	r := c.round(ctx, svc, false)
+	if err := ctx.Err(); err != nil {
+		return Status{}, err
+	}
+	return r.status(service, revision, c.acceptedRevision(service)), nil
+}
+
+// resolveRevision finds the document for a question about a revision.
+func (c *Controller) resolveRevision(ctx context.Context, service string, revision int64) (*config.Service, int64, error) {
+	svc := newest(c.cfg.Registry.Snapshot(), service)
+	if svc == nil || revision > svc.Revision {
+		if err := c.fetch(ctx, service); err != nil && !errors.Is(err, platform.ErrNotFound) {
+			return nil, 0, err
+		}
+		svc = newest(c.cfg.Registry.Snapshot(), service)
+	}
+	switch {
+	case svc == nil:
+		return nil, 0, &UnknownRevisionError{Service: service, Revision: revision}
+	case revision > svc.Revision:
+		return nil, 0, &UnknownRevisionError{service, revision, svc.Revision}
+	case revision <= 0:
+		revision = svc.Revision
+	}
+	return svc, revision, nil
+}
+
+// knownStatus answers from what this VM knows without asking others.
+func (c *Controller) knownStatus(service string, revision int64) (Status, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.task(service)
+	s := t.status
+	s.WaitingFor = slices.Clone(s.WaitingFor)
+	switch {
+	case t.accepted >= revision:
+		if s.Revision < revision || s.Total != s.InForce {
+			n := len(c.cfg.Membership.View().Members)
+			s = Status{Total: n, InForce: n}
+		}
+		return Status{Service: service, Revision: revision, Accepted: true, Total: s.Total, InForce: s.InForce}, true
+	case t.driving && s.Revision == revision:
+		return s, true
+	}
+	return Status{}, false
+}
+
+// Wait drives the rollout of a revision and returns when it is accepted, or
+// with the last status and the context's error when ctx ends.
+func (c *Controller) Wait(ctx context.Context, service string, revision int64) (Status, error) {
+	_, revision, err := c.resolveRevision(ctx, service, revision)
+	if err != nil {
+		return Status{}, err
+	}
+	c.mu.Lock()
+	t := c.task(service)
+	t.waiters++
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		t.waiters--
+	}()
+	c.poke()
+	for {
+		c.mu.Lock()
+		changed, last := t.changed, t.status
+		c.mu.Unlock()
+		if s, ok := c.knownStatus(service, revision); ok && s.Accepted {
+			return s, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			last.Service, last.Revision = service, revision
+			last.WaitingFor = slices.Clone(last.WaitingFor)
+			return last, ctx.Err()
+		}
+	}
+}
+
+// trimService returns the service's name of a key.
+func trimService(key string) string { return strings.TrimPrefix(key, config.ServicesPrefix) }
--- /dev/null
+++ b/rollout/mark.go
@@ -0,0 +1,206 @@
+package rollout
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/platform"
+)
+
+// Mark is the value of an accepted mark in the store.
+type Mark struct {
+	Revision int64 `json:"revision"`
+}
+
+// DecodeMark reads the value of an accepted mark.
+func DecodeMark(e platform.Entry) (Mark, error) {
+	var m Mark
+	if err := json.Unmarshal(e.Value, &m); err != nil {
+		return Mark{}, &DecodeError{e.Key, err}
+	}
+	if m.Revision <= 0 {
+		return Mark{}, &DecodeError{e.Key, &MessageError{"revision", "must be positive"}}
+	}
+	return m, nil
+}
+
+// unmarked returns the accepted revisions that this VM decided on and whose
+// mark is not written yet.
+func (c *Controller) unmarked() []*task {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []*task
+	for _, t := range c.tasks {
+		if t.decided > t.marked && !t.marking {
+			t.marking = true
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// mark writes the accepted mark of a service and retries until the store holds
+// it or a newer one.
+func (c *Controller) mark(ctx context.Context, t *task) {
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		t.marking = false
+	}()
+	retry := minRetry
+	for {
+		revision := c.acceptedRevision(t.service)
+		err := c.writeMark(ctx, t.service, revision)
+		if err == nil {
+			c.mu.Lock()
+			t.marked = max(t.marked, revision)
+			c.mu.Unlock()
+			return
+		}
+		c.cfg.Logger.Debug("accepted mark not written", "service", t.service, "revision", revision, "error", err)
+		if !sleep(ctx, c.jitter(2*retry)) {
+			return
+		}
+		retry = min(2*retry, maxStoreRetry)
+	}
+}
+
+// writeMark creates or raises the mark of a service. A mark never decreases: a
+// lost race is an error and the next try reads the mark again.
+func (c *Controller) writeMark(ctx context.Context, service string, revision int64) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	key := config.AcceptedPrefix + service
+	var expected int64
+	entry, err := c.cfg.Store.Get(ctx, key)
+	switch {
+	case err == nil:
+		m, err := DecodeMark(entry)
+		if err == nil && m.Revision >= revision {
+			return nil
+		}
+		expected = entry.Index
+	case !errors.Is(err, platform.ErrNotFound):
+		return fmt.Errorf("read mark of %s: %w", service, err)
+	}
+	value, err := json.Marshal(Mark{Revision: revision})
+	if err != nil {
+		return fmt.Errorf("encode mark of %s: %w", service, err)
+	}
+	if _, err := c.cfg.Store.CompareAndSwap(ctx, key, expected, value); err != nil {
+		return fmt.Errorf("write mark of %s: %w", service, err)
+	}
+	return nil
+}
+
+// readMarks takes the accepted marks of the store. It returns the services
+// whose accepted revision is above the one in force here.
+func (c *Controller) readMarks(ctx context.Context) ([]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	listing, err := c.cfg.Store.List(ctx, config.AcceptedPrefix)
+	if err != nil {
+		return nil, fmt.Errorf("list accepted marks: %w", err)
+	}
+	snap := c.cfg.Registry.Snapshot()
+	var behind []string
+	for _, e := range listing.Entries {
+		m, err := DecodeMark(e)
+		if err != nil {
+			c.cfg.Logger.Warn("accepted mark not readable", "key", e.Key, "error", err)
+			continue
+		}
+		name := strings.TrimPrefix(e.Key, config.AcceptedPrefix)
+		c.accept(name, m.Revision)
+		c.setMarked(name, m.Revision)
+		if m.Revision > snap.Revision(name) {
+			behind = append(behind, name)
+		}
+	}
+	return behind, nil
+}
+
+func (c *Controller) setMarked(service string, revision int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.task(service)
+	t.marked = max(t.marked, revision)
+}
+
+// fetch reads one document from the store and puts it in force.
+func (c *Controller) fetch(ctx context.Context, service string) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	entry, err := c.cfg.Store.Get(ctx, config.ServicesPrefix+service)
+	if err != nil {
+		return fmt.Errorf("read document of %s: %w", service, err)
+	}
+	svc, err := c.cfg.Decode(entry)
+	if err != nil {
+		return &DecodeError{entry.Key, err}
+	}
+	c.cfg.Registry.Apply(svc)
+	return nil
+}
+
+// load reads all documents from the store. Afterwards nothing is missing up to
+// the listing's index, so this VM is as fresh as its request.
+func (c *Controller) load(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	sent := time.Now()
+	listing, err := c.cfg.Store.List(ctx, config.ServicesPrefix)
+	if err != nil {
+		return fmt.Errorf("list documents: %w", err)
+	}
+	if err := c.takeListing(listing); err != nil {
+		return err
+	}
+	c.grantByStore(sent)
+	return nil
+}
+
+// takeListing puts all documents of a listing in force.
+func (c *Controller) takeListing(listing platform.Listing) error {
+	snap := c.cfg.Registry.Snapshot()
+	var services []*config.Service
+	var failed error
+	for _, e := range listing.Entries {
+		if e.Index <= snap.Revision(trimService(e.Key)) {
+			continue
+		}
+		svc, err := c.cfg.Decode(e)
+		if err != nil {
+			c.cfg.Logger.Error("document not readable", "key", e.Key, "error", err)
+			failed = &DecodeError{e.Key, err}
+			continue
+		}
+		services = append(services, svc)
+	}
+	c.cfg.Registry.Apply(services...)
+	if failed == nil {
+		c.inventory.completeTo(listing.Index)
+	}
+	return failed
+}
+
+// grantByStore makes this VM fresh by a reading of the store. A VM that the
+// platform's list never had is waited for only because peers have heard from
+// it, so the reading counts no longer than its last contact with one.
+func (c *Controller) grantByStore(sent time.Time) {
+	if c.cfg.VMLister == nil || c.cfg.Membership.SelfListed() || c.cfg.Membership.Alone() {
+		c.freshness.grant(sent)
+		return
+	}
+	if met, ok := c.freshness.lastMet(); ok {
+		if met.Before(sent) {
+			sent = met
+		}
+		c.freshness.grant(sent)
+	}
+}
--- /dev/null
+++ b/rollout/message.go
@@ -0,0 +1,170 @@
+package rollout
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/membership"
+	"github.com/briarstand/briarstand/platform"
+)
+
+// Transport sends messages to the peer API at an address.
+type Transport interface {
+	Push(ctx context.Context, address string, req *PushRequest) (*PushReply, error)
+	Pull(ctx context.Context, address string, req *PullRequest) (*PullReply, error)
+}
+
+// Sender names the VM that sent a message.
+type Sender struct {
+	ID          string `json:"i"`
+	Incarnation int64  `json:"n"`
+}
+
+// Target is a VM that a document has to reach.
+type Target struct {
+	ID      string `json:"i"`
+	Address string `json:"p"`
+}
+
+// PushRequest carries a document down the tree, or only asks for
+// confirmations when it has none.
+type PushRequest struct {
+	From Sender `json:"f"`
+	// Reporter is the VM that drives the rollout.
+	Reporter string `json:"r"`
+	Service  string `json:"s"`
+	Revision int64  `json:"v"`
+	Document []byte `json:"d,omitempty"`
+	// Slice lists the VMs that the receiver serves.
+	Slice []Target `json:"l,omitempty"`
+	// KnownDigest is the hash of the VMs that the reporter knows.
+	KnownDigest uint64 `json:"k,omitempty"`
+	// BudgetMS is the time for the answer, in milliseconds.
+	BudgetMS int64 `json:"b"`
+	// Accepted is the highest accepted revision that the reporter knows.
+	Accepted int64 `json:"a,omitempty"`
+}
+
+// Confirmation says which revision a VM has in force.
+type Confirmation struct {
+	ID          string `json:"i"`
+	Incarnation int64  `json:"n"`
+	Revision    int64  `json:"v"`
+}
+
+// Known is a VM that a confirming VM knows.
+type Known struct {
+	ID          string `json:"i"`
+	Incarnation int64  `json:"n"`
+	Address     string `json:"p"`
+	// Waited says that acceptance has to wait for the VM: it is not dead, or
+	// it was heard within the freshness window, or it was never listed.
+	Waited bool `json:"w,omitempty"`
+}
+
+// PushReply carries the confirmations of the receiver and its slice.
+type PushReply struct {
+	Confirmed []Confirmation `json:"c"`
+	// Known lists the VMs known to the receiver or its slice. It is empty when
+	// all their tables equal the reporter's.
+	Known []Known `json:"k,omitempty"`
+}
+
+// PullRequest asks for the documents above an index.
+type PullRequest struct {
+	From  Sender
+	Since int64
+	// Have lists revisions above Since that the sender already has.
+	Have map[string]int64
+}
+
+// PullReply carries documents that the sender of the request lacks.
+type PullReply struct {
+	From      Sender                 `json:"f"`
+	Config    membership.ConfigState `json:"c"`
+	Documents [][]byte               `json:"d,omitempty"`
+	// Accepted holds the accepted revisions of the services in Documents.
+	Accepted map[string]int64 `json:"a,omitempty"`
+}
+
+// MessageError reports a message from a peer that is not well formed.
+type MessageError struct {
+	Field  string
+	Reason string
+}
+
+func (e *MessageError) Error() string {
+	return fmt.Sprintf("peer message: field %s: %s", e.Field, e.Reason)
+}
+
+const (
+	maxTargets  = 8192
+	maxNameSize = 128
+	// maxDocument is the largest document after decompression, in bytes. The
+	// peers' form adds the revisions of audit records to the stored form.
+	maxDocument = 2 * platform.MaxValueBytes
+)
+
+// Validate checks a push that came from a peer.
+func (r *PushRequest) Validate() error {
+	switch {
+	case r.Service == "" || len(r.Service) > maxNameSize:
+		return &MessageError{"service", "must have 1 to 128 bytes"}
+	case r.Revision <= 0:
+		return &MessageError{"revision", "must be positive"}
+	case r.From.ID == "" || r.Reporter == "":
+		return &MessageError{"sender", "is missing"}
+	case len(r.Slice) > maxTargets:
+		return &MessageError{"slice", "too many targets"}
+	case r.BudgetMS < 0:
+		return &MessageError{"budget", "must not be negative"}
+	}
+	for _, t := range r.Slice {
+		if t.ID == "" || t.Address == "" || len(t.ID) > maxNameSize || len(t.Address) > maxNameSize {
+			return &MessageError{"slice", "target without id or address"}
+		}
+	}
+	return nil
+}
+
+// encodeDocument returns a service as compressed JSON. It is compressed once
+// and forwarded unchanged through the tree.
+func encodeDocument(svc *config.Service) ([]byte, error) {
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	if err := json.NewEncoder(w).Encode(svc); err != nil {
+		return nil, fmt.Errorf("encode document of %s: %w", svc.Name, err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("compress document of %s: %w", svc.Name, err)
+	}
+	return b.Bytes(), nil
+}
+
+// decodeDocument is the inverse of encodeDocument.
+func decodeDocument(b []byte) (*config.Service, error) {
+	r, err := gzip.NewReader(bytes.NewReader(b))
+	if err != nil {
+		return nil, &MessageError{"document", err.Error()}
+	}
+	plain, err := io.ReadAll(io.LimitReader(r, maxDocument+1))
+	if err != nil {
+		return nil, &MessageError{"document", err.Error()}
+	}
+	if len(plain) > maxDocument {
+		return nil, &MessageError{"document", "too large"}
+	}
+	svc := &config.Service{}
+	if err := json.Unmarshal(plain, svc); err != nil {
+		return nil, &MessageError{"document", err.Error()}
+	}
+	if svc.Name == "" || svc.Revision <= 0 {
+		return nil, &MessageError{"document", "has no name or revision"}
+	}
+	return svc, nil
+}
