Test membership on a virtual clock and harden recovery

Cause: the failure detector and the recovery from a lapse had no tests; a VM whose only peer died lapsed between readings of the store, and a VM behind a cut link was never reached by its reporter. Before: no test of detection, refutation or partitions.

--- a/membership/detector.go
+++ b/membership/detector.go
@@ -275,7 +275,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	self := m.table.entries[m.table.self].PeerAddress
-	return m.seeds.unknown(m.table.living(), self)
+	return m.seeds.unknown(m.table.living(), m.table.dead(), self)
 }
 
 // trySeed probes an address and compares tables with the VM that answers,
--- /dev/null
+++ b/membership/fake_test.go
@@ -0,0 +1,172 @@
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/briarstand/briarstand/platform"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// network carries messages between memberships and can cut links and freeze
+// VMs.
+type network struct {
+	mu     sync.Mutex
+	vms    map[string]*Membership // by peer address
+	cut    map[[2]string]bool     // from, to
+	frozen map[string]chan struct{}
+	list   []platform.VM
+	err    error // of reading the list
+	bytes  int   // of all messages
+	stops  map[string]func()
+}
+
+func newNetwork() *network {
+	return &network{
+		vms: map[string]*Membership{}, cut: map[[2]string]bool{},
+		frozen: map[string]chan struct{}{}, stops: map[string]func(){},
+	}
+}
+
+func (n *network) ListVMs(context.Context) ([]platform.VM, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.list), n.err
+}
+
+// start runs a VM. Its address is that of the machine it runs on.
+func (n *network) start(t testing.TB, id, address string, incarnation int64, seeds ...string) *Membership {
+	m, err := New(Config{
+		Self:      Member{ID: id, Zone: "attica", PeerAddress: address, Incarnation: incarnation, State: Alive},
+		Transport: &wire{n, address}, VMLister: n, Seeds: seeds,
+		Rand: rand.New(rand.NewPCG(7, uint64(incarnation))),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = m.Run(ctx) }()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.vms[address] = m
+	n.stops[address] = func() { cancel(); <-done }
+	return m
+}
+
+// fleet starts count VMs that know the first as a seed.
+func (n *network) fleet(t testing.TB, count int) []*Membership {
+	var out []*Membership
+	for i := range count {
+		out = append(out, n.start(t, fmt.Sprintf("vm%03d", i), fmt.Sprintf("m%03d:1", i), int64(i+1), "m000:1"))
+	}
+	return out
+}
+
+func (n *network) kill(address string) {
+	n.mu.Lock()
+	stop := n.stops[address]
+	delete(n.vms, address)
+	delete(n.stops, address)
+	n.mu.Unlock()
+	stop()
+}
+
+func (n *network) stop() {
+	for address := range n.stops {
+		n.thaw(address)
+		n.kill(address)
+	}
+}
+
+func (n *network) set(f func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	f()
+}
+
+func (n *network) freeze(address string) { n.set(func() { n.frozen[address] = make(chan struct{}) }) }
+
+func (n *network) thaw(address string) {
+	n.set(func() {
+		if ch := n.frozen[address]; ch != nil {
+			close(ch)
+			delete(n.frozen, address)
+		}
+	})
+}
+
+// pass carries one message one way.
+func (n *network) pass(ctx context.Context, from, to string, size int) error {
+	n.mu.Lock()
+	cut := n.cut[[2]string{from, to}]
+	frozen := []chan struct{}{n.frozen[from], n.frozen[to]}
+	n.bytes += size
+	n.mu.Unlock()
+	for _, ch := range frozen {
+		if ch != nil {
+			select {
+			case <-ch:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+	}
+	if cut {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	time.Sleep(time.Millisecond)
+	return ctx.Err()
+}
+
+type wire struct {
+	n    *network
+	from string
+}
+
+func send[Q, R any](ctx context.Context, w *wire, to string, req *Q, h func(*Membership, *Q) (*R, error)) (*R, error) {
+	q, _ := json.Marshal(req)
+	if err := w.n.pass(ctx, w.from, to, len(q)); err != nil {
+		return nil, err
+	}
+	w.n.mu.Lock()
+	m := w.n.vms[to]
+	w.n.mu.Unlock()
+	if m == nil {
+		return nil, errors.New("connection refused")
+	}
+	received := new(Q)
+	_ = json.Unmarshal(q, received)
+	reply, err := h(m, received)
+	if err != nil {
+		return nil, err
+	}
+	r, _ := json.Marshal(reply)
+	out := new(R)
+	_ = json.Unmarshal(r, out)
+	return out, w.n.pass(ctx, to, w.from, len(r))
+}
+
+func (w *wire) Probe(ctx context.Context, to string, req *ProbeRequest) (*ProbeReply, error) {
+	return send(ctx, w, to, req, (*Membership).HandleProbe)
+}
+
+func (w *wire) IndirectProbe(ctx context.Context, to string, req *IndirectProbeRequest) (*IndirectProbeReply, error) {
+	return send(ctx, w, to, req, func(m *Membership, q *IndirectProbeRequest) (*IndirectProbeReply, error) {
+		return m.HandleIndirectProbe(ctx, q)
+	})
+}
+
+func (w *wire) Sync(ctx context.Context, to string, req *SyncRequest) (*SyncReply, error) {
+	return send(ctx, w, to, req, (*Membership).HandleSync)
+}
--- /dev/null
+++ b/membership/membership_test.go
@@ -0,0 +1,279 @@
+package membership
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/briarstand/briarstand/platform"
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// until waits in steps of 100 ms and returns how long a condition took, or
+// fails after the limit.
+func until(t *testing.T, limit time.Duration, what string, cond func() bool) time.Duration {
+	t.Helper()
+	began := time.Now()
+	for !cond() {
+		if time.Since(began) > limit {
+			t.Fatalf("not within %v: %s", limit, what)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+// all reports whether every VM has a member in a state; Dead also means that
+// it is gone.
+func all(vms []*Membership, id string, s State) bool {
+	for _, m := range vms {
+		have, ok := m.View().Member(id)
+		if s == Dead && ok || s != Dead && (!ok || have.State != s) {
+			return false
+		}
+	}
+	return true
+}
+
+func converged(vms []*Membership, n int) bool {
+	digests := func(m *Membership) Digests {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return m.table.digests
+	}
+	for _, m := range vms {
+		if len(m.View().Members) != n || digests(m) != digests(vms[0]) {
+			return false
+		}
+	}
+	return true
+}
+
+// Guards against a table that never becomes the same everywhere when VMs know
+// only one seed.
+func TestConvergence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		defer n.stop()
+		vms := n.fleet(t, 60)
+		took := until(t, 30*time.Second, "all tables equal", func() bool { return converged(vms, 60) })
+		t.Logf("60 VMs converged after %v", took)
+	})
+}
+
+// Guards against a dead VM that stays in the answers to callers, and against
+// tombstones that are never removed.
+func TestDetectionTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		defer n.stop()
+		vms := n.fleet(t, 60)
+		until(t, 30*time.Second, "converged", func() bool { return converged(vms, 60) })
+		n.kill("m010:1")
+		rest := append(vms[:10:10], vms[11:]...)
+		suspected := until(t, 5*time.Second, "first suspicion", func() bool {
+			return !all(rest, "vm010", Alive)
+		})
+		dead := until(t, 15*time.Second, "dead everywhere", func() bool { return all(rest, "vm010", Dead) })
+		t.Logf("suspected after %v, dead everywhere %v later", suspected, dead)
+		time.Sleep(90 * time.Second)
+		qt.Assert(t, vms[0].Contacts(), qt.HasLen, 58)
+		qt.Assert(t, converged(rest, 59), qt.IsTrue)
+	})
+}
+
+// Guards against a VM that is declared dead because one link to it is cut in
+// one or both directions: others reach it.
+func TestCutLinkIsNotDeath(t *testing.T) {
+	for _, both := range []bool{false, true} {
+		t.Run(fmt.Sprintf("both=%v", both), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork()
+				defer n.stop()
+				vms := n.fleet(t, 8)
+				until(t, 20*time.Second, "converged", func() bool { return converged(vms, 8) })
+				n.set(func() {
+					n.cut[[2]string{"m001:1", "m002:1"}] = true
+					n.cut[[2]string{"m002:1", "m001:1"}] = both
+				})
+				for range 60 {
+					time.Sleep(time.Second)
+					qt.Assert(t, all(vms, "vm001", Dead), qt.IsFalse)
+					for _, m := range vms {
+						for _, id := range []string{"vm001", "vm002"} {
+							_, ok := m.View().Member(id)
+							qt.Assert(t, ok, qt.IsTrue, qt.Commentf("%s lost at %s", id, m.Self().ID))
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against a suspicion that is not refuted: the suspected VM must raise
+// its sequence and be alive everywhere before the suspicion ends.
+func TestRefutation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		defer n.stop()
+		vms := n.fleet(t, 30)
+		until(t, 20*time.Second, "converged", func() bool { return converged(vms, 30) })
+		target, _ := vms[3].View().Member("vm007")
+		n.set(func() {
+			m := vms[3]
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			qt.Assert(t, m.table.suspect(target, time.Now()), qt.IsTrue)
+			m.publish()
+		})
+		until(t, 10*time.Second, "refuted", func() bool {
+			m, _ := vms[3].View().Member("vm007")
+			return m.State == Alive && m.Sequence > target.Sequence
+		})
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			_, ok := vms[20].View().Member("vm007")
+			qt.Assert(t, ok, qt.IsTrue)
+		}
+	})
+}
+
+// Guards against a thawed VM that declares the rest dead, and against a VM
+// that was declared dead and cannot come back.
+func TestThawAfterLongFreeze(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		defer n.stop()
+		for i := range 12 {
+			n.list = append(n.list, platform.VM{ID: fmt.Sprintf("vm%03d", i), PeerAddress: fmt.Sprintf("m%03d:1", i)})
+		}
+		vms := n.fleet(t, 12)
+		until(t, 20*time.Second, "converged", func() bool { return converged(vms, 12) })
+		n.freeze("m005:1")
+		until(t, 20*time.Second, "frozen VM dead", func() bool {
+			return all(append(vms[:5:5], vms[6:]...), "vm005", Dead)
+		})
+		time.Sleep(10 * time.Minute)
+		n.thaw("m005:1")
+		took := until(t, 30*time.Second, "thawed VM back", func() bool { return converged(vms, 12) })
+		t.Logf("back after %v", took)
+	})
+}
+
+// Guards against a replacement VM at the same address that is taken for the
+// old one, with its own id or with the old id and a new incarnation.
+func TestReplacedVM(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		defer n.stop()
+		vms := n.fleet(t, 8)
+		until(t, 20*time.Second, "converged", func() bool { return converged(vms, 8) })
+		n.kill("m003:1")
+		n.kill("m004:1")
+		vms[3] = n.start(t, "vm900", "m003:1", 100, "m000:1")
+		vms[4] = n.start(t, "vm004", "m004:1", 101, "m000:1")
+		until(t, 20*time.Second, "old one dead, new ones known", func() bool {
+			return all(vms, "vm003", Dead) && all(vms, "vm900", Alive) && converged(vms, 8)
+		})
+		m, _ := vms[0].View().Member("vm004")
+		qt.Assert(t, m.Incarnation, qt.Equals, int64(101))
+		_, err := vms[0].HandleProbe(&ProbeRequest{From: Member{ID: "vm004", PeerAddress: "m004:1", Incarnation: 5, State: Alive}})
+		var superseded *SupersededError
+		qt.Assert(t, errors.As(err, &superseded), qt.IsTrue)
+	})
+}
+
+// Guards against a list that lags: it must neither add a VM that is gone nor
+// hide one that it lacks, and after a long partition both sides must meet
+// again by the list alone.
+func TestStaleListAndPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		defer n.stop()
+		n.list = []platform.VM{{ID: "gone", PeerAddress: "gone:1"}}
+		for i := range 6 {
+			address := fmt.Sprintf("m%03d:1", i)
+			n.list = append(n.list, platform.VM{ID: fmt.Sprintf("vm%03d", i), PeerAddress: address})
+		}
+		var vms []*Membership
+		for i := range 7 { // the list lacks the last one
+			vms = append(vms, n.start(t, fmt.Sprintf("vm%03d", i), fmt.Sprintf("m%03d:1", i), int64(i+1)))
+		}
+		until(t, 30*time.Second, "converged", func() bool { return converged(vms, 7) })
+		side := func(i int) bool { return i < 3 }
+		n.set(func() {
+			for i := range vms {
+				for j := range vms {
+					if side(i) != side(j) {
+						n.cut[[2]string{fmt.Sprintf("m%03d:1", i), fmt.Sprintf("m%03d:1", j)}] = true
+					}
+				}
+			}
+		})
+		time.Sleep(10 * time.Minute)
+		qt.Assert(t, vms[0].Contacts(), qt.HasLen, 2)
+		qt.Assert(t, vms[6].Contacts(), qt.HasLen, 3)
+		n.set(func() { clear(n.cut) })
+		took := until(t, 20*time.Second, "converged again", func() bool { return converged(vms, 7) })
+		t.Logf("joined %v after the partition", took)
+	})
+}
+
+// Guards against merge rules by which two VMs that hear the same statements in
+// different orders end with different tables.
+func TestMergeIsOrderIndependent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		member := rapid.Custom(func(t *rapid.T) Member {
+			return Member{
+				ID: "vm", PeerAddress: "a:1",
+				Incarnation: rapid.Int64Range(1, 3).Draw(t, "incarnation"),
+				Sequence:    rapid.Int64Range(0, 3).Draw(t, "sequence"),
+				State:       rapid.SampledFrom([]State{Joining, Alive, Suspect, Leaving, Dead}).Draw(t, "state"),
+			}
+		})
+		statements := rapid.SliceOfN(member, 1, 8).Draw(t, "statements")
+		order := rapid.Permutation(statements).Draw(t, "order")
+		fold := func(s []Member) Member {
+			known := s[0]
+			for _, m := range s[1:] {
+				next, _ := Merge(known, m)
+				if Compare(next, known) < 0 {
+					t.Fatalf("went back from %+v to %+v", known, next)
+				}
+				known = next
+			}
+			return known
+		}
+		if a, b := fold(statements), fold(order); Compare(a, b) != 0 {
+			t.Fatalf("%+v and %+v", a, b)
+		}
+	})
+}
+
+// Guards against probes that grow with the fleet: updates are bounded, and an
+// update ends after a bounded number of transmissions.
+func TestUpdatesAreBounded(t *testing.T) {
+	now := time.Now()
+	table := newTable(Member{ID: "self", PeerAddress: "s:1", Incarnation: 1, State: Alive})
+	for i := range 430 {
+		table.merge(Member{ID: fmt.Sprintf("vm%03d", i), PeerAddress: "a:1", Incarnation: 1, State: Alive}, now)
+	}
+	sent := 0
+	for {
+		u := table.updates(32, "vm000")
+		if len(u) > 32 {
+			t.Fatalf("%d updates in a message", len(u))
+		}
+		if len(u) == 0 {
+			break
+		}
+		sent += len(u)
+	}
+	if most := 431 * transmissions(431); sent > most {
+		t.Fatalf("%d updates sent, more than %d", sent, most)
+	}
+}
--- a/membership/seed.go
+++ b/membership/seed.go
@@ -40,13 +40,15 @@
 }
 
 // unknown returns the next address of a VM that no living member has, in turn.
-func (s *seedList) unknown(living []Member, self string) (string, bool) {
+// Dead members count too: they may be behind a partition that heals, and the
+// list may lack them.
+func (s *seedList) unknown(living []Member, dead []string, self string) (string, bool) {
 	have := make(map[string]bool, len(living)+1)
 	have[self] = true
 	for _, m := range living {
 		have[m.PeerAddress] = true
 	}
-	all := s.addresses()
+	all := append(s.addresses(), dead...)
 	for range all {
 		s.next = (s.next + 1) % len(all)
 		if !have[all[s.next]] {
@@ -110,8 +112,11 @@
 	m.publish()
 }
 
-// markListed notes which members the platform's list has. The caller holds mu.
+// markListed notes which members the platform's list has. For this VM itself
+// only the last reading counts: others stop waiting for a VM that was removed.
+// The caller holds mu.
 func (m *Membership) markListed() {
+	m.table.entries[m.table.self].listed = false
 	for _, vm := range m.seeds.rows {
 		if e := m.table.entries[vm.ID]; e != nil {
 			e.listed = true
@@ -127,7 +132,7 @@
 	return m.seeds.rows, m.seeds.read
 }
 
-// SelfListed reports whether the platform's list has had this VM.
+// SelfListed reports whether the platform's list has this VM.
 func (m *Membership) SelfListed() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/membership/table.go
+++ b/membership/table.go
@@ -205,6 +205,21 @@
 	return out
 }
 
+// dead returns the addresses of dead members, ordered by id.
+func (t *table) dead() []string {
+	var out []Member
+	for _, e := range t.entries {
+		if e.State == Dead {
+			out = append(out, e.Member)
+		}
+	}
+	addresses := make([]string, 0, len(out))
+	for _, m := range sortByID(out) {
+		addresses = append(addresses, m.PeerAddress)
+	}
+	return addresses
+}
+
 // view builds the picture that is published.
 func (t *table) view() *View {
 	return &View{Members: sortByID(append(t.living(), t.entries[t.self].Member))}
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -22,7 +22,7 @@
 	DefaultPollInterval    = 60 * time.Second
 	DefaultTakeoverStep    = 5 * time.Second
 	DefaultWatcherStep     = time.Second
-	DefaultRoundTimeout    = 3 * time.Second
+	DefaultRoundTimeout    = 2400 * time.Millisecond
 	DefaultFanout          = 8
 	DefaultWatchers        = 3
 	DefaultAnnounce        = 3
@@ -65,6 +65,8 @@
 	PollInterval time.Duration
 	TakeoverStep time.Duration
 	WatcherStep  time.Duration
+	// RoundTimeout bounds the tree of a round; repairs take up to two thirds
+	// of it more. All must fit into the freshness window.
 	RoundTimeout time.Duration
 	Fanout       int
 	Watchers     int
--- a/rollout/drive.go
+++ b/rollout/drive.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/briarstand/briarstand/config"
@@ -26,6 +27,9 @@
 		defer c.mu.Unlock()
 		t.driving = false
 	}()
+	if !c.confirmTakeover(ctx, t) {
+		return
+	}
 	var machine acceptance
 	retry := minRetry
 	for document := true; ; document = false {
@@ -49,6 +53,24 @@
 	}
 }
 
+// confirmTakeover reads the accepted mark before this VM takes a rollout over,
+// because it may have missed that the revision was accepted. While the store
+// is down the rollout runs: it is idempotent.
+func (c *Controller) confirmTakeover(ctx context.Context, t *task) bool {
+	c.mu.Lock()
+	forced := t.forced(time.Now())
+	c.mu.Unlock()
+	if forced {
+		return true
+	}
+	revision, err := c.readMark(ctx, t.service)
+	if err == nil {
+		c.accept(t.service, revision)
+		c.setMarked(t.service, revision)
+	}
+	return ctx.Err() == nil
+}
+
 // target returns the document to bring into force, or done.
 func (c *Controller) target(t *task, machine *acceptance) (*config.Service, bool) {
 	svc := newest(c.cfg.Registry.Snapshot(), t.service)
@@ -99,7 +121,7 @@
 // read first: whoever starts after that reading meets VMs that are asked
 // afterwards.
 func (c *Controller) round(ctx context.Context, svc *config.Service, document bool) round {
-	ctx, cancel := context.WithTimeout(ctx, 2*c.cfg.RoundTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.FreshnessWindow*9/10)
 	defer cancel()
 	r := round{began: time.Now()}
 	list := c.readList(ctx)
@@ -113,6 +135,7 @@
 		}
 		c.ask(ctx, svc, missing, document, g)
 		c.resend(ctx, svc, list, g)
+		c.detour(ctx, svc, list, g)
 		document = true
 	}
 	r.set = responsible(list, g.known)
@@ -201,7 +224,8 @@
 
 // reachable separates the targets that the member table has as living, in zone
 // order so that most of the tree's edges stay within a zone, from a random few
-// of the others.
+// of the others. The order within a zone differs in each round, so that a cut
+// link is not on the path of the same VM again.
 func (c *Controller) reachable(targets []Known) (tree, others []Target) {
 	view := c.cfg.Membership.View()
 	zones := map[string][]Target{}
@@ -220,7 +244,9 @@
 	}
 	slices.Sort(order)
 	for _, zone := range order {
-		tree = append(tree, zones[zone]...)
+		part := zones[zone]
+		c.shuffle(len(part), func(i, j int) { part[i], part[j] = part[j], part[i] })
+		tree = append(tree, part...)
 	}
 	c.shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	return tree, others[:min(len(others), maxUnreachable)]
@@ -253,15 +279,59 @@
 	c.repair(ctx, req, targets, c.cfg.RoundTimeout/3, g)
 }
 
+const (
+	// detours is through how many VMs a round tries to reach those that the
+	// reporter itself cannot reach.
+	detours = 2
+	// maxDetour is how many VMs are tried that way.
+	maxDetour = 16
+)
+
+// detour asks VMs that have confirmed to push to those that the reporter could
+// not reach although the member table has them as living: a single link may be
+// cut.
+func (c *Controller) detour(ctx context.Context, svc *config.Service, list listReading, g *gathering) {
+	view := c.cfg.Membership.View()
+	g.mu.Lock()
+	var missing, helpers []Target
+	for _, k := range responsible(list, g.known) {
+		_, answered := g.confirmed[k.ID]
+		m, living := view.Member(k.ID)
+		switch {
+		case k.ID == c.self.ID || !living:
+		case answered:
+			helpers = append(helpers, Target{m.ID, m.PeerAddress})
+		default:
+			missing = append(missing, Target{m.ID, m.PeerAddress})
+		}
+	}
+	g.mu.Unlock()
+	if len(missing) == 0 || len(helpers) == 0 {
+		return
+	}
+	req, err := c.request(svc, true, g)
+	if err != nil {
+		return
+	}
+	c.shuffle(len(missing), func(i, j int) { missing[i], missing[j] = missing[j], missing[i] })
+	c.shuffle(len(helpers), func(i, j int) { helpers[i], helpers[j] = helpers[j], helpers[i] })
+	missing = missing[:min(len(missing), maxDetour)]
+	var wg sync.WaitGroup
+	for _, h := range helpers[:min(len(helpers), detours)] {
+		wg.Go(func() { _ = c.pushOne(ctx, req, h, missing, c.cfg.RoundTimeout/3, g) })
+	}
+	wg.Wait()
+}
+
 // take passes a round to the machine and publishes its result.
 func (c *Controller) take(t *task, machine *acceptance, svc *config.Service, r round) int64 {
-	if !r.valid(c.cfg.FreshnessWindow) {
+	before, accepted := machine.accepted, machine.accepted
+	if r.valid(c.cfg.FreshnessWindow) {
+		accepted = machine.observe(r.began, r.ended, c.cfg.SettleTime, r.set, r.confirmed)
+	} else {
 		c.cfg.Logger.Warn("round of confirmations took too long", "service", svc.Name,
 			"revision", svc.Revision, "seconds", r.ended.Sub(r.began).Seconds())
-		return machine.accepted
 	}
-	before := machine.accepted
-	accepted := machine.observe(r.began, r.ended, c.cfg.SettleTime, r.set, r.confirmed)
 	status := r.status(svc.Name, svc.Revision, accepted)
 	c.mu.Lock()
 	t.status = status
--- a/rollout/keep.go
+++ b/rollout/keep.go
@@ -98,7 +98,7 @@
 			r = recovery{}
 		default:
 			c.freshenByPeers(ctx)
-			if !c.freshness.fresh() {
+			if c.freshness.left() <= c.freshness.window/2 {
 				c.recover(ctx, &r)
 			}
 		}
@@ -113,15 +113,21 @@
 		return
 	}
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, c.freshness.window/4)
+	store, cancel := context.WithTimeout(ctx, c.freshness.window/4)
 	defer cancel()
-	err := c.load(ctx)
+	err := c.load(store)
 	var decode *DecodeError
 	if err == nil || errors.As(err, &decode) {
 		return
 	}
-	if c.cfg.Membership.Alone() && c.freshness.fresh() {
+	switch {
+	case !c.cfg.Membership.Alone():
+	case c.freshness.fresh():
 		c.freshness.grant(began)
+	default:
+		if err := c.reachFleet(ctx, c.freshness.lapsedAt()); err != nil {
+			c.cfg.Logger.Debug("fleet not reached", "error", err)
+		}
 	}
 }
 
@@ -150,33 +156,24 @@
 	return contacts[:min(len(contacts), freshenPeers)]
 }
 
-// recovery is the state of the attempts after a lapse.
+// recovery is the state of the attempts to become fresh without peers.
 type recovery struct {
-	lapsed    time.Time
+	lapsed    time.Time // when the lapse was noticed; zero if the VM is fresh
 	store     time.Time // next reading of the store
-	fleet     time.Time // next attempt to reach the whole fleet
 	storeWait time.Duration
+	fleet     time.Time // next attempt to reach the whole fleet
 }
 
-// recover reads the store, and later tries to reach every listed VM. The times
-// differ between VMs, because after a store outage the whole fleet may have
-// lapsed and one recovered VM makes the others fresh by probes.
+// recover reads the store, and after a lapse also tries to reach every listed
+// VM.
 func (c *Controller) recover(ctx context.Context, r *recovery) {
-	now := time.Now()
-	if r.lapsed.IsZero() {
-		c.cfg.Logger.Warn("lapsed: new queries are refused", "lapsed_at", c.freshness.lapsedAt())
-		r.lapsed, r.storeWait = now, minRetry
-		r.store = now.Add(c.jitter(2 * time.Second))
-		r.fleet = now.Add(time.Second + time.Duration(c.recoveryRank())*time.Second)
-	}
-	if !now.Before(r.store) {
-		if err := c.load(ctx); err == nil {
-			return
-		}
-		r.storeWait = min(2*r.storeWait, maxStoreRetry)
-		r.store = time.Now().Add(c.jitter(r.storeWait))
+	if r.lapsed.IsZero() && !c.freshness.fresh() {
+		c.noteLapse(r)
 	}
-	if !now.Before(r.fleet) {
+	if !time.Now().Before(r.store) {
+		c.recoverByStore(ctx, r)
+	}
+	if !r.lapsed.IsZero() && !c.freshness.fresh() && !time.Now().Before(r.fleet) {
 		if err := c.reachFleet(ctx, r.lapsed); err != nil {
 			c.cfg.Logger.Debug("fleet not reached", "error", err)
 		}
@@ -184,6 +181,29 @@
 	}
 }
 
+// noteLapse plans the attempts after a lapse. Their times differ between VMs,
+// because the whole fleet may have lapsed, and one recovered VM makes the
+// others fresh by probes.
+func (c *Controller) noteLapse(r *recovery) {
+	now := time.Now()
+	c.cfg.Logger.Warn("lapsed: new queries are refused", "lapsed_at", c.freshness.lapsedAt())
+	r.lapsed = now
+	r.fleet = now.Add(time.Second + time.Duration(c.recoveryRank())*time.Second)
+	if soon := now.Add(c.jitter(2 * time.Second)); r.store.Before(soon) {
+		r.store = soon
+	}
+}
+
+func (c *Controller) recoverByStore(ctx context.Context, r *recovery) {
+	if err := c.load(ctx); err == nil {
+		r.storeWait = minRetry
+		r.store = time.Now().Add(c.freshness.window / 4)
+		return
+	}
+	r.storeWait = min(max(2*r.storeWait, minRetry), maxStoreRetry)
+	r.store = time.Now().Add(c.jitter(r.storeWait))
+}
+
 // maxRecoveryRank bounds the delay of the attempts to reach the fleet.
 const maxRecoveryRank = 20
 
--- a/rollout/mark.go
+++ b/rollout/mark.go
@@ -76,28 +76,41 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	key := config.AcceptedPrefix + service
-	var expected int64
 	entry, err := c.cfg.Store.Get(ctx, key)
-	switch {
-	case err == nil:
-		m, err := DecodeMark(entry)
-		if err == nil && m.Revision >= revision {
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return fmt.Errorf("read mark of %s: %w", service, err)
+	}
+	if err == nil {
+		if m, err := DecodeMark(entry); err == nil && m.Revision >= revision {
 			return nil
 		}
-		expected = entry.Index
-	case !errors.Is(err, platform.ErrNotFound):
-		return fmt.Errorf("read mark of %s: %w", service, err)
 	}
 	value, err := json.Marshal(Mark{Revision: revision})
 	if err != nil {
 		return fmt.Errorf("encode mark of %s: %w", service, err)
 	}
-	if _, err := c.cfg.Store.CompareAndSwap(ctx, key, expected, value); err != nil {
+	if _, err := c.cfg.Store.CompareAndSwap(ctx, key, entry.Index, value); err != nil {
 		return fmt.Errorf("write mark of %s: %w", service, err)
 	}
 	return nil
 }
 
+// readMark reads the accepted revision of a service from the store; 0 if there
+// is no mark.
+func (c *Controller) readMark(ctx context.Context, service string) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	entry, err := c.cfg.Store.Get(ctx, config.AcceptedPrefix+service)
+	if errors.Is(err, platform.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, fmt.Errorf("read mark of %s: %w", service, err)
+	}
+	m, err := DecodeMark(entry)
+	return m.Revision, err
+}
+
 // readMarks takes the accepted marks of the store. It returns the services
 // whose accepted revision is above the one in force here.
 func (c *Controller) readMarks(ctx context.Context) ([]string, error) {
