Add replica choice, latency quantiles and owners

Excluded: a load hint for replicas without own observations: a test showed that a misleading hint then kept the other replica from ever being observed, and took all work. Excluded: a lock per observation; number and time share one atomic word. Before: no package balance. Conclusion: hints count only between replicas that were observed.

--- /dev/null
+++ b/balance/latency.go
@@ -0,0 +1,185 @@
+package balance
+
+import (
+	"math/bits"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Defaults of LatencyConfig.
+const (
+	DefaultWindow     = 10 * time.Second
+	DefaultMinSamples = 50
+	DefaultRefresh    = 100 * time.Millisecond
+)
+
+const (
+	// windowSlices is the number of parts of the window; the oldest is dropped
+	// as a whole.
+	windowSlices = 5
+	// subBuckets is the number of buckets for each doubling of the latency, so
+	// that a bucket is at most 12.5% wide.
+	subBuckets = 8
+	// bucketCount covers latencies up to 2^26 microseconds, about 67 s.
+	bucketCount = 24 * subBuckets
+)
+
+// LatencyConfig configures Latencies. Zero fields take the defaults above.
+type LatencyConfig struct {
+	// Window is how long a latency counts.
+	Window time.Duration
+	// MinSamples is how many latencies a quantile needs.
+	MinSamples int
+	// Refresh is how old a computed quantile may be.
+	Refresh time.Duration
+}
+
+// Latencies estimates quantiles of recent sub-request latencies per service,
+// from which hedge delays follow. All methods are safe for concurrent use.
+type Latencies struct {
+	cfg      LatencyConfig
+	epoch    time.Time
+	services sync.Map // service name to *window
+}
+
+// NewLatencies returns an estimator without observations.
+func NewLatencies(cfg LatencyConfig) *Latencies {
+	setDefault(&cfg.Window, DefaultWindow)
+	setDefault(&cfg.Refresh, DefaultRefresh)
+	if cfg.MinSamples == 0 {
+		cfg.MinSamples = DefaultMinSamples
+	}
+	return &Latencies{cfg: cfg, epoch: time.Now()}
+}
+
+// window counts the latencies of one service.
+type window struct {
+	mu     sync.Mutex // serializes rotation and refresh
+	slices [windowSlices]slice
+	sum    atomic.Pointer[histogram]
+}
+
+type slice struct {
+	number atomic.Int64 // which slice of time the counts belong to, from 1
+	counts [bucketCount]atomic.Uint32
+}
+
+// histogram is the sum over a window at one time.
+type histogram struct {
+	at     time.Duration
+	total  uint64
+	counts [bucketCount]uint64
+}
+
+func (l *Latencies) window(service string) *window {
+	if w, ok := l.services.Load(service); ok {
+		return w.(*window)
+	}
+	w, _ := l.services.LoadOrStore(service, &window{})
+	return w.(*window)
+}
+
+// Forget drops the observations of a service.
+func (l *Latencies) Forget(service string) { l.services.Delete(service) }
+
+func (l *Latencies) number(now time.Duration) int64 {
+	return 1 + int64(now/(l.cfg.Window/windowSlices))
+}
+
+// Observe counts the latency of a sub-request that was answered.
+func (l *Latencies) Observe(service string, latency time.Duration) {
+	w := l.window(service)
+	n := l.number(time.Since(l.epoch))
+	s := &w.slices[n%windowSlices]
+	if s.number.Load() != n {
+		w.rotate(s, n)
+	}
+	s.counts[bucket(latency)].Add(1)
+}
+
+// rotate empties a slice for a new period. Latencies counted by others at the
+// same moment may be lost, which does not matter to an estimate.
+func (w *window) rotate(s *slice, n int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if s.number.Load() >= n {
+		return
+	}
+	for i := range s.counts {
+		s.counts[i].Store(0)
+	}
+	s.number.Store(n)
+}
+
+// LatencyQuantile returns the latency that the given part of recent
+// sub-requests, in parts per thousand, stayed below. It returns false while too
+// few were observed.
+func (l *Latencies) LatencyQuantile(service string, permille int) (time.Duration, bool) {
+	w := l.window(service)
+	now := time.Since(l.epoch)
+	h := w.sum.Load()
+	if h == nil || now-h.at >= l.cfg.Refresh {
+		h = w.refresh(now, l.number(now), l.cfg.Refresh)
+	}
+	if h.total < uint64(l.cfg.MinSamples) {
+		return 0, false
+	}
+	return h.quantile(permille), true
+}
+
+func (w *window) refresh(now time.Duration, n int64, maxAge time.Duration) *histogram {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if h := w.sum.Load(); h != nil && now-h.at < maxAge {
+		return h
+	}
+	h := &histogram{at: now}
+	for i := range w.slices {
+		s := &w.slices[i]
+		if s.number.Load() <= n-windowSlices {
+			continue
+		}
+		for j := range s.counts {
+			c := uint64(s.counts[j].Load())
+			h.counts[j] += c
+			h.total += c
+		}
+	}
+	w.sum.Store(h)
+	return h
+}
+
+func (h *histogram) quantile(permille int) time.Duration {
+	rank := float64(h.total) * float64(min(max(permille, 0), 1000)) / 1000
+	below := 0.0
+	for i, c := range h.counts {
+		if c > 0 && below+float64(c) >= rank {
+			low, high := bucketBounds(i)
+			us := float64(low) + float64(high-low)*(rank-below)/float64(c)
+			return time.Duration(us * float64(time.Microsecond))
+		}
+		below += float64(c)
+	}
+	return 0
+}
+
+// bucket returns the index of a latency.
+func bucket(latency time.Duration) int {
+	us := uint64(max(0, latency/time.Microsecond))
+	if us < subBuckets {
+		return int(us)
+	}
+	shift := bits.Len64(us) - bits.Len64(subBuckets)
+	return min(bucketCount-1, shift*subBuckets+int(us>>shift))
+}
+
+// bucketBounds returns the bounds of a bucket in microseconds.
+func bucketBounds(i int) (low, high uint64) {
+	if i < subBuckets {
+		return uint64(i), uint64(i) + 1
+	}
+	shift := i/subBuckets - 1
+	low = uint64(subBuckets+i%subBuckets) << shift
+	return low, low + 1<<shift
+}
--- /dev/null
+++ b/balance/picker.go
@@ -0,0 +1,334 @@
+// Package balance chooses replicas and assigns backend servers to VMs.
+package balance
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/briarstand/briarstand/backend"
+	"github.com/briarstand/briarstand/config"
+)
+
+// Defaults of Config.
+const (
+	DefaultForget    = 5 * time.Second
+	DefaultPenalty   = 2 * time.Second
+	DefaultSlowStart = 10 * time.Second
+	DefaultHintAge   = 2 * time.Second
+)
+
+const (
+	// leastWeight is the weight of a new latency in the average when the last
+	// one is recent.
+	leastWeight = 0.1
+	// penaltyWeight is how much one recent refusal or failure adds to the
+	// factor of a score. A replica that fails at once would otherwise attract
+	// work by its short latency.
+	penaltyWeight = 4
+	// maxPenalty bounds the penalty, so that a replica that failed for long
+	// returns as soon as one that failed for a short time.
+	maxPenalty = 16
+	// leastShare is the share of a replica right after it was connected.
+	leastShare = 0.1
+	// tieMargin is the relative difference of scores that counts as a tie.
+	tieMargin = 0.1
+	// hintMargin is the difference of reported loads that decides a tie.
+	hintMargin = 0.05
+)
+
+// LoadHints gives the loads that backend servers report; backend.Transport
+// implements it.
+type LoadHints interface {
+	Load(backendID string) (load float64, age time.Duration, ok bool)
+}
+
+// Config configures a Picker. Zero fields take the defaults above.
+type Config struct {
+	// Random returns random bits. It must be safe for concurrent use.
+	Random func() uint64
+	// Hints may be nil.
+	Hints LoadHints
+	// Forget is the time in which an average latency without new observations
+	// shrinks to 1/e, so that a replica that was slow is tried again.
+	Forget time.Duration
+	// Penalty is the time in which a penalty shrinks to 1/e.
+	Penalty time.Duration
+	// SlowStart is the time after a connect in which a replica's share grows to
+	// the full one.
+	SlowStart time.Duration
+	// HintAge is the age from which a reported load is ignored.
+	HintAge time.Duration
+}
+
+func setDefault(field *time.Duration, value time.Duration) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// Picker chooses replicas by the VM's own observations. All methods are safe
+// for concurrent use.
+type Picker struct {
+	cfg    Config
+	epoch  time.Time
+	states atomic.Pointer[map[string]*state]
+	mu     sync.Mutex // serializes writers of states
+}
+
+// state is what the VM knows of one backend server.
+type state struct {
+	inFlight  atomic.Int64
+	latency   decayed // average in microseconds; 0 before the first observation
+	penalty   decayed
+	connected atomic.Int64 // nanoseconds since the picker's epoch; 0 if unknown
+}
+
+// NewPicker returns a Picker without observations.
+func NewPicker(cfg Config) *Picker {
+	if cfg.Random == nil {
+		cfg.Random = rand.Uint64
+	}
+	setDefault(&cfg.Forget, DefaultForget)
+	setDefault(&cfg.Penalty, DefaultPenalty)
+	setDefault(&cfg.SlowStart, DefaultSlowStart)
+	setDefault(&cfg.HintAge, DefaultHintAge)
+	p := &Picker{cfg: cfg, epoch: time.Now()}
+	p.states.Store(&map[string]*state{})
+	return p
+}
+
+func (p *Picker) now() time.Duration { return time.Since(p.epoch) }
+
+func tickAt(now time.Duration) uint32 { return uint32(now / tickLength) }
+
+// state returns the state of a backend server. Only the first use of an id
+// takes the lock.
+func (p *Picker) state(id string) *state {
+	if s, ok := (*p.states.Load())[id]; ok {
+		return s
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := *p.states.Load()
+	if s, ok := old[id]; ok {
+		return s
+	}
+	next := make(map[string]*state, len(old)+1)
+	for k, v := range old {
+		next[k] = v
+	}
+	s := &state{}
+	next[id] = s
+	p.states.Store(&next)
+	return s
+}
+
+// Update forgets backend servers that the snapshot does not declare and that
+// have nothing in flight.
+func (p *Picker) Update(snapshot *config.Snapshot) {
+	declared := map[string]bool{}
+	for _, svc := range snapshot.All() {
+		for i := range svc.Backends {
+			declared[svc.Backends[i].ID] = true
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	next := map[string]*state{}
+	for id, s := range *p.states.Load() {
+		if declared[id] || s.inFlight.Load() != 0 {
+			next[id] = s
+		}
+	}
+	p.states.Store(&next)
+}
+
+// Pick chooses one of the candidates that is not in tried. It returns false if
+// there is none.
+func (p *Picker) Pick(choice config.ReplicaChoice, candidates []*config.Backend, tried []string) (*config.Backend, bool) {
+	left := 0
+	for _, b := range candidates {
+		if !slices.Contains(tried, b.ID) {
+			left++
+		}
+	}
+	switch {
+	case left == 0:
+		return nil, false
+	case left == 1:
+		return untried(candidates, tried, 0), true
+	}
+	first := p.intN(left)
+	a := untried(candidates, tried, first)
+	if choice == config.ChoiceRandom {
+		return a, true
+	}
+	second := p.intN(left - 1)
+	if second >= first {
+		second++
+	}
+	return p.better(a, untried(candidates, tried, second)), true
+}
+
+func (p *Picker) intN(n int) int { return int(p.cfg.Random() % uint64(n)) }
+
+// untried returns the candidate with the given index among those not tried.
+func untried(candidates []*config.Backend, tried []string, index int) *config.Backend {
+	for _, b := range candidates {
+		if slices.Contains(tried, b.ID) {
+			continue
+		}
+		if index == 0 {
+			return b
+		}
+		index--
+	}
+	return nil
+}
+
+// better returns the one of two backend servers that should take the work.
+func (p *Picker) better(a, b *config.Backend) *config.Backend {
+	now := p.now()
+	sa, sb := p.state(a.ID), p.state(b.ID)
+	scoreA, scoreB := p.scores(sa, sb, now)
+	tie := scoreA <= scoreB*(1+tieMargin) && scoreB <= scoreA*(1+tieMargin)
+	if scoreA > scoreB*(1+tieMargin) || tie && p.hintPrefersSecond(a, b) {
+		a, b, sa, sb = b, a, sb, sa
+	}
+	if p.yields(sa, sb, now) {
+		return b
+	}
+	return a
+}
+
+// scores returns (in flight + 1) x latency x penalty factor of two replicas;
+// lower is better. A replica without an observed latency is taken to be as fast
+// as the other.
+func (p *Picker) scores(a, b *state, now time.Duration) (scoreA, scoreB float64) {
+	latencyA, latencyB := p.latency(a, now), p.latency(b, now)
+	if latencyA == 0 {
+		latencyA = latencyB
+	}
+	if latencyB == 0 {
+		latencyB = latencyA
+	}
+	if latencyA == 0 {
+		latencyA, latencyB = 1, 1
+	}
+	return latencyA * p.pressure(a, now), latencyB * p.pressure(b, now)
+}
+
+// latency returns the average latency in microseconds, 0 if none is known.
+func (p *Picker) latency(s *state, now time.Duration) float64 {
+	value, tick := s.latency.load()
+	if value == 0 {
+		return 0
+	}
+	// The floor keeps a replica that was idle for long comparable.
+	return max(1, value*remaining(age(tickAt(now), tick), p.cfg.Forget))
+}
+
+func (p *Picker) pressure(s *state, now time.Duration) float64 {
+	penalty, tick := s.penalty.load()
+	if penalty > 0 {
+		penalty *= remaining(age(tickAt(now), tick), p.cfg.Penalty)
+	}
+	return float64(max(0, s.inFlight.Load())+1) * (1 + penaltyWeight*penalty)
+}
+
+// yields decides whether the winner leaves the work to the loser because it was
+// connected more recently. Work is left by chance, so that the winner's share
+// grows evenly.
+func (p *Picker) yields(won, lost *state, now time.Duration) bool {
+	shareWon, shareLost := p.share(won, now), p.share(lost, now)
+	if shareWon >= shareLost {
+		return false
+	}
+	const resolution = 1 << 20
+	return float64(p.intN(resolution))/resolution >= shareWon/shareLost
+}
+
+func (p *Picker) share(s *state, now time.Duration) float64 {
+	connected := s.connected.Load()
+	if connected == 0 {
+		return 1
+	}
+	return min(1, leastShare+(1-leastShare)*float64(int64(now)-connected)/float64(p.cfg.SlowStart))
+}
+
+// hintPrefersSecond compares reported loads. They only break ties between
+// observed replicas, since a replica that is avoided for its hint would
+// otherwise never be observed. The more they age the less they differ.
+func (p *Picker) hintPrefersSecond(a, b *config.Backend) bool {
+	if p.cfg.Hints == nil || !p.observed(a.ID) || !p.observed(b.ID) {
+		return false
+	}
+	loadA, okA := p.hint(a.ID)
+	loadB, okB := p.hint(b.ID)
+	return okA && okB && loadA > loadB+hintMargin
+}
+
+func (p *Picker) observed(id string) bool {
+	value, _ := p.state(id).latency.load()
+	return value > 0
+}
+
+func (p *Picker) hint(id string) (float64, bool) {
+	load, age, ok := p.cfg.Hints.Load(id)
+	if !ok || age >= p.cfg.HintAge {
+		return 0, false
+	}
+	return load * (1 - float64(age)/float64(p.cfg.HintAge)), true
+}
+
+// Connected tells that a stream to a backend server was opened, which starts
+// its slow start. It fits backend.PoolConfig.OnConnect.
+func (p *Picker) Connected(backendID string) {
+	p.state(backendID).connected.Store(max(1, int64(p.now())))
+}
+
+// Started tells that a sub-request was sent.
+func (p *Picker) Started(backendID string) { p.state(backendID).inFlight.Add(1) }
+
+// Finished tells how a sub-request ended, and how long after Started. It must
+// follow each Started once.
+func (p *Picker) Finished(backendID string, latency time.Duration, status backend.Status) {
+	s, ok := (*p.states.Load())[backendID]
+	if !ok {
+		return
+	}
+	s.inFlight.Add(-1)
+	now := tickAt(p.now())
+	switch status {
+	case backend.OK:
+		p.observe(s, now, latency, false)
+	case backend.Cancelled, backend.Expired, backend.Failed, backend.StreamBroken:
+		// The latency would have been at least this long.
+		p.observe(s, now, latency, true)
+	}
+	switch status {
+	case backend.Shed, backend.Draining, backend.VersionMissing, backend.Unsent, backend.Failed, backend.StreamBroken:
+		s.penalty.update(now, func(old float64, age time.Duration) float64 {
+			return min(maxPenalty, old*remaining(age, p.cfg.Penalty)+1)
+		})
+	}
+}
+
+// observe adds a latency to the average. The weight grows with the time since
+// the last one. A lower bound only counts if it is above the average.
+func (p *Picker) observe(s *state, now uint32, latency time.Duration, lowerBound bool) {
+	us := max(1, float64(latency)/float64(time.Microsecond))
+	if average, tick := s.latency.load(); lowerBound && us <= average*remaining(age(now, tick), p.cfg.Forget) {
+		return
+	}
+	s.latency.update(now, func(old float64, age time.Duration) float64 {
+		if old == 0 {
+			return us
+		}
+		weight := 1 - (1-leastWeight)*remaining(age, p.cfg.Forget)
+		return old + weight*(us-old)
+	})
+}
--- /dev/null
+++ b/balance/picker_test.go
@@ -0,0 +1,274 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"github.com/briarstand/briarstand/backend"
+	"github.com/briarstand/briarstand/config"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func backends(n int) []*config.Backend {
+	all := make([]*config.Backend, n)
+	for i := range all {
+		all[i] = &config.Backend{ID: fmt.Sprintf("s%d", i), Region: "r0", MaxConnections: 54}
+	}
+	return all
+}
+
+func seeded(cfg Config) *Picker {
+	cfg.Random = rand.New(rand.NewPCG(1, 2)).Uint64
+	return NewPicker(cfg)
+}
+
+// drive sends one sub-request after the other and returns each replica's share.
+// reply gives latency and status by backend id.
+func drive(p *Picker, choice config.ReplicaChoice, all []*config.Backend, n int,
+	reply func(id string) (time.Duration, backend.Status),
+) map[string]float64 {
+	share := map[string]float64{}
+	for range n {
+		b, _ := p.Pick(choice, all, nil)
+		p.Started(b.ID)
+		latency, status := reply(b.ID)
+		time.Sleep(latency)
+		p.Finished(b.ID, latency, status)
+		share[b.ID] += 1 / float64(n)
+	}
+	return share
+}
+
+func latencies(slow map[string]time.Duration) func(string) (time.Duration, backend.Status) {
+	return func(id string) (time.Duration, backend.Status) {
+		if d, ok := slow[id]; ok {
+			return d, backend.OK
+		}
+		return 2 * time.Millisecond, backend.OK
+	}
+}
+
+// Guards against work for a straggler, and against never trying it again after
+// it recovered.
+func TestStragglerLosesItsShareAndRecovers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p, all := seeded(Config{}), backends(3)
+		share := drive(p, config.ChoiceAdaptive, all, 20_000, latencies(map[string]time.Duration{"s0": 20 * time.Millisecond}))
+		c.Assert(share["s0"] < 0.01, qt.IsTrue, qt.Commentf("%v", share))
+		drive(p, config.ChoiceAdaptive, all, 10_000, latencies(nil))
+		share = drive(p, config.ChoiceAdaptive, all, 10_000, latencies(nil))
+		c.Assert(share["s0"] > 0.25, qt.IsTrue, qt.Commentf("%v", share))
+		share = drive(p, config.ChoiceRandom, all, 10_000, latencies(map[string]time.Duration{"s0": 20 * time.Millisecond}))
+		c.Assert(share["s0"] > 0.3, qt.IsTrue, qt.Commentf("the baseline must not adapt: %v", share))
+	})
+}
+
+// Guards against a replica that fails fast attracting work, and against
+// punishing it after it works again.
+func TestRefusalsAndFailuresAreAvoided(t *testing.T) {
+	for _, status := range []backend.Status{backend.Shed, backend.Failed, backend.StreamBroken, backend.Unsent} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			p, all := seeded(Config{}), backends(2)
+			share := drive(p, config.ChoiceAdaptive, all, 5_000, func(id string) (time.Duration, backend.Status) {
+				if id == "s0" {
+					return 100 * time.Microsecond, status
+				}
+				return 2 * time.Millisecond, backend.OK
+			})
+			c.Assert(share["s0"] < 0.05, qt.IsTrue, qt.Commentf("%v: %v", status, share))
+			drive(p, config.ChoiceAdaptive, all, 10_000, latencies(nil))
+			share = drive(p, config.ChoiceAdaptive, all, 5_000, latencies(nil))
+			c.Assert(share["s0"] > 0.3, qt.IsTrue, qt.Commentf("%v: %v", status, share))
+		})
+	}
+}
+
+type hints map[string]float64
+
+func (h hints) Load(id string) (float64, time.Duration, bool) {
+	load, ok := h[id]
+	return load, 0, ok
+}
+
+// Guards against a misleading load report that outvotes own observations, and
+// against ignoring honest ones.
+func TestLoadHintsOnlyBreakTies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p, all := seeded(Config{Hints: hints{"s0": 0, "s1": 1}}), backends(2)
+		share := drive(p, config.ChoiceAdaptive, all, 5_000, latencies(nil))
+		c.Assert(share["s0"] > 0.9, qt.IsTrue, qt.Commentf("tie: %v", share))
+		share = drive(p, config.ChoiceAdaptive, all, 5_000, latencies(map[string]time.Duration{"s0": 4 * time.Millisecond}))
+		c.Assert(share["s0"] < 0.05, qt.IsTrue, qt.Commentf("s0 is slower: %v", share))
+	})
+}
+
+// Guards against a full share for a replica that was just connected.
+func TestSlowStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p, all := seeded(Config{}), backends(2)
+		p.Connected("s0")
+		share := drive(p, config.ChoiceAdaptive, all, 500, latencies(nil)) // 1 s
+		c.Assert(share["s0"] > 0.02 && share["s0"] < 0.15, qt.IsTrue, qt.Commentf("%v", share))
+		time.Sleep(DefaultSlowStart)
+		share = drive(p, config.ChoiceAdaptive, all, 500, latencies(nil))
+		c.Assert(share["s0"] > 0.4, qt.IsTrue, qt.Commentf("%v", share))
+	})
+}
+
+// Guards against ignoring sub-requests that hang, whose latency is not known.
+func TestInFlightCounts(t *testing.T) {
+	c := qt.New(t)
+	p, all := seeded(Config{}), backends(2)
+	for range 3 {
+		p.Started("s0")
+	}
+	for range 100 {
+		b, ok := p.Pick(config.ChoiceAdaptive, all, nil)
+		c.Assert(ok && b.ID == "s1", qt.IsTrue)
+	}
+}
+
+// Guards against picking what was tried before.
+func TestPickSkipsTried(t *testing.T) {
+	c := qt.New(t)
+	p, all := seeded(Config{}), backends(4)
+	for _, choice := range []config.ReplicaChoice{config.ChoiceAdaptive, config.ChoiceRandom} {
+		var tried []string
+		for range all {
+			b, ok := p.Pick(choice, all, tried)
+			c.Assert(ok, qt.IsTrue)
+			tried = append(tried, b.ID)
+		}
+		c.Assert(len(tried), qt.Equals, 4)
+		_, ok := p.Pick(choice, all, tried)
+		c.Assert(ok, qt.IsFalse)
+	}
+}
+
+// Guards against data races and lost in-flight counts.
+func TestPickerIsSafeForConcurrentUse(t *testing.T) {
+	c := qt.New(t)
+	p, all := NewPicker(Config{}), backends(8)
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for i := range 500 {
+				b, _ := p.Pick(config.ChoiceAdaptive, all, nil)
+				p.Started(b.ID)
+				p.Finished(b.ID, time.Millisecond, backend.Status(i%int(backend.StreamBroken)+1))
+			}
+		})
+	}
+	wg.Wait()
+	for _, b := range all {
+		c.Assert(p.state(b.ID).inFlight.Load(), qt.Equals, int64(0))
+	}
+	p.Update(config.NewRegistry().Snapshot())
+	c.Assert(len(*p.states.Load()), qt.Equals, 0)
+}
+
+// Guards against quantiles that are off by more than a bucket, that forget
+// nothing, or that are made up from too few samples.
+func TestLatencyQuantile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		l := NewLatencies(LatencyConfig{})
+		_, ok := l.LatencyQuantile("svc", 500)
+		c.Assert(ok, qt.IsFalse)
+		for i := range 10_000 {
+			l.Observe("svc", time.Duration(i+1)*10*time.Microsecond)
+		}
+		time.Sleep(DefaultRefresh)
+		for _, permille := range []int{10, 500, 950, 990, 1000} {
+			got, ok := l.LatencyQuantile("svc", permille)
+			want := time.Duration(permille) * 100 * time.Microsecond
+			c.Assert(ok && got > want*85/100 && got < want*115/100, qt.IsTrue, qt.Commentf("%d: %v, want about %v", permille, got, want))
+		}
+		_, ok = l.LatencyQuantile("other", 500)
+		c.Assert(ok, qt.IsFalse)
+		time.Sleep(DefaultWindow)
+		_, ok = l.LatencyQuantile("svc", 500)
+		c.Assert(ok, qt.IsFalse)
+	})
+}
+
+// Guards against uneven ownership, and against owners that change because of a
+// VM that is not theirs.
+func TestOwnersBalanceAndMovement(t *testing.T) {
+	c := qt.New(t)
+	const vms, servers = 100, 500
+	members := make([]Member, vms)
+	for i := range members {
+		members[i] = Member{ID: fmt.Sprintf("vm%d", i), Region: fmt.Sprintf("r%d", i%2)}
+	}
+	all := backends(servers)
+	count, before := map[string]int{}, map[string][]string{}
+	for i, b := range all {
+		b.Region = fmt.Sprintf("r%d", i%2)
+		before[b.ID] = Owners(b, members)
+		c.Assert(len(before[b.ID]), qt.Equals, 27)
+		for _, id := range before[b.ID] {
+			count[id]++
+		}
+	}
+	const mean = servers * 27 / vms // 135
+	for _, m := range members {
+		c.Assert(count[m.ID] > mean*60/100 && count[m.ID] < mean*140/100, qt.IsTrue, qt.Commentf("%s owns %d", m.ID, count[m.ID]))
+	}
+	members[7] = Member{ID: "replacement", Region: "r1"}
+	for _, b := range all {
+		after := Owners(b, members)
+		came := slices.DeleteFunc(slices.Clone(after), func(id string) bool { return slices.Contains(before[b.ID], id) })
+		c.Assert(len(came) <= 1, qt.IsTrue, qt.Commentf("%s: owners %v came", b.ID, came))
+		owned := slices.Contains(before[b.ID], "vm7") || slices.Contains(after, "replacement")
+		c.Assert(len(came) == 1, qt.Equals, owned, qt.Commentf("%s: owners %v came", b.ID, came))
+	}
+}
+
+// Guards against leaving a backend server without owners when its region has
+// few VMs, and against too many owners for its cap.
+func TestOwnersAcrossRegions(t *testing.T) {
+	c := qt.New(t)
+	members := []Member{{"a", "r0"}, {"b", "r1"}, {"d", "r0"}, {"e", "r1"}}
+	owners := Owners(&config.Backend{ID: "s", Region: "r1", MaxConnections: 6}, members)
+	c.Assert(len(owners), qt.Equals, 3)
+	c.Assert(owners[0] == "b" || owners[0] == "e", qt.IsTrue)
+	c.Assert(owners[1] == "b" || owners[1] == "e", qt.IsTrue)
+	c.Assert(len(Owners(&config.Backend{ID: "s", MaxConnections: 1}, members)), qt.Equals, 1)
+	c.Assert(len(Owners(&config.Backend{ID: "s", MaxConnections: 55}, members)), qt.Equals, 4)
+	c.Assert(len(Owners(&config.Backend{ID: "s", MaxConnections: 55}, nil)), qt.Equals, 0)
+}
+
+func BenchmarkPick(b *testing.B) {
+	p, all := NewPicker(Config{}), backends(3)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			x, _ := p.Pick(config.ChoiceAdaptive, all, nil)
+			p.Started(x.ID)
+			p.Finished(x.ID, time.Millisecond, backend.OK)
+		}
+	})
+}
+
+func BenchmarkObserve(b *testing.B) {
+	l := NewLatencies(LatencyConfig{})
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Observe("svc", time.Millisecond)
+		l.LatencyQuantile("svc", 950)
+	}
+}
