--- a/backend/standin/events.go
+++ b/backend/standin/events.go
@@ -4,7 +4,8 @@
 
 // event is something that a server does at a time.
 type event struct {
-	at     int64 // nanoseconds since the server's epoch
+	at     int64  // nanoseconds since the server's epoch
+	order  uint64 // keeps events of the same time in the order they were added
 	kind   eventKind
 	job    *job
 	stream *stream
@@ -20,6 +21,10 @@
 	eventReply
 )
 
+func (e *event) before(o *event) bool {
+	return e.at < o.at || e.at == o.at && e.order < o.order
+}
+
 // eventHeap is a binary heap by time. It holds values, so that an event costs
 // no allocation.
 type eventHeap []event
@@ -30,7 +35,7 @@
 	i := len(a) - 1
 	for i > 0 {
 		parent := (i - 1) / 2
-		if a[parent].at <= a[i].at {
+		if a[parent].before(&a[i]) {
 			break
 		}
 		a[parent], a[i] = a[i], a[parent]
@@ -50,10 +55,10 @@
 		if child >= len(a) {
 			break
 		}
-		if child+1 < len(a) && a[child+1].at < a[child].at {
+		if child+1 < len(a) && a[child+1].before(&a[child]) {
 			child++
 		}
-		if a[i].at <= a[child].at {
+		if a[i].before(&a[child]) {
 			break
 		}
 		a[i], a[child] = a[child], a[i]
@@ -64,6 +69,8 @@
 
 // schedule adds an event. It is called with the lock held.
 func (s *Server) schedule(e event) {
+	s.scheduled++
+	e.order = s.scheduled
 	s.events.push(e)
 	if e.at < s.nextEvent {
 		select {
--- a/backend/standin/server.go
+++ b/backend/standin/server.go
@@ -37,6 +37,7 @@
 	busy      int
 	queue     []*job
 	events    eventHeap
+	scheduled uint64 // events so far
 	nextEvent int64
 	streams   map[*stream]struct{}
 	conns     map[*conn]struct{}
