--- /dev/null
+++ b/cli/caller.go
@@ -0,0 +1,173 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"connectrpc.com/connect"
+
+	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+	"github.com/briarstand/briarstand/gen/briarstand/v1/briarstandv1connect"
+)
+
+type callerAPI = briarstandv1connect.CallerServiceClient
+
+// callerClient finds the addresses to use and sends queries to them as a
+// caller should: the next address is tried only when that cannot run a
+// request twice.
+type callerClient struct {
+	http      connect.HTTPClient
+	bootstrap []string
+	callerID  string
+	zone      string
+}
+
+func (c *callerClient) at(url string) callerAPI {
+	return briarstandv1connect.NewCallerServiceClient(c.http, url)
+}
+
+// resolve asks one bootstrap address after the other for the addresses to use.
+func (c *callerClient) resolve(ctx context.Context) (*briarstandv1.ResolveResponse, error) {
+	var last error
+	for _, url := range c.bootstrap {
+		req := &briarstandv1.ResolveRequest{CallerId: c.callerID, Zone: c.zone}
+		resp, err := c.at(url).Resolve(ctx, connect.NewRequest(req))
+		if err == nil {
+			return resp.Msg, nil
+		}
+		last = err
+	}
+	if answered(last) {
+		return nil, last
+	}
+	return nil, &UnreachableError{API: "caller", Addresses: c.bootstrap, Err: last}
+}
+
+// endpoints returns the URLs that the system says to use.
+func (c *callerClient) endpoints(ctx context.Context) ([]string, error) {
+	resp, err := c.resolve(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var urls []string
+	for _, e := range resp.Endpoints {
+		url, err := baseURL(e.Address)
+		if err != nil {
+			return nil, err
+		}
+		urls = append(urls, url)
+	}
+	if len(urls) == 0 {
+		return nil, &Error{Code: ExitUnavailable, Err: errors.New("no VM takes queries now"),
+			Next: "try again in a second; \"briarstand vm list\" shows the state of the VMs"}
+	}
+	return urls, nil
+}
+
+// query runs a request at the first address that takes it.
+func (c *callerClient) query(ctx context.Context, req *briarstandv1.QueryRequest) (*briarstandv1.QueryResponse, error) {
+	urls, err := c.endpoints(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if req.NonIdempotent {
+		return c.queryOnce(ctx, urls, req)
+	}
+	var last error
+	var refused *briarstandv1.QueryResponse
+	for _, url := range urls {
+		resp, err := c.at(url).Query(ctx, connect.NewRequest(req))
+		switch {
+		case err == nil && resp.Msg.Outcome != briarstandv1.Outcome_OUTCOME_NOT_RUN:
+			return resp.Msg, nil
+		case err == nil:
+			refused = resp.Msg
+		case permanent(err):
+			return nil, err
+		default:
+			last = err
+		}
+	}
+	if refused != nil {
+		return refused, nil
+	}
+	if answered(last) {
+		return nil, last
+	}
+	return nil, &UnreachableError{API: "caller", Addresses: urls, Err: last}
+}
+
+// permanent reports an answer that another VM would give too.
+func permanent(err error) bool {
+	var rpc *connect.Error
+	if !errors.As(err, &rpc) || !answered(err) {
+		return false
+	}
+	switch rpc.Code() {
+	case connect.CodeUnavailable, connect.CodeResourceExhausted, connect.CodeInternal, connect.CodeUnknown:
+		return false
+	}
+	return true
+}
+
+// queryOnce runs a non-idempotent request. A new ticket is taken only when the
+// last one provably did not run.
+func (c *callerClient) queryOnce(ctx context.Context, urls []string, req *briarstandv1.QueryRequest) (*briarstandv1.QueryResponse, error) {
+	if req.Ticket != "" {
+		return c.offer(ctx, urls, req)
+	}
+	var last error
+	var refused *briarstandv1.QueryResponse
+	for i, url := range urls {
+		begun, err := c.at(url).BeginRequest(ctx, connect.NewRequest(&briarstandv1.BeginRequestRequest{Service: req.Service}))
+		if err != nil {
+			if permanent(err) {
+				return nil, err
+			}
+			last = err
+			continue
+		}
+		req.Ticket = begun.Msg.Ticket
+		resp, err := c.offer(ctx, rotate(urls, i), req)
+		if err != nil || resp.Outcome != briarstandv1.Outcome_OUTCOME_NOT_RUN {
+			return resp, err
+		}
+		refused = resp
+	}
+	if refused != nil {
+		return refused, nil
+	}
+	return nil, &UnreachableError{API: "caller", Addresses: urls, Err: last}
+}
+
+// offer sends a request with its ticket. When the answer is lost it offers the
+// same ticket again, at the same address first and then at the others, which
+// relay it to the VM that issued it.
+func (c *callerClient) offer(ctx context.Context, urls []string, req *briarstandv1.QueryRequest) (*briarstandv1.QueryResponse, error) {
+	var last error
+	for _, url := range append([]string{urls[0]}, urls...) {
+		resp, err := c.at(url).Query(ctx, connect.NewRequest(req))
+		if err == nil {
+			return resp.Msg, nil
+		}
+		if permanent(err) {
+			return nil, err
+		}
+		last = err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, &Error{Code: ExitUnknown, Err: fmt.Errorf("it is unknown whether the request ran: %w", last),
+		Next: fmt.Sprintf("run the same command again with --ticket %s; the request then still runs at most once", req.Ticket)}
+}
+
+func rotate(urls []string, first int) []string {
+	return append(append([]string{}, urls[first:]...), urls[:first]...)
+}
+
+// callSlack is how much longer the client waits than the daemon may take, so
+// that an answer given at the deadline still arrives.
+const callSlack = 2 * time.Second
