--- /dev/null
+++ b/server/adapters.go
@@ -0,0 +1,57 @@
+package server
+
+import (
+	"context"
+
+	"github.com/briarstand/briarstand/config"
+	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+	"github.com/briarstand/briarstand/membership"
+	"github.com/briarstand/briarstand/rollout"
+)
+
+// rollouts gives the operator API the rollout controller in terms of its
+// messages.
+type rollouts struct{ controller *rollout.Controller }
+
+func (r rollouts) Recorded(svc *config.Service) { r.controller.Recorded(svc) }
+
+func (r rollouts) Status(ctx context.Context, service string, revision int64) (*briarstandv1.Rollout, error) {
+	s, err := r.controller.Status(ctx, service, revision)
+	if err != nil {
+		return nil, err
+	}
+	return rolloutMessage(s), nil
+}
+
+func (r rollouts) Wait(ctx context.Context, service string, revision int64) (*briarstandv1.Rollout, error) {
+	s, err := r.controller.Wait(ctx, service, revision)
+	if err != nil {
+		return nil, err
+	}
+	return rolloutMessage(s), nil
+}
+
+func rolloutMessage(s rollout.Status) *briarstandv1.Rollout {
+	state := briarstandv1.RolloutState_ROLLOUT_STATE_RECORDED
+	if s.Accepted {
+		state = briarstandv1.RolloutState_ROLLOUT_STATE_ACCEPTED
+	}
+	return &briarstandv1.Rollout{
+		Service: s.Service, Revision: s.Revision, State: state,
+		VmsInForce: int32(s.InForce), VmsTotal: int32(s.Total), WaitingFor: s.WaitingFor,
+	}
+}
+
+// vms lists the member table for operators.
+type vms struct{ membership *membership.Membership }
+
+func (v vms) ListVMs(context.Context) ([]*briarstandv1.VM, error) {
+	var list []*briarstandv1.VM
+	for _, m := range v.membership.View().Members {
+		list = append(list, &briarstandv1.VM{
+			Id: m.ID, Zone: m.Zone, Region: m.Region, CallerAddress: m.CallerAddress,
+			State: string(m.State), ConfigIndex: m.ConfigIndex, Fresh: m.Fresh,
+		})
+	}
+	return list, nil
+}
--- /dev/null
+++ b/server/config.go
@@ -0,0 +1,116 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+
+	"github.com/briarstand/briarstand/platform"
+	"github.com/briarstand/briarstand/platform/httpkv"
+	"github.com/briarstand/briarstand/settings"
+	"github.com/briarstand/briarstand/telemetry"
+)
+
+// Platform is what a daemon needs of the platform.
+type Platform interface {
+	platform.Store
+	platform.VMLister
+	// RegisterVM puts a VM on the platform's list, or replaces its row.
+	RegisterVM(ctx context.Context, vm platform.VM) error
+	// DeregisterVM removes a VM from the platform's list.
+	DeregisterVM(ctx context.Context, id string) error
+}
+
+// Config holds what a Server needs. Only Settings are required; settings.Parse
+// makes them.
+type Config struct {
+	Settings settings.Settings
+	// Platform replaces the client of Settings.PlatformURL.
+	Platform Platform
+	// Logger gets the log lines; nil discards them.
+	Logger *log.Logger
+	// Metrics gets the daemon's metrics; nil means a set of its own.
+	Metrics *metrics.Set
+	// ProcessMetrics adds metrics of the process to /metrics. A process that
+	// embeds several daemons sets it for one at most.
+	ProcessMetrics bool
+	// Random seeds the random choices of the daemon; nil means a random seed.
+	Random *rand.Rand
+}
+
+// PlatformError reports a platform client that cannot be made.
+type PlatformError struct {
+	URL string
+	Err error
+}
+
+func (e *PlatformError) Error() string { return fmt.Sprintf("platform %s: %v", e.URL, e.Err) }
+
+func (e *PlatformError) Unwrap() error { return e.Err }
+
+func (c *Config) setDefaults() error {
+	if c.Logger == nil {
+		c.Logger = telemetry.NewLogger(io.Discard, log.InfoLevel)
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewSet()
+	}
+	if c.Random == nil {
+		c.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if c.Platform != nil {
+		return nil
+	}
+	client, err := httpkv.New(httpkv.Config{
+		BaseURL: c.Settings.PlatformURL, Timeout: c.Settings.PlatformTimeout, Logger: c.Logger,
+	})
+	if err != nil {
+		return &PlatformError{URL: c.Settings.PlatformURL, Err: err}
+	}
+	c.Platform = client
+	return nil
+}
+
+// fork returns a random source of its own, as sources are not safe for
+// concurrent use.
+func (c *Config) fork() *rand.Rand {
+	return rand.New(rand.NewPCG(c.Random.Uint64(), c.Random.Uint64()))
+}
+
+func (c *Config) slog() *slog.Logger { return slog.New(c.Logger) }
+
+// bounds returns the bounds of one API.
+func (c *Config) bounds(api, address string, maxBody int) listenerConfig {
+	return listenerConfig{
+		API: api, Address: address,
+		ReadHeaderTimeout: c.Settings.ReadHeaderTimeout,
+		IdleTimeout:       c.Settings.IdleTimeout,
+		MaxHeaderBytes:    c.Settings.MaxHeaderBytes,
+		MaxBodyBytes:      int64(maxBody) + envelopeBytes,
+		MaxConcurrent:     c.Settings.MaxConcurrentRequests,
+		Logger:            c.Logger,
+		Metrics:           c.Metrics,
+	}
+}
+
+const (
+	// envelopeBytes is room for the framing around a message of the largest
+	// size, so that the handler's own limit answers with a typed error.
+	envelopeBytes = 4096
+	// adminBodyBytes bounds the body of a request to the admin API, which takes
+	// none.
+	adminBodyBytes = 1024
+	// registerRetry is the time between two tries to register with the
+	// platform's VM list.
+	registerRetry = 2 * time.Second
+	// refusalTime is how long a leaving VM answers new requests as not run
+	// before it closes its caller API, so that a caller that is about to send
+	// on an open connection gets an answer instead of a reset.
+	refusalTime = time.Second
+)
--- /dev/null
+++ b/server/lifecycle.go
@@ -0,0 +1,231 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/briarstand/briarstand/membership"
+	"github.com/briarstand/briarstand/platform"
+	"github.com/briarstand/briarstand/telemetry"
+)
+
+// Phase is a step in the life of a daemon.
+type Phase string
+
+// Phases in their order.
+const (
+	// PhaseStarting: the VM announces itself and reads the configuration.
+	PhaseStarting Phase = "starting"
+	// PhaseReady: the VM takes queries while its configuration is fresh.
+	PhaseReady Phase = "ready"
+	// PhaseLeaving: the VM is no longer given to callers but takes queries.
+	PhaseLeaving Phase = "leaving"
+	// PhaseRefusing: new queries are refused as not run, running ones finish.
+	PhaseRefusing Phase = "refusing"
+	// PhaseStopped: all APIs are closed.
+	PhaseStopped Phase = "stopped"
+)
+
+// NotReadyError reports a daemon that is not ready because of its phase.
+type NotReadyError struct{ Phase Phase }
+
+func (e *NotReadyError) Error() string { return fmt.Sprintf("the VM is %s", e.Phase) }
+
+// DrainError reports a drain that reached its upper bound, so that requests in
+// flight were cut off.
+type DrainError struct {
+	Limit    time.Duration
+	InFlight int
+	Err      error
+}
+
+func (e *DrainError) Error() string {
+	return fmt.Sprintf("drain: %d queries were in flight after %s (drain-timeout): %v", e.InFlight, e.Limit, e.Err)
+}
+
+func (e *DrainError) Unwrap() error { return e.Err }
+
+// phaseState is the phase of a daemon; the zero value is PhaseStarting.
+type phaseState struct{ value atomic.Value }
+
+func (p *phaseState) get() Phase {
+	if v, ok := p.value.Load().(Phase); ok {
+		return v
+	}
+	return PhaseStarting
+}
+
+func (p *phaseState) set(v Phase) { p.value.Store(v) }
+
+func (p *phaseState) ready() error {
+	if v := p.get(); v != PhaseReady {
+		return &NotReadyError{Phase: v}
+	}
+	return nil
+}
+
+// Phase returns the current phase.
+func (s *Server) Phase() Phase { return s.phase.get() }
+
+func (s *Server) enter(p Phase) {
+	s.phase.set(p)
+	s.cfg.Logger.Info("phase", "phase", string(p), "in_flight", s.engine.InFlight())
+}
+
+// Run serves until ctx ends and then drains: the VM leaves the addresses that
+// callers are given, serves for longer than these may be kept, refuses new
+// queries as not run, finishes those in flight and exits. The drain takes at
+// most Settings.DrainTimeout; after that Run returns a *DrainError. Run may be
+// called once.
+func (s *Server) Run(ctx context.Context) error {
+	defer s.Close()
+	run, stop := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer stop(nil)
+	var components sync.WaitGroup
+	s.startComponents(run, stop, &components)
+
+	life, cancel := context.WithCancel(ctx)
+	defer cancel()
+	context.AfterFunc(run, cancel)
+	err := s.start(life)
+	if err == nil {
+		<-life.Done()
+	}
+	if run.Err() == nil {
+		err = s.drain(run)
+	}
+	stop(nil)
+	components.Wait()
+	s.enter(PhaseStopped)
+	if cause := context.Cause(run); !errors.Is(cause, context.Canceled) {
+		return cause
+	}
+	return err
+}
+
+// startComponents starts everything that runs for the whole life. A component
+// that fails stops the daemon.
+func (s *Server) startComponents(run context.Context, stop context.CancelCauseFunc, wg *sync.WaitGroup) {
+	component := func(f func() error) {
+		wg.Go(func() {
+			if err := f(); err != nil && run.Err() == nil {
+				s.cfg.Logger.Error("component failed", telemetry.FieldError, err)
+				stop(err)
+			}
+		})
+	}
+	for l, h := range map[*listener]http.Handler{
+		s.caller: s.callerHandler(), s.operator: s.operatorHandler(),
+		s.peer: s.peerHandler(s.membership.Self().Incarnation), s.admin: s.adminHandler(),
+	} {
+		s.cfg.Logger.Info("listening", "api", l.api, "address", l.address())
+		component(func() error { return l.serve(h) })
+		context.AfterFunc(run, func() { _ = l.http.Close() })
+	}
+	component(func() error { return s.membership.Run(run) })
+	component(func() error { return s.rollout.Run(run) })
+}
+
+// start registers with the platform's list, so that other VMs that start now
+// find this one, and reads the configuration.
+func (s *Server) start(ctx context.Context) error {
+	if err := s.register(ctx, platform.VMLive); err != nil {
+		s.cfg.Logger.Warn("not yet registered with the platform's VM list", telemetry.FieldError, err)
+		go s.registerLater(ctx)
+	}
+	if err := s.rollout.Start(ctx); err != nil {
+		if ctx.Err() != nil {
+			return nil // asked to leave before the configuration was read
+		}
+		return fmt.Errorf("start: %w", err)
+	}
+	s.membership.SetState(membership.Alive)
+	s.enter(PhaseReady)
+	return nil
+}
+
+func (s *Server) register(ctx context.Context, state platform.VMState) error {
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.Settings.PlatformTimeout)
+	defer cancel()
+	self := s.membership.Self()
+	return s.cfg.Platform.RegisterVM(ctx, platform.VM{
+		ID: self.ID, Zone: self.Zone, Region: self.Region, PeerAddress: self.PeerAddress, State: state,
+	})
+}
+
+// registerLater tries again until the platform answers or the VM leaves.
+func (s *Server) registerLater(ctx context.Context) {
+	for {
+		if !pause(ctx, registerRetry) {
+			return
+		}
+		if err := s.register(ctx, platform.VMLive); err == nil {
+			s.cfg.Logger.Info("registered with the platform's VM list")
+			return
+		}
+	}
+}
+
+// drain performs the steps of a graceful shutdown.
+func (s *Server) drain(run context.Context) error {
+	set := s.cfg.Settings
+	bound, cancel := context.WithTimeout(run, set.DrainTimeout)
+	defer cancel()
+
+	wasReady := s.phase.get() == PhaseReady
+	s.enter(PhaseLeaving)
+	s.membership.SetState(membership.Leaving)
+	if err := s.register(bound, platform.VMLeaving); err != nil {
+		s.cfg.Logger.Warn("not marked leaving on the platform's VM list", telemetry.FieldError, err)
+	}
+	if wasReady {
+		pause(bound, set.DrainServe)
+	}
+
+	s.enter(PhaseRefusing)
+	s.engine.Drain()
+	s.caller.http.SetKeepAlivesEnabled(false)
+	if wasReady {
+		pause(bound, refusalTime)
+	}
+	if err := s.engine.Wait(bound); err != nil {
+		return &DrainError{Limit: set.DrainTimeout, InFlight: s.engine.InFlight(), Err: err}
+	}
+	return s.leave(bound)
+}
+
+// leave deregisters and closes the APIs, the peer API last, as other VMs may
+// still relay a ticket or ask for a confirmation.
+func (s *Server) leave(ctx context.Context) error {
+	err := errors.Join(s.caller.shutdown(ctx), s.operator.shutdown(ctx))
+	if derr := s.deregister(ctx); derr != nil {
+		s.cfg.Logger.Warn("not removed from the platform's VM list", telemetry.FieldError, derr)
+	}
+	if err = errors.Join(err, s.peer.shutdown(ctx), s.admin.shutdown(ctx)); err != nil {
+		return &DrainError{Limit: s.cfg.Settings.DrainTimeout, InFlight: s.engine.InFlight(), Err: err}
+	}
+	return nil
+}
+
+func (s *Server) deregister(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.Settings.PlatformTimeout)
+	defer cancel()
+	return s.cfg.Platform.DeregisterVM(ctx, s.cfg.Settings.VMID)
+}
+
+// pause waits and reports whether the whole time has passed.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/server/server.go
@@ -0,0 +1,234 @@
+// Package server assembles a daemon from the library: the caller, operator,
+// peer and admin APIs, each on its own listener, and the life cycle from start
+// to exit.
+package server
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/briarstand/briarstand/backend"
+	"github.com/briarstand/briarstand/balance"
+	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/config/command"
+	configquery "github.com/briarstand/briarstand/config/query"
+	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+	"github.com/briarstand/briarstand/membership"
+	"github.com/briarstand/briarstand/peer"
+	"github.com/briarstand/briarstand/query"
+	"github.com/briarstand/briarstand/resolve"
+	"github.com/briarstand/briarstand/rollout"
+	"github.com/briarstand/briarstand/server/callerapi"
+	"github.com/briarstand/briarstand/server/operatorapi"
+	"github.com/briarstand/briarstand/telemetry"
+	"github.com/briarstand/briarstand/ticket"
+)
+
+// Addresses are the addresses that a daemon listens on, with the ports that it
+// got.
+type Addresses struct {
+	Caller, Operator, Peer, Admin string
+}
+
+// Server is one daemon. New opens its listeners; Run serves them.
+type Server struct {
+	cfg       Config
+	addresses Addresses
+	caller    *listener
+	operator  *listener
+	peer      *listener
+	admin     *listener
+
+	registry   *config.Registry
+	membership *membership.Membership
+	rollout    *rollout.Controller
+	peers      *peer.Client
+	pool       *backend.Pool
+	engine     *query.Engine
+	phase      phaseState
+}
+
+// New opens the listeners of a daemon and assembles it. It returns a
+// *ListenError when an address cannot be used. A Server that is not run must be
+// closed.
+func New(cfg Config) (*Server, error) {
+	if err := cfg.setDefaults(); err != nil {
+		return nil, err
+	}
+	s := &Server{cfg: cfg, registry: config.NewRegistry()}
+	if err := s.open(); err != nil {
+		s.Close()
+		return nil, err
+	}
+	if err := s.assemble(time.Now().UnixNano()); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// Addresses returns the addresses that the daemon listens on.
+func (s *Server) Addresses() Addresses { return s.addresses }
+
+// open opens all listeners before anything starts, so that a daemon whose
+// address is taken never becomes a member.
+func (s *Server) open() (err error) {
+	set := &s.cfg.Settings
+	for _, l := range []struct {
+		to      **listener
+		api     string
+		address string
+		maxBody int
+		bound   *string
+	}{
+		{&s.caller, "caller", set.CallerListen, set.MaxCallerBodyBytes, &s.addresses.Caller},
+		{&s.operator, "operator", set.OperatorListen, set.MaxOperatorBodyBytes, &s.addresses.Operator},
+		{&s.peer, "peer", set.PeerListen, set.MaxPeerBodyBytes, &s.addresses.Peer},
+		{&s.admin, "admin", set.AdminListen, adminBodyBytes, &s.addresses.Admin},
+	} {
+		if *l.to, err = listen(s.cfg.bounds(l.api, l.address, l.maxBody)); err != nil {
+			return err
+		}
+		*l.bound = (*l.to).address()
+	}
+	set.CallerAdvertise = advertised(set.CallerAdvertise, set.CallerListen, s.addresses.Caller)
+	set.PeerAdvertise = advertised(set.PeerAdvertise, set.PeerListen, s.addresses.Peer)
+	return nil
+}
+
+// advertised replaces the listen address by the one with the port that the
+// listener got, unless another address is advertised.
+func advertised(address, listen, bound string) string {
+	if address == listen {
+		return bound
+	}
+	return address
+}
+
+// assemble connects the parts. The incarnation is the start time in
+// nanoseconds.
+func (s *Server) assemble(incarnation int64) error {
+	set := s.cfg.Settings
+	s.peers = peer.NewClient(peer.ClientConfig{View: s.view, Metrics: s.cfg.Metrics})
+	var err error
+	s.membership, err = membership.New(membership.Config{
+		Self: membership.Member{
+			ID: set.VMID, Zone: set.Zone, Region: set.Region, CallerAddress: set.CallerAdvertise,
+			PeerAddress: set.PeerAdvertise, Incarnation: incarnation, State: membership.Joining,
+		},
+		Transport: s.peers, VMLister: s.cfg.Platform, Rand: s.cfg.fork(), Logger: s.cfg.slog(),
+		ProbeInterval: set.ProbeInterval, ProbeTimeout: set.ProbeTimeout, SuspicionTime: set.SuspicionTime,
+	})
+	if err != nil {
+		return err
+	}
+	s.rollout = rollout.New(rollout.Config{
+		Registry: s.registry, Store: s.cfg.Platform, VMLister: s.cfg.Platform, Membership: s.membership,
+		Transport: s.peers, Decode: config.Decode, Rand: s.cfg.fork(), Logger: s.cfg.slog(),
+		FreshnessWindow: set.FreshnessWindow, PollInterval: set.PollInterval,
+	})
+	s.assembleQueries(incarnation)
+	s.registerMetrics()
+	return nil
+}
+
+func (s *Server) view() *membership.View { return s.membership.View() }
+
+func (s *Server) assembleQueries(incarnation int64) {
+	picker := balance.NewPicker(balance.Config{})
+	s.pool = backend.NewPool(backend.PoolConfig{
+		Random: rand.Float64, Logger: s.cfg.Logger, Metrics: s.cfg.Metrics, OnConnect: picker.Connected,
+	})
+	var mu sync.Mutex
+	s.registry.OnApply(func(*config.Service) {
+		// The lock keeps an older snapshot from replacing a newer one.
+		mu.Lock()
+		defer mu.Unlock()
+		s.pool.Update(s.registry.Snapshot())
+	})
+	s.engine = query.NewEngine(query.Config{
+		VMID: s.cfg.Settings.VMID, Registry: s.registry, Transport: s.pool, Picker: picker,
+		Issuer: ticket.NewIssuer(s.cfg.Settings.VMID, incarnation, ticket.Config{
+			TTL: s.cfg.Settings.TicketTTL, MaxEntries: s.cfg.Settings.TicketCapacity,
+		}),
+		Gate: s.rollout, Relay: s.peers, Logger: s.cfg.Logger, Metrics: s.cfg.Metrics,
+	})
+}
+
+// Close releases what New opened. Run does it itself.
+func (s *Server) Close() {
+	for _, l := range []*listener{s.caller, s.operator, s.peer, s.admin} {
+		if l != nil {
+			// Closing twice is harmless, and nothing is left to be told.
+			_ = l.net.Close()
+		}
+	}
+	if s.pool != nil {
+		s.pool.Close()
+	}
+	if s.peers != nil {
+		s.peers.Close()
+	}
+}
+
+func (s *Server) callerHandler() http.Handler {
+	set := s.cfg.Settings
+	r := newRouter(s.cfg.bounds("caller", "", set.MaxCallerBodyBytes))
+	path, h := callerapi.New(callerapi.Config{
+		Engine: s.engine, Address: set.CallerAdvertise, MaxMessageBytes: set.MaxCallerBodyBytes,
+		Resolve: func(req *briarstandv1.ResolveRequest) *briarstandv1.ResolveResponse {
+			return resolve.Select(s.membership.View(), req, resolve.Config{TTL: set.AddressTTL})
+		},
+	})
+	return mount(r, path, h)
+}
+
+func (s *Server) operatorHandler() http.Handler {
+	set := s.cfg.Settings
+	r := newRouter(s.cfg.bounds("operator", "", set.MaxOperatorBodyBytes))
+	path, h := operatorapi.New(operatorapi.Config{
+		Commands: command.New(s.cfg.Platform, time.Now), Queries: configquery.New(s.cfg.Platform),
+		Rollouts: rollouts{s.rollout}, VMs: vms{s.membership}, AcceptWait: set.AcceptWait,
+		MaxRequestBytes: set.MaxOperatorBodyBytes, MaxConcurrent: set.MaxConcurrentRequests, Logger: s.cfg.Logger,
+	})
+	return mount(r, path, h)
+}
+
+func (s *Server) peerHandler(incarnation int64) http.Handler {
+	set := s.cfg.Settings
+	r := newRouter(s.cfg.bounds("peer", "", set.MaxPeerBodyBytes))
+	own, err := netip.ParseAddrPort(set.PeerAdvertise)
+	return mount(r, "/", peer.NewServer(peer.ServerConfig{
+		VMID: set.VMID, Incarnation: incarnation, Membership: s.membership, Rollout: s.rollout,
+		Query: s.engine.RunRelayed, Logger: s.cfg.slog(), Metrics: s.cfg.Metrics,
+		// A deployment on one machine has all its VMs on loopback addresses, and
+		// connections between these come from 127.0.0.1.
+		AllowLoopback: err == nil && own.Addr().IsLoopback(),
+	}))
+}
+
+func (s *Server) adminHandler() http.Handler {
+	r := newRouter(s.cfg.bounds("admin", "", adminBodyBytes))
+	return mount(r, "/", telemetry.NewAdminHandler(telemetry.AdminConfig{
+		Metrics: s.cfg.Metrics, Process: s.cfg.ProcessMetrics, Ready: s.Ready,
+	}))
+}
+
+func mount(r *chi.Mux, path string, h http.Handler) http.Handler {
+	r.Handle(path+"*", h)
+	return r
+}
+
+// Ready returns nil while the daemon takes new queries and is not leaving, and
+// otherwise the reason.
+func (s *Server) Ready() error {
+	if err := s.phase.ready(); err != nil {
+		return err
+	}
+	return s.rollout.Admit()
+}
