--- a/cli/operator.go
+++ b/cli/operator.go
@@ -53,17 +53,25 @@
 
 // withOperator runs f with a client and the deadline of the command.
 func (a *app) withOperator(ctx context.Context, cmd *cli.Command, f func(context.Context, *operatorClient) error) error {
-	urls, err := baseURLs(cmd.StringSlice("operator-address"))
+	c, err := a.newOperatorClient(cmd.StringSlice("operator-address"))
 	if err != nil {
 		return err
 	}
+	ctx, cancel := context.WithTimeout(ctx, cmd.Duration("timeout"))
+	defer cancel()
+	return f(ctx, c)
+}
+
+func (a *app) newOperatorClient(addresses []string) (*operatorClient, error) {
+	urls, err := baseURLs(addresses)
+	if err != nil {
+		return nil, err
+	}
 	c := &operatorClient{addresses: urls}
 	for _, u := range urls {
 		c.clients = append(c.clients, briarstandv1connect.NewOperatorServiceClient(a.http, u))
 	}
-	ctx, cancel := context.WithTimeout(ctx, cmd.Duration("timeout"))
-	defer cancel()
-	return f(ctx, c)
+	return c, nil
 }
 
 type operatorCall[Req, Resp any] func(briarstandv1connect.OperatorServiceClient, context.Context, *connect.Request[Req]) (*connect.Response[Resp], error)
--- a/cli/script_test.go
+++ b/cli/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -12,6 +13,7 @@
 	"os/signal"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -46,7 +48,7 @@
 		RequireExplicitExec: true,
 		Setup:               setupScript,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"run": cmdRun, "until": cmdUntil, "http": cmdHTTP, "note": cmdNote, "capture": cmdCapture,
+			"run": cmdRun, "until": cmdUntil, "http": cmdHTTP, "note": cmdNote, "capture": cmdCapture, "expand": cmdExpand, "pick": cmdPick, "signal": cmdSignal,
 		},
 	})
 }
@@ -68,7 +70,14 @@
 	}
 	env.Defer(func() { _ = lock.Close() })
 	env.Setenv("NET", network)
-	env.Setenv("BRIARSTAND_PLATFORM_URL", "http://"+network+".1:8500")
+	for name, value := range map[string]string{
+		"PLATFORM_URL": "http://" + network + ".1:8500", "OPERATOR": "eleni",
+		"OPERATOR_ADDRESS": network + ".11:7402", "CALLER_ADDRESS": network + ".11:7401",
+		"PROBE_INTERVAL": "100ms", "SUSPICION_TIME": "1s", "FRESHNESS_WINDOW": "2s",
+		"ADDRESS_TTL": "1s", "DRAIN_SERVE": "1100ms", "DRAIN_TIMEOUT": "20s", "LOG_LEVEL": "warn",
+	} {
+		env.Setenv("BRIARSTAND_"+name, value)
+	}
 	env.Values[sessionKey{}] = &session{network: network, revisions: map[string]string{}}
 	return os.WriteFile(filepath.Join(env.WorkDir, "transcript"), nil, 0o644)
 }
@@ -98,9 +107,19 @@
 }
 
 var (
-	timePattern     = regexp.MustCompile(`\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d(\.\d+)?Z`)
-	uuidPattern     = regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}`)
-	revisionPattern = regexp.MustCompile(`\b7\d{5}\b`)
+	timePattern   = regexp.MustCompile(`\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d(\.\d+)?Z`)
+	ticketPattern = regexp.MustCompile(`\bA[0-9A-Za-z_-]{40,}`)
+	uuidPattern   = regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}`)
+	// Revisions appear in sentences and options, in JSON, in the path of a
+	// store call, and in columns of the tables of services, changes and VMs.
+	revisionPatterns = []*regexp.Regexp{
+		regexp.MustCompile(`(?:revision|index is|expected) (\d+)`),
+		regexp.MustCompile(`"(?:revision|config_index|configIndex|expectedRevision|actualRevision|base)": ?"?(\d+)`),
+		regexp.MustCompile(`cas=(\d+)`),
+		regexp.MustCompile(`(?m)^(\d+)  TIME`),
+		regexp.MustCompile(`(?m)^[a-z0-9-]+  (\d+)  \d+  \d+$`),
+		regexp.MustCompile(`(?m)(?:true|false)  (\d+)$`),
+	}
 	columnPattern   = regexp.MustCompile(`  +`)
 	trailingPattern = regexp.MustCompile(`(?m)[ \t]+$`)
 )
@@ -111,14 +130,32 @@
 	text = strings.ReplaceAll(text, s.network+".", "127.0.0.")
 	text = timePattern.ReplaceAllString(text, "TIME")
 	text = uuidPattern.ReplaceAllString(text, "UUID")
-	text = revisionPattern.ReplaceAllStringFunc(text, func(n string) string {
-		if s.revisions[n] == "" {
+	text = ticketPattern.ReplaceAllString(text, "TICKET")
+	text = columnPattern.ReplaceAllString(text, "  ")
+	text = trailingPattern.ReplaceAllString(text, "")
+	for _, p := range revisionPatterns {
+		text = s.nameRevisions(p, text)
+	}
+	return text
+}
+
+// nameRevisions replaces the group of a pattern by the name of the revision; 0
+// is not a revision and stays.
+func (s *session) nameRevisions(p *regexp.Regexp, text string) string {
+	var b strings.Builder
+	last := 0
+	for _, m := range p.FindAllStringSubmatchIndex(text, -1) {
+		n := text[m[2]:m[3]]
+		if n != "0" && s.revisions[n] == "" {
 			s.revisions[n] = fmt.Sprintf("r%d", len(s.revisions)+1)
 		}
-		return s.revisions[n]
-	})
-	text = columnPattern.ReplaceAllString(text, "  ")
-	return trailingPattern.ReplaceAllString(text, "")
+		if n != "0" {
+			n = s.revisions[n]
+		}
+		b.WriteString(text[last:m[2]] + n)
+		last = m[3]
+	}
+	return b.String() + text[last:]
 }
 
 // cmdNote writes a line to the transcript.
@@ -211,3 +248,36 @@
 	}
 	ts.Setenv(args[0], m[1])
 }
+
+// cmdExpand replaces $NET in files.
+func cmdExpand(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		text := strings.ReplaceAll(ts.ReadFile(name), "$NET", current(ts).network)
+		ts.Check(os.WriteFile(ts.MkAbs(name), []byte(text), 0o644))
+	}
+}
+
+// cmdPick reads JSON from a URL and records the named fields of it.
+func cmdPick(ts *testscript.TestScript, _ bool, args []string) {
+	_, body, _ := strings.Cut(request(http.MethodGet, args[0], "", ""), " ")
+	var values map[string]any
+	ts.Check(json.Unmarshal([]byte(body), &values))
+	line := "$ GET " + args[0] + "\n"
+	for _, field := range args[1:] {
+		line += fmt.Sprintf("%s: %v\n", field, values[field])
+	}
+	record(ts, line)
+}
+
+// cmdSignal sends SIGTERM, SIGSTOP or SIGCONT to the background program that
+// has the given argument.
+func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
+	signals := map[string]syscall.Signal{"TERM": syscall.SIGTERM, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}
+	for _, cmd := range ts.BackgroundCmds() {
+		if slices.Contains(cmd.Args, args[1]) {
+			ts.Check(cmd.Process.Signal(signals[args[0]]))
+			return
+		}
+	}
+	ts.Fatalf("no background program has the argument %s", args[1])
+}
--- a/cli/service.go
+++ b/cli/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -204,9 +205,41 @@
 		msg := strings.ReplaceAll(err.Error(), "\u00a0", " ")
 		return nil, usageError("compare the file with the example in docs/cli.md", "%s is not a spec: %s", path, msg)
 	}
+	if err := fillPolicy(spec, raw); err != nil {
+		return nil, usageError("compare the file with the example in docs/cli.md", "%s is not a spec: %w", path, err)
+	}
 	return spec, nil
 }
 
+// fillPolicy gives the policy fields that the JSON leaves out their defaults. A
+// field that is given as 0 stays 0, which the operator API may refuse.
+func fillPolicy(spec *briarstandv1.ServiceSpec, raw []byte) error {
+	var given struct {
+		Policy map[string]json.RawMessage `json:"policy"`
+	}
+	if err := json.Unmarshal(raw, &given); err != nil {
+		return err
+	}
+	if spec.Policy == nil {
+		spec.Policy = &briarstandv1.Policy{}
+	}
+	defaults := defaultPolicy().ProtoReflect()
+	fields := defaults.Descriptor().Fields()
+	for i := range fields.Len() {
+		f := fields.Get(i)
+		_, short := given.Policy[f.TextName()]
+		_, camel := given.Policy[f.JSONName()]
+		if !short && !camel {
+			spec.Policy.ProtoReflect().Set(f, defaults.Get(f))
+		}
+	}
+	return nil
+}
+
+func defaultPolicy() *briarstandv1.Policy {
+	return config.SpecToProto(&config.Service{Policy: config.DefaultPolicy()}).GetPolicy()
+}
+
 // readLimited reads at most what the store can hold.
 func (a *app) readLimited(path string) ([]byte, error) {
 	in := a.In
--- a/server/lifecycle.go
+++ b/server/lifecycle.go
@@ -92,7 +92,7 @@
 	life, cancel := context.WithCancel(ctx)
 	defer cancel()
 	context.AfterFunc(run, cancel)
-	err := s.start(life)
+	err := s.start(life, &components)
 	if err == nil {
 		<-life.Done()
 	}
@@ -133,10 +133,10 @@
 
 // start registers with the platform's list, so that other VMs that start now
 // find this one, and reads the configuration.
-func (s *Server) start(ctx context.Context) error {
+func (s *Server) start(ctx context.Context, wg *sync.WaitGroup) error {
 	if err := s.register(ctx, platform.VMLive); err != nil {
 		s.cfg.Logger.Warn("not yet registered with the platform's VM list", telemetry.FieldError, err)
-		go s.registerLater(ctx)
+		wg.Go(func() { s.registerLater(ctx) })
 	}
 	if err := s.rollout.Start(ctx); err != nil {
 		if ctx.Err() != nil {
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -34,6 +34,10 @@
 	return float64(n)
 }
 
+// AliveMembers returns how many VMs are alive in this VM's member table, itself
+// included.
+func (s *Server) AliveMembers() int { return int(s.countMembers(membership.Alive)) }
+
 func oneIf(b bool) float64 {
 	if b {
 		return 1
