Assemble the daemon, add dev and the golden session scripts

Cause: the packages below had no product around them. Excluded: package balance, which is not merged yet (replicas are chosen at random until then); load. Before: nothing ran as a daemon. After: separate processes (platform stand-in, two backend stand-ins, two daemons, operator and caller commands) run the scripts exchange, changes, stop, badinput and dev.

--- a/cli/exit.go
+++ b/cli/exit.go
@@ -74,15 +74,16 @@
 }
 
 func classifyRPC(err *connect.Error) *Error {
-	if c, ok := conflictOf(err); ok {
+	if c, ok := conflictOf(err); ok && err.Code() == connect.CodeAlreadyExists {
+		return &Error{Code: ExitConflict, Err: fmt.Errorf("service %s exists at revision %d; nothing was written", c.Service, c.ActualRevision),
+			Next: fmt.Sprintf("use \"briarstand service update %s --revision %d\" to change it", c.Service, c.ActualRevision)}
+	} else if ok {
 		return &Error{Code: ExitConflict, Err: conflictError(c), Next: conflictAdvice(c)}
 	}
 	e := &Error{Code: ExitError, Err: fmt.Errorf("%s: %w", strings.ReplaceAll(err.Code().String(), "_", " "), rpcMessage{err})}
 	switch err.Code() {
 	case connect.CodeAborted:
 		e.Code, e.Next = ExitConflict, "read the service again, apply the change to what you read, and try again"
-	case connect.CodeAlreadyExists:
-		e.Code, e.Next = ExitConflict, "use \"briarstand service update\" to change a service that exists"
 	case connect.CodeInvalidArgument, connect.CodeOutOfRange:
 		e.Code, e.Next = ExitUsage, "correct the value that is named and try again"
 	case connect.CodeNotFound:
--- a/cli/script_test.go
+++ b/cli/script_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -48,7 +49,7 @@
 		RequireExplicitExec: true,
 		Setup:               setupScript,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"run": cmdRun, "until": cmdUntil, "http": cmdHTTP, "note": cmdNote, "capture": cmdCapture, "expand": cmdExpand, "pick": cmdPick, "signal": cmdSignal,
+			"run": cmdRun, "until": cmdUntil, "http": cmdHTTP, "note": cmdNote, "capture": cmdCapture, "expand": cmdExpand, "total": cmdTotal, "signal": cmdSignal,
 		},
 	})
 }
@@ -70,6 +71,7 @@
 	}
 	env.Defer(func() { _ = lock.Close() })
 	env.Setenv("NET", network)
+	env.Setenv("LONG", strings.Repeat("x", 40000))
 	for name, value := range map[string]string{
 		"PLATFORM_URL": "http://" + network + ".1:8500", "OPERATOR": "eleni",
 		"OPERATOR_ADDRESS": network + ".11:7402", "CALLER_ADDRESS": network + ".11:7401",
@@ -108,6 +110,7 @@
 
 var (
 	timePattern   = regexp.MustCompile(`\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d(\.\d+)?Z`)
+	longPattern   = regexp.MustCompile(`x{100,}`)
 	ticketPattern = regexp.MustCompile(`\bA[0-9A-Za-z_-]{40,}`)
 	uuidPattern   = regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}`)
 	// Revisions appear in sentences and options, in JSON, in the path of a
@@ -117,21 +120,24 @@
 		regexp.MustCompile(`"(?:revision|config_index|configIndex|expectedRevision|actualRevision|base)": ?"?(\d+)`),
 		regexp.MustCompile(`cas=(\d+)`),
 		regexp.MustCompile(`(?m)^(\d+)  TIME`),
-		regexp.MustCompile(`(?m)^[a-z0-9-]+  (\d+)  \d+  \d+$`),
+		regexp.MustCompile(`SERVICE  REVISION  BACKENDS  INDEX VERSIONS\n[a-z0-9-]+  (\d+)`),
 		regexp.MustCompile(`(?m)(?:true|false)  (\d+)$`),
 	}
-	columnPattern   = regexp.MustCompile(`  +`)
+	columnPattern   = regexp.MustCompile(`(\S)  +`)
+	portPattern     = regexp.MustCompile(`127\.0\.0\.1:\d+`)
 	trailingPattern = regexp.MustCompile(`(?m)[ \t]+$`)
 )
 
 // normalise replaces what differs from run to run: networks, times, generated
 // ids and revisions. Revisions become r1, r2 and so on, in order of appearance.
 func (s *session) normalise(text string) string {
+	text = portPattern.ReplaceAllString(text, "127.0.0.1:PORT")
 	text = strings.ReplaceAll(text, s.network+".", "127.0.0.")
 	text = timePattern.ReplaceAllString(text, "TIME")
 	text = uuidPattern.ReplaceAllString(text, "UUID")
+	text = longPattern.ReplaceAllString(text, "xxx...")
 	text = ticketPattern.ReplaceAllString(text, "TICKET")
-	text = columnPattern.ReplaceAllString(text, "  ")
+	text = columnPattern.ReplaceAllString(text, "$1  ")
 	text = trailingPattern.ReplaceAllString(text, "")
 	for _, p := range revisionPatterns {
 		text = s.nameRevisions(p, text)
@@ -167,7 +173,19 @@
 func cmdRun(ts *testscript.TestScript, _ bool, args []string) {
 	err := ts.Exec(args[0], args[1:]...)
 	out, errOut := ts.ReadFile("stdout"), ts.ReadFile("stderr")
-	record(ts, "$ "+strings.Join(args, " ")+"\n"+out+errOut+fmt.Sprintf("[exit %d]\n", exitCode(ts, err)))
+	record(ts, "$ "+quoted(args)+"\n"+out+errOut+fmt.Sprintf("[exit %d]\n", exitCode(ts, err)))
+}
+
+// quoted joins arguments and puts those with spaces in quotes.
+func quoted(args []string) string {
+	var words []string
+	for _, a := range args {
+		if a == "" || strings.Contains(a, " ") {
+			a = "'" + a + "'"
+		}
+		words = append(words, a)
+	}
+	return strings.Join(words, " ")
 }
 
 func exitCode(ts *testscript.TestScript, err error) int {
@@ -187,7 +205,7 @@
 	for {
 		var out string
 		if args[1] == "http" {
-			out = request(http.MethodGet, args[2], "", "")
+			out = request(http.MethodGet, args[2], "")
 		} else {
 			_ = ts.Exec(args[1], args[2:]...)
 			out = ts.ReadFile("stdout") + ts.ReadFile("stderr")
@@ -202,31 +220,37 @@
 	}
 }
 
-// cmdHTTP sends a request, METHOD URL [BODY [CONTENT-TYPE]], and records status
-// and body. BODY may be @FILE.
+// cmdHTTP sends a request, METHOD URL [BODY [NAME:VALUE...]], and records status
+// and body. BODY may be @FILE, or N*TEXT for a long one.
 func cmdHTTP(ts *testscript.TestScript, _ bool, args []string) {
-	body, contentType := "", "application/json"
+	body := ""
 	if len(args) > 2 {
 		body = args[2]
 	}
-	if len(args) > 3 {
-		contentType = args[3]
-	}
-	shown := body
+	shown := args[min(len(args), 2):]
 	if file, ok := strings.CutPrefix(body, "@"); ok {
 		body = ts.ReadFile(file)
+	} else if n, text, ok := strings.Cut(body, "*"); ok {
+		count, err := strconv.Atoi(n)
+		ts.Check(err)
+		body = strings.Repeat(text, count)
 	}
-	record(ts, fmt.Sprintf("$ %s %s %s\n%s", args[0], args[1], shown, request(args[0], args[1], body, contentType)))
+	answer := request(args[0], args[1], body, args[min(len(args), 3):]...)
+	record(ts, fmt.Sprintf("$ %s %s %s\n%s", args[0], args[1], strings.Join(shown, " "), answer))
 }
 
-func request(method, url, body, contentType string) string {
+func request(method, url, body string, headers ...string) string {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
 	if err != nil {
 		return err.Error() + "\n"
 	}
-	req.Header.Set("Content-Type", contentType)
+	req.Header.Set("Content-Type", "application/json")
+	for _, h := range headers {
+		name, value, _ := strings.Cut(h, ":")
+		req.Header.Set(name, value)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return err.Error() + "\n"
@@ -257,16 +281,21 @@
 	}
 }
 
-// cmdPick reads JSON from a URL and records the named fields of it.
-func cmdPick(ts *testscript.TestScript, _ bool, args []string) {
-	_, body, _ := strings.Cut(request(http.MethodGet, args[0], "", ""), " ")
-	var values map[string]any
-	ts.Check(json.Unmarshal([]byte(body), &values))
-	line := "$ GET " + args[0] + "\n"
-	for _, field := range args[1:] {
-		line += fmt.Sprintf("%s: %v\n", field, values[field])
+// cmdTotal adds up a field of the JSON answers of several URLs and records the
+// sum.
+func cmdTotal(ts *testscript.TestScript, _ bool, args []string) {
+	total := 0.0
+	for _, url := range args[1:] {
+		_, body, _ := strings.Cut(request(http.MethodGet, url, ""), " ")
+		var values map[string]any
+		ts.Check(json.Unmarshal([]byte(body), &values))
+		n, ok := values[args[0]].(float64)
+		if !ok {
+			ts.Fatalf("%s has no number %s", url, args[0])
+		}
+		total += n
 	}
-	record(ts, line)
+	record(ts, fmt.Sprintf("%s at %s: %v\n", args[0], strings.Join(args[1:], " and "), total))
 }
 
 // cmdSignal sends SIGTERM, SIGSTOP or SIGCONT to the background program that
--- a/server/adapters.go
+++ b/server/adapters.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+
+	"connectrpc.com/connect"
 
 	"github.com/briarstand/briarstand/config"
 	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
@@ -17,6 +20,10 @@
 
 func (r rollouts) Status(ctx context.Context, service string, revision int64) (*briarstandv1.Rollout, error) {
 	s, err := r.controller.Status(ctx, service, revision)
+	var unknown *rollout.UnknownRevisionError
+	if errors.As(err, &unknown) {
+		return nil, connect.NewError(connect.CodeNotFound, err)
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -13,7 +13,6 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/briarstand/briarstand/backend"
-	"github.com/briarstand/briarstand/balance"
 	"github.com/briarstand/briarstand/config"
 	"github.com/briarstand/briarstand/config/command"
 	configquery "github.com/briarstand/briarstand/config/query"
@@ -140,9 +139,9 @@
 func (s *Server) view() *membership.View { return s.membership.View() }
 
 func (s *Server) assembleQueries(incarnation int64) {
-	picker := balance.NewPicker(balance.Config{})
+	picker := randomPicker{}
 	s.pool = backend.NewPool(backend.PoolConfig{
-		Random: rand.Float64, Logger: s.cfg.Logger, Metrics: s.cfg.Metrics, OnConnect: picker.Connected,
+		Random: rand.Float64, Logger: s.cfg.Logger, Metrics: s.cfg.Metrics,
 	})
 	var mu sync.Mutex
 	s.registry.OnApply(func(*config.Service) {
