--- a/query/engine.go
+++ b/query/engine.go
@@ -47,6 +47,9 @@
 	// DefaultAnswerMargin is the time before the deadline at which a query
 	// answers with what it has: twice the latency to callers, plus the work.
 	DefaultAnswerMargin = 10 * time.Millisecond
+	// DefaultMaxInFlight bounds the queries of a VM, which hold memory even
+	// where they only wait for another call with the same ticket.
+	DefaultMaxInFlight = 4096
 	// marginPart bounds the margin of short deadlines, as one part in this
 	// number of the time left.
 	marginPart = 5
@@ -69,6 +72,9 @@
 	MissingFor time.Duration
 	// AnswerMargin is how long before its deadline a query answers.
 	AnswerMargin time.Duration
+	// MaxInFlight bounds the calls of Run in progress, over all services and
+	// with those that only wait.
+	MaxInFlight int
 }
 
 func (c Config) withDefaults() Config {
@@ -84,6 +90,9 @@
 	if c.AnswerMargin <= 0 {
 		c.AnswerMargin = DefaultAnswerMargin
 	}
+	if c.MaxInFlight <= 0 {
+		c.MaxInFlight = DefaultMaxInFlight
+	}
 	return c
 }
 
@@ -114,19 +123,36 @@
 }
 
 func (e *Engine) run(ctx context.Context, req *briarstandv1.QueryRequest, mayRelay bool) (*briarstandv1.QueryResponse, error) {
-	e.life.enter()
+	inFlight := e.life.enter()
 	defer e.life.leave()
 	if err := validate(req); err != nil {
 		return nil, err
 	}
+	if inFlight > e.cfg.MaxInFlight {
+		return e.tooMany(req), nil
+	}
 	if req.GetNonIdempotent() {
 		return e.runTicketed(ctx, req, mayRelay)
 	}
-	id := req.GetRequestId()
-	if id == "" {
-		id = uuid.NewString()
+	return e.runAdmitted(ctx, req, requestID(req))
+}
+
+// requestID returns the caller's request id, or a new one.
+func requestID(req *briarstandv1.QueryRequest) string {
+	if id := req.GetRequestId(); id != "" {
+		return id
+	}
+	return uuid.NewString()
+}
+
+// tooMany refuses a query of a VM that has too many in flight. A ticket may
+// have been used before, so its request is not reported as not run.
+func (e *Engine) tooMany(req *briarstandv1.QueryRequest) *briarstandv1.QueryResponse {
+	const reason = "the VM has too many queries in flight"
+	if req.GetNonIdempotent() {
+		return e.unknown(requestID(req), reason+"; the ticket may be offered again")
 	}
-	return e.runAdmitted(ctx, req, id)
+	return e.notRun(requestID(req), reason, unavailableRetryAfter)
 }
 
 // runAdmitted passes a query through the gate and the admission limits.
@@ -153,12 +179,12 @@
 	release, err := svc.admission.Acquire(deadlineContext{ctx, answerBy}, priority)
 	if err != nil {
 		resp := e.notRun(id, err.Error(), retryAfterOf(err))
-		svc.metrics.observe(resp, start)
+		e.observe(svc, resp, start)
 		return resp, nil
 	}
 	defer release()
 	resp := e.dispatch(ctx, req, id, svc, answerBy)
-	svc.metrics.observe(resp, start)
+	e.observe(svc, resp, start)
 	return resp, nil
 }
 
--- a/query/lifecycle.go
+++ b/query/lifecycle.go
@@ -13,10 +13,12 @@
 	idle     chan struct{} // closed when count is 0; nil unless someone waits
 }
 
-func (l *lifecycle) enter() {
+// enter counts a query and returns how many are in flight with it.
+func (l *lifecycle) enter() int {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.count++
-	l.mu.Unlock()
+	return l.count
 }
 
 func (l *lifecycle) leave() {
--- a/query/outcome.go
+++ b/query/outcome.go
@@ -1,12 +1,13 @@
 package query
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
 )
 
@@ -42,9 +43,18 @@
 	return strings.ToLower(strings.TrimPrefix(o.String(), "OUTCOME_"))
 }
 
-func (m *serviceMetrics) observe(resp *briarstandv1.QueryResponse, start time.Time) {
-	m.outcomes[resp.GetOutcome()].Inc()
-	m.duration.UpdateDuration(start)
+// observe counts an answer and logs it unless it is complete. The level is
+// debug, because an outage makes every answer incomplete.
+func (e *Engine) observe(svc *service, resp *briarstandv1.QueryResponse, start time.Time) {
+	svc.metrics.outcomes[resp.GetOutcome()].Inc()
+	svc.metrics.duration.UpdateDuration(start)
+	if resp.GetOutcome() == briarstandv1.Outcome_OUTCOME_COMPLETE || e.cfg.Logger.GetLevel() > log.DebugLevel {
+		return
+	}
+	e.cfg.Logger.Debug("query is not complete", "service", svc.name, "request_id", resp.GetRequestId(),
+		"outcome", outcomeName(resp.GetOutcome()), "reason", resp.GetReason(),
+		"answered", resp.GetCoverage().GetShardsAnswered(), "total", resp.GetCoverage().GetShardsTotal(),
+		"index_version", resp.GetIndexVersion(), "duration", time.Since(start))
 }
 
 // notRun returns the answer to a query of which nothing left the VM.
@@ -160,40 +170,3 @@
 	}
 	return fmt.Sprintf("%d of %d shards missing: %s", missing, len(r.shards), strings.Join(parts, ", "))
 }
-
-// merge returns the best hits of all answered shards, ordered by score, then
-// by shard and document id.
-func (r *run) merge() []*briarstandv1.Hit {
-	total := 0
-	for i := range r.shards {
-		total += len(r.shards[i].hits)
-	}
-	hits := make([]*briarstandv1.Hit, 0, total)
-	for i := range r.shards {
-		if r.shards[i].state != shardAnswered {
-			continue
-		}
-		for _, h := range r.shards[i].hits {
-			if h == nil {
-				continue
-			}
-			if h.Shard != r.shards[i].shard {
-				h.Shard = r.shards[i].shard
-			}
-			hits = append(hits, h)
-		}
-	}
-	slices.SortFunc(hits, compareHits)
-	return hits[:min(len(hits), r.limit)]
-}
-
-func compareHits(a, b *briarstandv1.Hit) int {
-	// A score that is not a number sorts last.
-	if c := cmp.Compare(b.Score, a.Score); c != 0 {
-		return c
-	}
-	if c := cmp.Compare(a.Shard, b.Shard); c != 0 {
-		return c
-	}
-	return strings.Compare(a.Id, b.Id)
-}
--- a/query/retry.go
+++ b/query/retry.go
@@ -122,12 +122,15 @@
 	if policy.HedgePermille <= 0 || r.req.GetNonIdempotent() {
 		return
 	}
+	now := time.Now()
+	left := r.answerBy.Sub(now)
 	r.hedgeDelay = r.svc.latency.percentile()
 	if r.hedgeDelay == 0 {
-		r.hedgeDelay = r.answerBy.Sub(r.start) / coldHedgePart
+		r.hedgeDelay = left / coldHedgePart
 	}
-	r.hedgeDelay = max(r.hedgeDelay, minHedgeDelay)
-	r.nextHedge = time.Now().Add(r.hedgeDelay)
+	// A hedge in the second half of the time hardly ever answers in time.
+	r.hedgeDelay = max(min(r.hedgeDelay, left/2), minHedgeDelay)
+	r.nextHedge = now.Add(r.hedgeDelay)
 }
 
 // hedge sends a second sub-request for each straggling shard, as far as the
--- a/query/run.go
+++ b/query/run.go
@@ -60,7 +60,6 @@
 	id       string
 	limit    int
 	answerBy time.Time
-	start    time.Time
 
 	collector  *collector
 	spare      []delivery
@@ -88,7 +87,6 @@
 		id:        id,
 		limit:     int(req.GetLimit()),
 		answerBy:  answerBy,
-		start:     time.Now(),
 		collector: newCollector(e.cfg.Picker, n),
 		spare:     make([]delivery, 0, n),
 	}
--- a/query/service.go
+++ b/query/service.go
@@ -53,6 +53,8 @@
 	}
 	gauge("running", s.admission.Running)
 	gauge("queued", s.admission.Queued)
+	set.GetOrCreateGauge(fmt.Sprintf("briarstand_hedge_delay_seconds{service=%q}", svc.Name),
+		func() float64 { return s.latency.percentile().Seconds() })
 	return s
 }
 
--- a/server/callerapi/callerapi.go
+++ b/server/callerapi/callerapi.go
@@ -5,9 +5,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"math"
 	"net/http"
+	"path"
+	"strconv"
 
 	"connectrpc.com/connect"
+	"github.com/VictoriaMetrics/metrics"
 
 	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
 	"github.com/briarstand/briarstand/gen/briarstand/v1/briarstandv1connect"
@@ -26,6 +31,8 @@
 	Address string
 	// MaxMessageBytes bounds the size of a request; 0 means the default.
 	MaxMessageBytes int
+	// Metrics counts calls by method and code, if set.
+	Metrics *metrics.Set
 	// Options are added to those of the handler.
 	Options []connect.HandlerOption
 }
@@ -35,10 +42,31 @@
 	if cfg.MaxMessageBytes <= 0 {
 		cfg.MaxMessageBytes = DefaultMaxMessageBytes
 	}
-	options := append([]connect.HandlerOption{connect.WithReadMaxBytes(cfg.MaxMessageBytes)}, cfg.Options...)
+	options := []connect.HandlerOption{connect.WithReadMaxBytes(cfg.MaxMessageBytes)}
+	if cfg.Metrics != nil {
+		options = append(options, connect.WithInterceptors(countCalls(cfg.Metrics)))
+	}
+	options = append(options, cfg.Options...)
 	return briarstandv1connect.NewCallerServiceHandler(&handler{cfg: cfg}, options...)
 }
 
+// countCalls counts calls by method and Connect code. Methods and codes are
+// few, so the number of counters is bounded.
+func countCalls(set *metrics.Set) connect.UnaryInterceptorFunc {
+	return func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+			resp, err := next(ctx, req)
+			code := "ok"
+			if err != nil {
+				code = connect.CodeOf(err).String()
+			}
+			set.GetOrCreateCounter(fmt.Sprintf("briarstand_caller_calls_total{method=%q,code=%q}",
+				path.Base(req.Spec().Procedure), code)).Inc()
+			return resp, err
+		}
+	}
+}
+
 // handler implements briarstandv1connect.CallerServiceHandler.
 type handler struct{ cfg Config }
 
@@ -85,7 +113,12 @@
 	case errors.As(err, &late):
 		return connect.NewError(connect.CodeDeadlineExceeded, err)
 	case errors.As(err, &notAdmitted):
-		return connect.NewError(connect.CodeUnavailable, err)
+		refusal := connect.NewError(connect.CodeUnavailable, err)
+		if notAdmitted.RetryAfter > 0 {
+			seconds := int(math.Ceil(notAdmitted.RetryAfter.Seconds()))
+			refusal.Meta().Set("Retry-After", strconv.Itoa(seconds))
+		}
+		return refusal
 	}
 	return connect.NewError(connect.CodeInternal, err)
 }
