--- a/query/machine_test.go
+++ b/query/machine_test.go
@@ -48,7 +48,9 @@
 // checkAnswer compares an answer with the fake's own record of the request.
 func checkAnswer(resp *briarstandv1.QueryResponse, records []*record, nonIdempotent bool) error {
 	ran, okay := map[int]int{}, map[int]bool{}
+	versions := map[string]bool{}
 	for _, r := range records {
+		versions[r.req.IndexVersion] = true
 		if r.ran {
 			ran[r.req.Shard]++
 		}
@@ -56,6 +58,9 @@
 			okay[r.req.Shard] = true
 		}
 	}
+	if len(versions) > 2 || nonIdempotent && len(versions) > 1 {
+		return fmt.Errorf("restarted too often: %v", versions)
+	}
 	cov := resp.Coverage
 	missing := map[int]bool{}
 	for _, shard := range cov.MissingShards {
@@ -211,7 +216,10 @@
 }
 
 // benchTransport answers at once from one goroutine, as a stream reader does.
-type benchTransport struct{ queue chan benchCall }
+type benchTransport struct {
+	backend.Transport // Load is not called
+	queue             chan benchCall
+}
 
 type benchCall struct {
 	req  *backend.Request
@@ -223,8 +231,6 @@
 
 func (t *benchTransport) Draining(string) bool { return false }
 
-func (t *benchTransport) Load(string) (float64, time.Duration, bool) { return 0, 0, false }
-
 func (t *benchTransport) Send(_ *config.Backend, req *backend.Request, tag int, sink backend.Sink) backend.Call {
 	c := benchCall{req, tag, sink}
 	t.queue <- c
--- a/query/run.go
+++ b/query/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/briarstand/briarstand/backend"
@@ -59,7 +60,6 @@
 	id       string
 	limit    int
 	answerBy time.Time
-	start    time.Time
 
 	collector  *collector
 	spare      []delivery
@@ -87,7 +87,6 @@
 		id:        id,
 		limit:     int(req.GetLimit()),
 		answerBy:  answerBy,
-		start:     time.Now(),
 		collector: newCollector(e.cfg.Picker, n),
 		spare:     make([]delivery, 0, n),
 	}
@@ -347,6 +346,13 @@
 		}
 	}
 	r.recordLatency(now)
+	r.endTry()
+}
+
+// endTry reports whether the bound version was missing at a backend server.
+func (r *run) endTry() {
+	clean := !slices.ContainsFunc(r.shards, func(s shardRun) bool { return s.versionMissing })
+	r.svc.missing.tried(r.binding.version.name, r.binding.probing, clean)
 }
 
 // handleLast takes a reply into account that arrived while the query ended.
