Test concurrent changes with lost replies against the stand-in

Cause: the recognition of repeated changes had only one example as a test. Excluded: tests on the real clock, whose pauses took most of the time; the test decides the order and the fault of every store call on a virtual clock. Before: a change id was searched in at most 16 archived chunks and then reported as a plain conflict.

--- a/config/command/command.go
+++ b/config/command/command.go
@@ -56,11 +56,13 @@
 type Commands struct {
 	store platform.Store
 	clock func() time.Time
+	// maxEmbedded is how many audit records a document holds.
+	maxEmbedded int
 }
 
 // New returns the commands on a store. The clock stamps audit records.
 func New(store platform.Store, clock func() time.Time) *Commands {
-	return &Commands{store: store, clock: clock}
+	return &Commands{store: store, clock: clock, maxEmbedded: maxEmbedded}
 }
 
 // edit is a change of one service.
--- a/config/command/command_test.go
+++ b/config/command/command_test.go
@@ -23,7 +23,6 @@
 func newFixture(t testing.TB) *fixture {
 	t.Helper()
 	server := standin.New(standin.Config{})
-	t.Cleanup(server.Close)
 	store, err := httpkv.New(httpkv.Config{BaseURL: "http://standin", Transport: server.Transport()})
 	if err != nil {
 		t.Fatal(err)
@@ -53,6 +52,7 @@
 func TestLifeCycle(t *testing.T) {
 	c := qt.New(t)
 	f := newFixture(t)
+	defer f.server.Close()
 	ctx := context.Background()
 	created, err := f.commands.Create(ctx, declaration(), change("c1", 0))
 	c.Assert(err, qt.IsNil)
--- a/config/command/errors.go
+++ b/config/command/errors.go
@@ -16,11 +16,19 @@
 	Expected int64
 	// Actual is the newest revision; 0 if the service does not exist.
 	Actual int64
+	// SearchedTo is the revision of the oldest audit record that was searched
+	// for the change id, when there are more that could hold it; otherwise 0.
+	// Then an earlier call with the same change id may have taken effect.
+	SearchedTo int64
 }
 
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("service %s is at revision %d, the change expects revision %d; read the service again, re-apply the change and send it with the newest revision",
+	text := fmt.Sprintf("service %s is at revision %d, the change expects revision %d; read the service again, re-apply the change and send it with the newest revision",
 		e.Service, e.Actual, e.Expected)
+	if e.SearchedTo > 0 {
+		text += fmt.Sprintf("; audit records before revision %d were not searched for the change id", e.SearchedTo)
+	}
+	return text
 }
 
 // ExistsError reports the creation of a service that exists.
--- /dev/null
+++ b/config/command/machine_test.go
@@ -0,0 +1,405 @@
+package command_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/config/command"
+	"github.com/briarstand/briarstand/config/query"
+	"github.com/briarstand/briarstand/platform"
+)
+
+// TestMain fixes the seed of the property tests, unless one is given by flag.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "20260101"); err != nil {
+		panic(err)
+	}
+	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
+		panic(err)
+	}
+	flag.Parse()
+	if err := goleak.Find(); err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	if err := goleak.Find(); err != nil && code == 0 {
+		fmt.Fprintln(os.Stderr, err)
+		code = 1
+	}
+	os.Exit(code)
+}
+
+// storeCall is a call of the store that waits for the test to let it run.
+type storeCall struct {
+	write bool
+	run   func()
+	fail  func(error)
+	land  func() // performs a write after its caller has given up
+	done  chan struct{}
+}
+
+// scheduledStore is one VM's view of the store. The test decides in which
+// order the calls of all VMs run, and with which fault.
+type scheduledStore struct {
+	platform.Store
+	pending atomic.Pointer[storeCall]
+}
+
+func (s *scheduledStore) wait(call *storeCall) {
+	call.done = make(chan struct{})
+	s.pending.Store(call)
+	<-call.done
+}
+
+func (s *scheduledStore) Get(ctx context.Context, key string) (entry platform.Entry, err error) {
+	s.wait(&storeCall{
+		run:  func() { entry, err = s.Store.Get(ctx, key) },
+		fail: func(failure error) { err = &platform.UnavailableError{Op: "get", Err: failure} },
+	})
+	return entry, err
+}
+
+func (s *scheduledStore) CompareAndSwap(ctx context.Context, key string, expected int64, value []byte) (entry platform.Entry, err error) {
+	s.wait(&storeCall{
+		write: true,
+		run:   func() { entry, err = s.Store.CompareAndSwap(ctx, key, expected, value) },
+		fail:  func(failure error) { err = &platform.UnknownResultError{Key: key, Err: failure} },
+		land:  func() { _, _ = s.Store.CompareAndSwap(ctx, key, expected, value) },
+	})
+	return entry, err
+}
+
+// operation is what an operator asks for; a retry runs the same one again.
+type operation struct {
+	name   string
+	change command.Change
+	run    func(*command.Commands, command.Change) (*config.Service, error)
+	// undecided is set once a call ended without knowing its result.
+	undecided bool
+	// refused is set when the last call proved that nothing was changed.
+	refused bool
+	active  int
+	result  *config.Service
+}
+
+// call is one running call of an operation.
+type call struct {
+	op     *operation
+	store  *scheduledStore
+	done   bool
+	result *config.Service
+	err    error
+}
+
+// machine runs changes of several VMs against one store.
+type machine struct {
+	*fixture
+	calls  []*call
+	ended  []*operation
+	late   []func()
+	serial int
+
+	docs    []*config.Service
+	decoded int // writes already in docs
+	checked int // docs already checked against the one before
+}
+
+const machineService = "tickets"
+
+// documents returns the documents written so far, the oldest first.
+func (m *machine) documents(t *rapid.T) []*config.Service {
+	writes := m.server.Writes()
+	for _, w := range writes[m.decoded:] {
+		if !strings.HasPrefix(w.Key, config.ServicesPrefix) {
+			continue
+		}
+		doc, err := config.Decode(platform.Entry{Key: w.Key, Value: w.Value, Index: w.Index})
+		if err != nil {
+			t.Fatalf("a write is not a valid document: %v", err)
+		}
+		m.docs = append(m.docs, doc)
+	}
+	m.decoded = len(writes)
+	return m.docs
+}
+
+func (m *machine) revision(t *rapid.T) int64 {
+	if docs := m.documents(t); len(docs) > 0 {
+		return docs[len(docs)-1].Revision
+	}
+	return 0
+}
+
+// Start begins a new change on a VM of its own.
+func (m *machine) Start(t *rapid.T) {
+	if len(m.calls) >= 4 {
+		t.Skip("enough calls")
+	}
+	m.serial++
+	op := &operation{
+		name:   rapid.SampledFrom([]string{"create", "update", "update", "delete", "drain", "drain", "restore"}).Draw(t, "operation"),
+		change: change(fmt.Sprintf("c%d", m.serial), 0),
+	}
+	expected := max(m.revision(t)-int64(rapid.IntRange(0, 5).Draw(t, "stale")/5), 0)
+	backend := rapid.SampledFrom([]string{"b1", "b2"}).Draw(t, "backend")
+	ctx := context.Background()
+	switch op.name {
+	case "create", "update":
+		svc := declaration()
+		svc.Policy.DeadlineMS = int64(rapid.IntRange(100, 103).Draw(t, "deadline"))
+		if rapid.Bool().Draw(t, "without b1") {
+			svc.Backends, svc.Versions = svc.Backends[1:], nil
+		}
+		op.run = func(c *command.Commands, ch command.Change) (*config.Service, error) { return c.Create(ctx, svc, ch) }
+		if op.name == "update" {
+			op.change.ExpectedRevision = expected
+			op.run = func(c *command.Commands, ch command.Change) (*config.Service, error) { return c.Update(ctx, svc, ch) }
+		}
+	case "delete":
+		op.change.ExpectedRevision = expected
+		op.run = func(c *command.Commands, ch command.Change) (*config.Service, error) {
+			return c.Delete(ctx, machineService, ch)
+		}
+	case "drain":
+		op.run = func(c *command.Commands, ch command.Change) (*config.Service, error) {
+			return c.Drain(ctx, machineService, backend, ch)
+		}
+	case "restore":
+		op.run = func(c *command.Commands, ch command.Change) (*config.Service, error) {
+			return c.Restore(ctx, machineService, backend, ch)
+		}
+	}
+	m.start(op)
+}
+
+// Retry repeats a call that ended, whatever its result was.
+func (m *machine) Retry(t *rapid.T) {
+	if len(m.ended) == 0 || len(m.calls) >= 4 {
+		t.Skip("nothing to retry")
+	}
+	m.start(rapid.SampledFrom(m.ended).Draw(t, "retried"))
+}
+
+func (m *machine) start(op *operation) {
+	c := &call{op: op, store: &scheduledStore{Store: m.store}}
+	op.active++
+	op.refused = false
+	commands := command.New(c.store, func() time.Time { return time.Unix(1_700_000_000, 0) })
+	commands.SetMaxEmbedded(4)
+	m.calls = append(m.calls, c)
+	go func() {
+		c.result, c.err = op.run(commands, op.change)
+		c.done = true
+	}()
+	synctest.Wait()
+}
+
+// Step lets one waiting store call run, or fail.
+func (m *machine) Step(t *rapid.T) {
+	if len(m.calls) == 0 {
+		t.Skip("no calls")
+	}
+	i := rapid.IntRange(0, len(m.calls)-1).Draw(t, "call")
+	fault := rapid.SampledFrom([]string{"", "", "", "", "drop reply", "down", "reject", "lose request", "late"}).Draw(t, "fault")
+	m.step(t, i, fault)
+}
+
+func (m *machine) step(t *rapid.T, i int, fault string) {
+	c := m.calls[i]
+	if c.store.pending.Load() == nil { // in a pause between two attempts
+		time.Sleep(time.Second)
+		synctest.Wait()
+	}
+	if pending := c.store.pending.Swap(nil); pending != nil {
+		m.serve(pending, fault)
+		close(pending.done)
+		synctest.Wait()
+	}
+	if c.done {
+		m.calls = append(m.calls[:i], m.calls[i+1:]...)
+		m.finish(t, c)
+	}
+}
+
+// abandon ends the calls that a failed check leaves behind, so that the bubble
+// can end and the failure is reported as it is.
+func (m *machine) abandon() {
+	for _, c := range m.calls {
+		for !c.done {
+			if pending := c.store.pending.Swap(nil); pending != nil {
+				pending.run()
+				close(pending.done)
+			}
+			time.Sleep(time.Second)
+			synctest.Wait()
+		}
+	}
+}
+
+func (m *machine) serve(pending *storeCall, fault string) {
+	switch fault {
+	case "drop reply":
+		m.server.SetDropReplies(1)
+	case "down":
+		m.server.SetDown(true)
+	case "reject":
+		m.server.SetReject(1)
+	case "lose request", "late":
+		pending.fail(errors.New(fault))
+		if pending.write && fault == "late" {
+			m.late = append(m.late, pending.land)
+		}
+		return
+	}
+	pending.run()
+	m.server.SetDropReplies(0)
+	m.server.SetDown(false)
+	m.server.SetReject(0)
+}
+
+// Land lets a write arrive at the store long after its caller gave up.
+func (m *machine) Land(t *rapid.T) {
+	if len(m.late) == 0 {
+		t.Skip("no late writes")
+	}
+	m.late[0]()
+	m.late = m.late[1:]
+}
+
+// finish compares what a call reports with the stand-in's record of writes.
+func (m *machine) finish(t *rapid.T, c *call) {
+	op := c.op
+	op.active--
+	m.ended = append(m.ended, op)
+	var unknown *platform.UnknownResultError
+	var unavailable *platform.UnavailableError
+	var reused *command.ReusedError
+	switch {
+	case c.err == nil:
+		m.checkResult(t, op, c.result)
+	case errors.As(c.err, &reused):
+		t.Fatalf("%s %s was taken for another change: %v", op.name, op.change.ID, c.err)
+	case errors.As(c.err, &unknown):
+		op.undecided = true
+	case errors.As(c.err, &unavailable):
+		op.refused = op.active == 0 && !op.undecided && op.result == nil
+	default:
+		op.refused = op.active == 0
+		if op.result != nil {
+			t.Fatalf("%s %s succeeded before and now fails: %v", op.name, op.change.ID, c.err)
+		}
+	}
+}
+
+func (m *machine) checkResult(t *rapid.T, op *operation, result *config.Service) {
+	op.result = result
+	for _, doc := range m.documents(t) {
+		if doc.ChangeID == op.change.ID {
+			if result.Revision != doc.Revision {
+				t.Fatalf("%s %s reports revision %d, written was %d", op.name, op.change.ID, result.Revision, doc.Revision)
+			}
+			requireSameState(t, result, doc)
+			return
+		}
+	}
+	t.Fatalf("%s %s reports success, but was not written", op.name, op.change.ID)
+}
+
+func requireSameState(t *rapid.T, a, b *config.Service) {
+	before, after, err := config.Diff(a, b)
+	if err != nil || before != "{}" || after != "{}" {
+		t.Fatalf("revisions %d and %d differ: %s, %s, %v", a.Revision, b.Revision, before, after, err)
+	}
+}
+
+// Check verifies the record of writes: revisions grow, every write is based on
+// the one before it and has one audit record of exactly its change, and no
+// change id was written twice or after a refusal.
+func (m *machine) Check(t *rapid.T) {
+	docs := m.documents(t)
+	for i := m.checked; i < len(docs); i++ {
+		m.checkWrite(t, docs[:i], docs[i])
+	}
+	m.checked = len(docs)
+	for _, op := range m.ended {
+		if op.refused && op.active == 0 && written(docs, op.change.ID) {
+			t.Fatalf("%s %s was reported as refused, but was written", op.name, op.change.ID)
+		}
+	}
+}
+
+func written(docs []*config.Service, changeID string) bool {
+	return slices.ContainsFunc(docs, func(doc *config.Service) bool { return doc.ChangeID == changeID })
+}
+
+func (m *machine) checkWrite(t *rapid.T, older []*config.Service, doc *config.Service) {
+	record := doc.Audit[len(doc.Audit)-1]
+	if record.ChangeID != doc.ChangeID || written(older, doc.ChangeID) {
+		t.Fatalf("change %s was written twice, or with the record of %s", doc.ChangeID, record.ChangeID)
+	}
+	if len(older) == 0 {
+		return
+	}
+	last := older[len(older)-1]
+	if doc.Revision <= last.Revision || record.Base != last.Revision {
+		t.Fatalf("revision %d is based on %d after %d", doc.Revision, record.Base, last.Revision)
+	}
+	before, err := config.Rewind(doc, record)
+	if err != nil {
+		t.Fatalf("rewind revision %d: %v", doc.Revision, err)
+	}
+	requireSameState(t, before, last)
+}
+
+// checkTrail verifies that the embedded and archived records together name
+// every write once and in order.
+func (m *machine) checkTrail(t *rapid.T, docs []*config.Service) {
+	if len(docs) == 0 {
+		return
+	}
+	records, err := query.New(m.store).Audit(context.Background(), machineService, query.MaxAuditLimit)
+	if err != nil || len(records) != len(docs) {
+		t.Fatalf("%d audit records for %d writes: %v", len(records), len(docs), err)
+	}
+	for i, r := range records {
+		doc := docs[len(docs)-1-i]
+		if r.ChangeID != doc.ChangeID || r.Revision != doc.Revision {
+			t.Fatalf("audit record %s at %d, write %s at %d", r.ChangeID, r.Revision, doc.ChangeID, doc.Revision)
+		}
+	}
+}
+
+// TestConcurrentChanges guards against lost updates, changes applied twice,
+// results that contradict what was written, and missing audit records, with
+// several VMs changing one service under lost, late and refused store calls.
+func TestConcurrentChanges(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		rapid.SyncTest(rt, func(rt *rapid.T) {
+			m := &machine{fixture: newFixture(t)}
+			defer m.server.Close()
+			defer m.abandon()
+			rt.Repeat(rapid.StateMachineActions(m))
+			for len(m.calls) > 0 {
+				m.step(rt, 0, "")
+			}
+			for len(m.late) > 0 {
+				m.Land(rt)
+			}
+			m.Check(rt)
+			m.checkTrail(rt, m.documents(rt))
+		})
+	})
+}
--- a/config/command/trail.go
+++ b/config/command/trail.go
@@ -10,18 +10,20 @@
 )
 
 const (
-	// maxEmbedded is how many audit records a document holds.
+	// maxEmbedded is how many audit records a document holds. It bounds what
+	// every change writes and every reader of the document transfers.
 	maxEmbedded = 64
 	// minSearched is how many of the newest records are searched for a change
 	// id at least, if there are as many.
 	minSearched = 64
-	// maxChunks bounds the archived chunks read to find one change id.
-	maxChunks = 16
+	// maxChunks bounds the archived chunks read to find one change id: about
+	// 2,000 records, more than all services together get in a day.
+	maxChunks = 64
 )
 
 // recognize returns the result of the change if it took effect before, or nil.
 func (c *Commands) recognize(ctx context.Context, e edit, current *config.Service) (*config.Service, error) {
-	newer, record, err := c.find(ctx, current, e.change)
+	newer, record, err := c.find(ctx, current, e)
 	if record == nil || err != nil {
 		return nil, err
 	}
@@ -37,20 +39,27 @@
 
 // find looks for a change id in the audit trail, from the newest record back,
 // until all records that can hold it were seen. It returns the record, and the
-// newer ones with the newest first.
-func (c *Commands) find(ctx context.Context, current *config.Service, change Change) ([]config.AuditRecord, *config.AuditRecord, error) {
+// newer ones with the newest first. It fails with a *ConflictError if maxChunks
+// ends the search.
+func (c *Commands) find(ctx context.Context, current *config.Service, e edit) ([]config.AuditRecord, *config.AuditRecord, error) {
 	var newer []config.AuditRecord
 	records, previous := current.Audit, current.ArchivedFrom
 	for chunks := 0; ; chunks++ {
 		for i := len(records) - 1; i >= 0; i-- {
-			if records[i].ChangeID == change.ID {
+			if records[i].ChangeID == e.change.ID {
 				return newer, &records[i], nil
 			}
 			newer = append(newer, records[i])
 		}
-		if previous == 0 || chunks == maxChunks || searched(newer, change) {
+		if previous == 0 || searched(newer, e.change) {
 			return nil, nil, nil
 		}
+		if chunks == maxChunks {
+			return nil, nil, &ConflictError{
+				Service: e.service, Expected: e.change.ExpectedRevision, Actual: current.Revision,
+				SearchedTo: newer[len(newer)-1].Revision,
+			}
+		}
 		chunk, err := c.chunk(ctx, current.Name, previous)
 		if err != nil {
 			return nil, nil, err
@@ -113,7 +122,7 @@
 		value, err := encodeWith(next, trail, record)
 		var tooLarge *config.FieldError
 		full := errors.As(err, &tooLarge) && len(trail) > 0
-		if !full && (err != nil || len(trail) < maxEmbedded) {
+		if !full && (err != nil || len(trail) < c.maxEmbedded) {
 			return value, err
 		}
 		archived, err := c.archive(ctx, next, trail)
--- a/server/operatorapi/errors.go
+++ b/server/operatorapi/errors.go
@@ -30,6 +30,16 @@
 	return fmt.Sprintf("%d operator requests are running, which is the limit; nothing was changed, try again", e.Limit)
 }
 
+// PanicError reports a request that ended by a fault of the daemon. Whether it
+// changed anything is not known.
+type PanicError struct {
+	Procedure string
+}
+
+func (e *PanicError) Error() string {
+	return fmt.Sprintf("%s failed by an internal error; its result is unknown, send a change again with the same change id", e.Procedure)
+}
+
 // connectError maps an error to a Connect code, and adds to the message what
 // the operator can do.
 func connectError(err error) *connect.Error {
--- a/server/operatorapi/operatorapi.go
+++ b/server/operatorapi/operatorapi.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"connectrpc.com/connect"
@@ -21,6 +22,9 @@
 // Defaults of Config.
 const (
 	DefaultAcceptWait = 5 * time.Second
+	// DefaultChangeTimeout leaves time for several calls of the key-value
+	// service after a lost race or a lost reply.
+	DefaultChangeTimeout = 10 * time.Second
 	// DefaultMaxRequestBytes holds a declaration as large as a document may be.
 	DefaultMaxRequestBytes  = 2 << 20
 	DefaultMaxResponseBytes = 64 << 20
@@ -53,6 +57,9 @@
 	// AcceptWait is how long a change waits for its acceptance. 0 means
 	// DefaultAcceptWait.
 	AcceptWait time.Duration
+	// ChangeTimeout bounds the writing of a change, before that wait. 0 means
+	// DefaultChangeTimeout.
+	ChangeTimeout time.Duration
 	// MaxRequestBytes and MaxResponseBytes bound messages; 0 means the default.
 	MaxRequestBytes  int
 	MaxResponseBytes int
@@ -66,6 +73,9 @@
 	if c.AcceptWait <= 0 {
 		c.AcceptWait = DefaultAcceptWait
 	}
+	if c.ChangeTimeout <= 0 {
+		c.ChangeTimeout = DefaultChangeTimeout
+	}
 	if c.MaxRequestBytes <= 0 {
 		c.MaxRequestBytes = DefaultMaxRequestBytes
 	}
@@ -96,6 +106,7 @@
 	return briarstandv1connect.NewOperatorServiceHandler(h,
 		connect.WithReadMaxBytes(cfg.MaxRequestBytes),
 		connect.WithSendMaxBytes(cfg.MaxResponseBytes),
+		connect.WithRecover(h.recovered),
 		connect.WithInterceptors(connect.UnaryInterceptorFunc(h.intercept)),
 	)
 }
@@ -119,13 +130,20 @@
 	}
 }
 
+// recovered turns a panic of one request into its error, so that the daemon
+// goes on.
+func (h *handler) recovered(_ context.Context, spec connect.Spec, _ http.Header, p any) error {
+	h.cfg.Logger.Error("operator request panicked", "procedure", spec.Procedure, "panic", p, "stack", string(debug.Stack()))
+	return connect.NewError(connect.CodeInternal, &PanicError{Procedure: spec.Procedure})
+}
+
 // CreateService adds a service.
 func (h *handler) CreateService(ctx context.Context, req *connect.Request[briarstandv1.CreateServiceRequest]) (*connect.Response[briarstandv1.ChangeResponse], error) {
 	svc, err := declared(req.Msg.GetName(), req.Msg.GetSpec())
 	if err != nil {
 		return nil, err
 	}
-	return h.change(ctx, req.Msg.GetChange(), func(ch command.Change) (*config.Service, error) {
+	return h.change(ctx, req.Msg.GetChange(), func(ctx context.Context, ch command.Change) (*config.Service, error) {
 		return h.cfg.Commands.Create(ctx, svc, ch)
 	})
 }
@@ -136,28 +154,28 @@
 	if err != nil {
 		return nil, err
 	}
-	return h.change(ctx, req.Msg.GetChange(), func(ch command.Change) (*config.Service, error) {
+	return h.change(ctx, req.Msg.GetChange(), func(ctx context.Context, ch command.Change) (*config.Service, error) {
 		return h.cfg.Commands.Update(ctx, svc, ch)
 	})
 }
 
 // DeleteService deletes a service.
 func (h *handler) DeleteService(ctx context.Context, req *connect.Request[briarstandv1.DeleteServiceRequest]) (*connect.Response[briarstandv1.ChangeResponse], error) {
-	return h.change(ctx, req.Msg.GetChange(), func(ch command.Change) (*config.Service, error) {
+	return h.change(ctx, req.Msg.GetChange(), func(ctx context.Context, ch command.Change) (*config.Service, error) {
 		return h.cfg.Commands.Delete(ctx, req.Msg.GetName(), ch)
 	})
 }
 
 // DrainBackend stops new work to a backend server.
 func (h *handler) DrainBackend(ctx context.Context, req *connect.Request[briarstandv1.DrainBackendRequest]) (*connect.Response[briarstandv1.ChangeResponse], error) {
-	return h.change(ctx, req.Msg.GetChange(), func(ch command.Change) (*config.Service, error) {
+	return h.change(ctx, req.Msg.GetChange(), func(ctx context.Context, ch command.Change) (*config.Service, error) {
 		return h.cfg.Commands.Drain(ctx, req.Msg.GetService(), req.Msg.GetBackendId(), ch)
 	})
 }
 
 // RestoreBackend lets a backend server receive new work again.
 func (h *handler) RestoreBackend(ctx context.Context, req *connect.Request[briarstandv1.RestoreBackendRequest]) (*connect.Response[briarstandv1.ChangeResponse], error) {
-	return h.change(ctx, req.Msg.GetChange(), func(ch command.Change) (*config.Service, error) {
+	return h.change(ctx, req.Msg.GetChange(), func(ctx context.Context, ch command.Change) (*config.Service, error) {
 		return h.cfg.Commands.Restore(ctx, req.Msg.GetService(), req.Msg.GetBackendId(), ch)
 	})
 }
@@ -172,11 +190,13 @@
 }
 
 // change runs a command and then waits a bounded time for its acceptance.
-func (h *handler) change(ctx context.Context, ch *briarstandv1.Change, run func(command.Change) (*config.Service, error)) (*connect.Response[briarstandv1.ChangeResponse], error) {
+func (h *handler) change(ctx context.Context, ch *briarstandv1.Change, run func(context.Context, command.Change) (*config.Service, error)) (*connect.Response[briarstandv1.ChangeResponse], error) {
 	if ch == nil {
 		return nil, &MissingFieldError{Field: "change"}
 	}
-	svc, err := run(command.Change{
+	changeCtx, cancel := context.WithTimeout(ctx, h.cfg.ChangeTimeout)
+	defer cancel()
+	svc, err := run(changeCtx, command.Change{
 		ID: ch.GetChangeId(), Operator: ch.GetOperator(), Reason: ch.GetReason(), ExpectedRevision: ch.GetExpectedRevision(),
 	})
 	if err != nil {
