--- /dev/null
+++ b/load/load.go
@@ -0,0 +1,265 @@
+// Package load generates load on a briarstand deployment and measures what its
+// callers see: latency, coverage, and the extra load on backend servers.
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+	"github.com/briarstand/briarstand/gen/briarstand/v1/briarstandv1connect"
+)
+
+// Defaults of Config.
+const (
+	DefaultMaxOutstanding = 4096
+	DefaultTimeout        = 250 * time.Millisecond
+	DefaultLimit          = 10
+	DefaultAttempts       = 2
+)
+
+// callGrace is how much longer than its deadline a query is waited for, so that
+// the answer about a missed deadline still arrives.
+const callGrace = time.Second
+
+// Stream is the load on one service.
+type Stream struct {
+	Service string
+	// Rate is the mean number of queries a second. Arrivals are random and
+	// independent of the answers.
+	Rate     float64
+	Limit    int32
+	Timeout  time.Duration
+	Priority briarstandv1.Priority
+}
+
+// Config configures a run. Zero fields take the defaults above.
+type Config struct {
+	// Addresses are host:port of caller APIs. Queries go to them in turn.
+	Addresses []string
+	Streams   []Stream
+	// Duration is how long queries are started; those started during Warmup,
+	// which comes first, are not measured.
+	Duration, Warmup time.Duration
+	// MaxOutstanding bounds the queries running at once. A query that waits for
+	// its turn is measured from its intended start.
+	MaxOutstanding int
+	// Attempts is how many addresses a query is sent to while they cannot be
+	// reached.
+	Attempts int
+	Seed     uint64
+	// Records are read before and after the measurement to compute the extra
+	// load. Without them it is not reported.
+	Records []RecordSource
+	// Verify compares hits with the documents of stand-in backend servers.
+	Verify bool
+	// Dial opens connections; net.Dialer by default.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// ConfigError reports a setting that is not allowed.
+type ConfigError struct{ Field, Reason string }
+
+func (e *ConfigError) Error() string { return fmt.Sprintf("load: %s: %s", e.Field, e.Reason) }
+
+func (c Config) check() (Config, error) {
+	if len(c.Addresses) == 0 {
+		return c, &ConfigError{"addresses", "at least one is needed"}
+	}
+	if len(c.Streams) == 0 {
+		return c, &ConfigError{"streams", "at least one is needed"}
+	}
+	if c.Duration <= 0 || c.Warmup < 0 {
+		return c, &ConfigError{"duration", "must be positive, the warm-up not negative"}
+	}
+	streams := make([]Stream, len(c.Streams))
+	for i, s := range c.Streams {
+		if s.Service == "" || !(s.Rate > 0) || s.Limit < 0 || s.Timeout < 0 {
+			return c, &ConfigError{fmt.Sprintf("streams[%d]", i), "needs a service and a positive rate; limit and timeout must not be negative"}
+		}
+		setDefault(&s.Limit, DefaultLimit)
+		setDefault(&s.Timeout, DefaultTimeout)
+		streams[i] = s
+	}
+	c.Streams = streams
+	setDefault(&c.MaxOutstanding, DefaultMaxOutstanding)
+	setDefault(&c.Attempts, DefaultAttempts)
+	if c.Dial == nil {
+		c.Dial = (&net.Dialer{}).DialContext
+	}
+	return c, nil
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// runner is one run.
+type runner struct {
+	cfg     Config
+	clients []briarstandv1connect.CallerServiceClient
+	slots   chan struct{} // holds a token for each outstanding query
+	wg      sync.WaitGroup
+	begin   time.Time // of the measurement
+}
+
+// Run sends the configured load and returns what was measured. It returns early
+// with the context's error.
+func Run(ctx context.Context, cfg Config) (*Result, error) {
+	cfg, err := cfg.check()
+	if err != nil {
+		return nil, err
+	}
+	transport := newTransport(cfg)
+	defer transport.CloseIdleConnections()
+	r := &runner{cfg: cfg, slots: make(chan struct{}, cfg.MaxOutstanding)}
+	for _, address := range cfg.Addresses {
+		client := briarstandv1connect.NewCallerServiceClient(
+			&http.Client{Transport: transport}, "http://"+address, connect.WithGRPC())
+		r.clients = append(r.clients, client)
+	}
+	return r.run(ctx)
+}
+
+func newTransport(cfg Config) *http.Transport {
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Transport{Protocols: &protocols, DialContext: cfg.Dial, DisableCompression: true}
+}
+
+func (r *runner) run(ctx context.Context) (*Result, error) {
+	if r.cfg.Warmup > 0 {
+		r.generateAll(ctx, r.cfg.Warmup, nil)
+	}
+	before, err := readRecords(ctx, r.cfg.Records)
+	if err != nil {
+		return nil, err
+	}
+	r.begin = time.Now()
+	meters := make([]*meter, len(r.cfg.Streams))
+	for i, s := range r.cfg.Streams {
+		meters[i] = newMeter(s)
+	}
+	r.generateAll(ctx, r.cfg.Duration, meters)
+	if err := ctx.Err(); err != nil {
+		return nil, fmt.Errorf("load: %w", err)
+	}
+	after, err := readRecords(ctx, r.cfg.Records)
+	if err != nil {
+		return nil, err
+	}
+	return summarize(meters, r.cfg.Duration, before, after), nil
+}
+
+// generateAll runs all streams and returns when the last query has ended.
+func (r *runner) generateAll(ctx context.Context, d time.Duration, meters []*meter) {
+	var generators sync.WaitGroup
+	for i, s := range r.cfg.Streams {
+		var m *meter
+		if meters != nil {
+			m = meters[i]
+		}
+		random := rand.New(rand.NewPCG(r.cfg.Seed, uint64(i)))
+		generators.Go(func() { r.generate(ctx, s, d, random, m) })
+	}
+	generators.Wait()
+	r.wg.Wait()
+}
+
+// generate starts queries at random times that do not depend on the answers.
+// When it falls behind, it starts them at once, and their latency includes the
+// delay.
+func (r *runner) generate(ctx context.Context, s Stream, d time.Duration, random *rand.Rand, m *meter) {
+	start := time.Now()
+	for n, at := 0, time.Duration(0); ; n++ {
+		at += time.Duration(random.ExpFloat64() / s.Rate * float64(time.Second))
+		if at >= d || !sleepUntil(ctx, start.Add(at)) {
+			return
+		}
+		select {
+		case r.slots <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+		r.wg.Go(func() {
+			r.query(ctx, s, n, start.Add(at), m)
+			<-r.slots
+		})
+	}
+}
+
+func sleepUntil(ctx context.Context, t time.Time) bool {
+	d := time.Until(t)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// query runs one query and measures it from its intended start.
+func (r *runner) query(ctx context.Context, s Stream, n int, intended time.Time, m *meter) {
+	req := &briarstandv1.QueryRequest{
+		Service:   s.Service,
+		RequestId: fmt.Sprintf("load-%d-%d", r.cfg.Seed, n),
+		Body:      fmt.Appendf(nil, "%s/%d", s.Service, n),
+		Limit:     s.Limit,
+		TimeoutMs: s.Timeout.Milliseconds(),
+		Priority:  s.Priority,
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.Timeout+callGrace)
+	defer cancel()
+	resp, err := r.call(ctx, n, req)
+	if m == nil {
+		return
+	}
+	wrong := ""
+	if err == nil {
+		wrong = checkAnswer(req, resp, r.cfg.Verify)
+	}
+	m.add(time.Since(intended), resp, err, wrong)
+}
+
+// call sends a query to one address after the other while they cannot be
+// reached. Queries are idempotent, so that it does not matter whether an
+// attempt arrived.
+func (r *runner) call(ctx context.Context, n int, req *briarstandv1.QueryRequest) (*briarstandv1.QueryResponse, error) {
+	var last error
+	for attempt := range r.cfg.Attempts {
+		client := r.clients[(n+attempt)%len(r.clients)]
+		resp, err := client.Query(ctx, connect.NewRequest(req))
+		if err == nil {
+			return resp.Msg, nil
+		}
+		last = err
+		if connect.CodeOf(err) != connect.CodeUnavailable || ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, last
+}
+
+// errorName returns the name under which a failed call is counted.
+func errorName(err error) string {
+	if errors.Is(err, context.Canceled) {
+		return connect.CodeCanceled.String()
+	}
+	return connect.CodeOf(err).String()
+}
--- /dev/null
+++ b/load/result.go
@@ -0,0 +1,265 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+)
+
+const (
+	// maxLatency is the longest latency that is told apart.
+	maxLatency = time.Minute
+	// latencyDigits is the number of significant digits of latencies.
+	latencyDigits = 3
+	// maxWrong bounds the descriptions of wrong answers that are kept.
+	maxWrong = 10
+)
+
+// Latency describes latencies, in milliseconds.
+type Latency struct {
+	Mean float64 `json:"mean_ms"`
+	P50  float64 `json:"p50_ms"`
+	P90  float64 `json:"p90_ms"`
+	P99  float64 `json:"p99_ms"`
+	P999 float64 `json:"p999_ms"`
+	Max  float64 `json:"max_ms"`
+}
+
+// ServiceResult is what the callers of one service saw.
+type ServiceResult struct {
+	Service string `json:"service"`
+	Queries int64  `json:"queries"`
+	// Outcomes counts answers by outcome; Errors counts calls without an answer
+	// by code.
+	Outcomes map[string]int64 `json:"outcomes"`
+	Errors   map[string]int64 `json:"errors"`
+	// Goodput is complete answers within the deadline, counted from the intended
+	// start, per second.
+	Goodput float64 `json:"goodput"`
+	// Latency is that of complete and partial answers, Refusal that of answers
+	// not run, both from the intended start.
+	Latency Latency `json:"latency"`
+	Refusal Latency `json:"refusal_latency"`
+	// CoverageMean and CoverageWorst are parts of all shards, over queries that
+	// were run.
+	CoverageMean  float64 `json:"coverage_mean"`
+	CoverageWorst float64 `json:"coverage_worst"`
+	// CompletePart is the part of the queries answered completely.
+	CompletePart float64 `json:"complete_part"`
+	// Wrong counts answers that contradict themselves or the documents;
+	// WrongExamples describes some.
+	Wrong         int64    `json:"wrong"`
+	WrongExamples []string `json:"wrong_examples,omitempty"`
+	// Shards is the sum of shards over the queries that were run.
+	Shards int64 `json:"shards"`
+}
+
+// ExtraLoad compares the work of backend servers with one sub-request for each
+// shard of each query that was run.
+type ExtraLoad struct {
+	Needed   int64 `json:"needed"`
+	Received int64 `json:"received"`
+	Started  int64 `json:"started"`
+	// ReceivedPart and StartedPart are the sub-requests beyond those needed, as
+	// parts of the needed; negative when shards were left out.
+	ReceivedPart float64 `json:"received_part"`
+	StartedPart  float64 `json:"started_part"`
+	// BusySeconds is the time that slots were busy.
+	BusySeconds float64 `json:"busy_s"`
+}
+
+// Result is what a run measured.
+type Result struct {
+	Seconds  float64         `json:"seconds"`
+	Services []ServiceResult `json:"services"`
+	// Extra is nil when no records were read.
+	Extra *ExtraLoad `json:"extra_load,omitempty"`
+}
+
+// meter collects the answers of one stream.
+type meter struct {
+	stream Stream
+
+	mu       sync.Mutex
+	result   ServiceResult
+	answers  *hdrhistogram.Histogram
+	refusals *hdrhistogram.Histogram
+	good     int64
+	run      int64
+	coverage float64
+}
+
+func newMeter(s Stream) *meter {
+	newHistogram := func() *hdrhistogram.Histogram {
+		return hdrhistogram.New(1, maxLatency.Microseconds(), latencyDigits)
+	}
+	return &meter{
+		stream: s, answers: newHistogram(), refusals: newHistogram(),
+		result: ServiceResult{Service: s.Service, Outcomes: map[string]int64{}, Errors: map[string]int64{}, CoverageWorst: 1},
+	}
+}
+
+func outcomeName(o briarstandv1.Outcome) string {
+	return strings.ToLower(strings.TrimPrefix(o.String(), "OUTCOME_"))
+}
+
+// add counts a query that ended.
+func (m *meter) add(latency time.Duration, resp *briarstandv1.QueryResponse, err error, wrong string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.result.Queries++
+	if err != nil {
+		m.result.Errors[errorName(err)]++
+		return
+	}
+	m.result.Outcomes[outcomeName(resp.GetOutcome())]++
+	if wrong != "" {
+		m.result.Wrong++
+		if len(m.result.WrongExamples) < maxWrong {
+			m.result.WrongExamples = append(m.result.WrongExamples, resp.GetRequestId()+": "+wrong)
+		}
+	}
+	us := min(max(latency, time.Microsecond), maxLatency).Microseconds()
+	switch resp.GetOutcome() {
+	case briarstandv1.Outcome_OUTCOME_COMPLETE:
+		if latency <= m.stream.Timeout {
+			m.good++
+		}
+		record(m.answers, us)
+	case briarstandv1.Outcome_OUTCOME_PARTIAL:
+		record(m.answers, us)
+	case briarstandv1.Outcome_OUTCOME_NOT_RUN:
+		record(m.refusals, us)
+		return
+	}
+	m.addCoverage(resp.GetCoverage())
+}
+
+// record counts a latency within the bounds of the histogram, which cannot fail.
+func record(h *hdrhistogram.Histogram, us int64) { _ = h.RecordValue(us) }
+
+func (m *meter) addCoverage(c *briarstandv1.Coverage) {
+	if c.GetShardsTotal() == 0 {
+		return
+	}
+	part := float64(c.GetShardsAnswered()) / float64(c.GetShardsTotal())
+	m.run++
+	m.coverage += part
+	m.result.CoverageWorst = min(m.result.CoverageWorst, part)
+	m.result.Shards += int64(c.GetShardsTotal())
+}
+
+func (m *meter) summary(d time.Duration) ServiceResult {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r := m.result
+	r.Latency, r.Refusal = describe(m.answers), describe(m.refusals)
+	r.Goodput = float64(m.good) / d.Seconds()
+	if m.run > 0 {
+		r.CoverageMean = m.coverage / float64(m.run)
+	} else {
+		r.CoverageWorst = 0
+	}
+	if r.Queries > 0 {
+		complete := r.Outcomes[outcomeName(briarstandv1.Outcome_OUTCOME_COMPLETE)]
+		r.CompletePart = float64(complete) / float64(r.Queries)
+	}
+	return r
+}
+
+func describe(h *hdrhistogram.Histogram) Latency {
+	ms := func(us int64) float64 { return float64(us) / 1000 }
+	return Latency{
+		Mean: h.Mean() / 1000,
+		P50:  ms(h.ValueAtQuantile(50)), P90: ms(h.ValueAtQuantile(90)), P99: ms(h.ValueAtQuantile(99)),
+		P999: ms(h.ValueAtQuantile(99.9)), Max: ms(h.Max()),
+	}
+}
+
+func summarize(meters []*meter, d time.Duration, before, after totals) *Result {
+	r := &Result{Seconds: d.Seconds()}
+	var needed int64
+	for _, m := range meters {
+		s := m.summary(d)
+		needed += s.Shards
+		r.Services = append(r.Services, s)
+	}
+	if after.valid {
+		r.Extra = extraLoad(needed, before, after)
+	}
+	return r
+}
+
+func extraLoad(needed int64, before, after totals) *ExtraLoad {
+	e := &ExtraLoad{
+		Needed: needed, Received: after.received - before.received, Started: after.started - before.started,
+		BusySeconds: time.Duration(after.busy - before.busy).Seconds(),
+	}
+	if needed > 0 {
+		e.ReceivedPart = float64(e.Received)/float64(needed) - 1
+		e.StartedPart = float64(e.Started)/float64(needed) - 1
+	}
+	return e
+}
+
+// WriteJSON writes the result as one JSON document.
+func (r *Result) WriteJSON(w io.Writer) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	if err := e.Encode(r); err != nil {
+		return fmt.Errorf("load: write result: %w", err)
+	}
+	return nil
+}
+
+// WriteTable writes the result for people. Latencies are in milliseconds.
+func (r *Result) WriteTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "service\tqueries\tgoodput/s\tp50\tp90\tp99\tp99.9\tmax\tcomplete\tcoverage\tworst\twrong\t")
+	for _, s := range r.Services {
+		l := s.Latency
+		fmt.Fprintf(t, "%s\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.2f%%\t%.2f%%\t%.2f%%\t%d\t\n",
+			s.Service, s.Queries, s.Goodput, l.P50, l.P90, l.P99, l.P999, l.Max,
+			100*s.CompletePart, 100*s.CoverageMean, 100*s.CoverageWorst, s.Wrong)
+	}
+	if err := t.Flush(); err != nil {
+		return fmt.Errorf("load: write result: %w", err)
+	}
+	return r.writeDetails(w)
+}
+
+func (r *Result) writeDetails(w io.Writer) error {
+	var b strings.Builder
+	for _, s := range r.Services {
+		fmt.Fprintf(&b, "%s: outcomes %s; errors %s; refusals p99 %.1f\n", s.Service, counts(s.Outcomes), counts(s.Errors), s.Refusal.P99)
+	}
+	if e := r.Extra; e != nil {
+		fmt.Fprintf(&b, "extra load: %+.2f%% received, %+.2f%% started, of %d sub-requests needed\n",
+			100*e.ReceivedPart, 100*e.StartedPart, e.Needed)
+	}
+	if _, err := io.WriteString(w, b.String()); err != nil {
+		return fmt.Errorf("load: write result: %w", err)
+	}
+	return nil
+}
+
+func counts(m map[string]int64) string {
+	if len(m) == 0 {
+		return "none"
+	}
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(m)) {
+		parts = append(parts, fmt.Sprintf("%s=%d", name, m[name]))
+	}
+	return strings.Join(parts, " ")
+}
