Take hedge delays from balance.Latencies

Cause: query had its own estimator of sub-request latency next to the one that package balance now has. Excluded: keeping both. The histogram library's estimator needed a lock per batch; the one of balance counts with atomics. Conclusion: one estimator.

--- a/query/engine.go
+++ b/query/engine.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 
 	"github.com/briarstand/briarstand/backend"
+	"github.com/briarstand/briarstand/balance"
 	"github.com/briarstand/briarstand/config"
 	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
 	"github.com/briarstand/briarstand/limit"
@@ -100,12 +101,13 @@
 type Engine struct {
 	cfg      Config
 	services sync.Map // name to *service
+	latency  *balance.Latencies
 	life     lifecycle
 }
 
 // NewEngine returns an Engine. It starts no goroutine of its own.
 func NewEngine(cfg Config) *Engine {
-	return &Engine{cfg: cfg.withDefaults()}
+	return &Engine{cfg: cfg.withDefaults(), latency: balance.NewLatencies(balance.LatencyConfig{})}
 }
 
 // Run runs one query and answers shortly before its deadline at the latest.
--- a/query/fake_test.go
+++ b/query/fake_test.go
@@ -307,8 +307,9 @@
 
 // warm makes the hedge delay known: about the given latency.
 func (h *harness) warm(latency time.Duration) {
-	s, _, _ := h.lookup("desk")
-	s.latency.record(slices.Repeat([]time.Duration{latency}, 100), 950, time.Now())
+	for range 100 {
+		h.Engine.latency.Observe("desk", latency)
+	}
 }
 
 // settle waits for late replies and checks that each sub-request ended once.
--- a/query/retry.go
+++ b/query/retry.go
@@ -124,12 +124,12 @@
 	}
 	now := time.Now()
 	left := r.answerBy.Sub(now)
-	r.hedgeDelay = r.svc.latency.percentile()
-	if r.hedgeDelay == 0 {
-		r.hedgeDelay = left / coldHedgePart
+	delay, known := r.engine.latency.LatencyQuantile(r.svc.name, policy.HedgePermille)
+	if !known {
+		delay = left / coldHedgePart
 	}
 	// A hedge in the second half of the time hardly ever answers in time.
-	r.hedgeDelay = max(min(r.hedgeDelay, left/2), minHedgeDelay)
+	r.hedgeDelay = max(min(delay, left/2), minHedgeDelay)
 	r.nextHedge = now.Add(r.hedgeDelay)
 }
 
--- a/query/run.go
+++ b/query/run.go
@@ -63,7 +63,6 @@
 
 	collector  *collector
 	spare      []delivery
-	samples    []time.Duration
 	tried      []string
 	requests   []backend.Request
 	shards     []shardRun
@@ -245,12 +244,6 @@
 	}
 	clear(batch)
 	r.spare = batch
-	r.recordLatency(now)
-}
-
-func (r *run) recordLatency(now time.Time) {
-	r.svc.latency.record(r.samples, r.plan.service.Policy.HedgePermille, now)
-	r.samples = r.samples[:0]
 }
 
 // handle takes one reply into account.
@@ -264,7 +257,7 @@
 	s := &r.shards[position]
 	s.outstanding--
 	if d.reply.Status == backend.OK && r.matches(s, &d.reply) {
-		r.samples = append(r.samples, d.latency)
+		r.engine.latency.Observe(r.svc.name, d.latency)
 		r.answered(s, &d.reply, now)
 		return
 	}
@@ -306,7 +299,7 @@
 	for tag := s.last; tag != none; {
 		a := &r.collector.attempts[tag]
 		if !r.collector.hasReplied(int(tag)) {
-			r.samples = append(r.samples, now.Sub(a.start))
+			r.engine.latency.Observe(r.svc.name, now.Sub(a.start))
 			a.call.Cancel()
 		}
 		tag = a.previous
@@ -345,7 +338,6 @@
 			r.cancel(s, now)
 		}
 	}
-	r.recordLatency(now)
 	r.endTry()
 }
 
@@ -367,7 +359,7 @@
 	s.outstanding--
 	s.mayHaveRun = s.mayHaveRun || !d.reply.Status.NotRun()
 	if d.reply.Status == backend.OK && r.matches(s, &d.reply) && s.state == shardOpen {
-		r.samples = append(r.samples, d.latency)
+		r.engine.latency.Observe(r.svc.name, d.latency)
 		s.state = shardAnswered
 		s.hits = d.reply.Hits
 		r.open--
--- a/query/service.go
+++ b/query/service.go
@@ -19,7 +19,6 @@
 	name      string
 	admission *limit.Admission
 	budget    *limit.Budget
-	latency   *latencies
 	missing   *missingTable
 	plan      atomic.Pointer[plan]
 	mu        sync.Mutex // serializes changes of plan
@@ -42,7 +41,6 @@
 		name:      svc.Name,
 		admission: limit.NewAdmission(limitsOf(svc)),
 		budget:    limit.NewBudget(svc.Policy.ExtraLoadPermille),
-		latency:   newLatencies(),
 		missing:   newMissingTable(missingFor),
 		metrics:   newServiceMetrics(svc.Name, set),
 	}
@@ -53,8 +51,6 @@
 	}
 	gauge("running", s.admission.Running)
 	gauge("queued", s.admission.Queued)
-	set.GetOrCreateGauge(fmt.Sprintf("briarstand_hedge_delay_seconds{service=%q}", svc.Name),
-		func() float64 { return s.latency.percentile().Seconds() })
 	return s
 }
 
