Drop the state of deleted services

Cause: the engine kept limits, latencies and metrics of every service that ever existed, and two first queries at once could register gauges of a state that was then discarded. Excluded: dropping busy services, which would lose count of what runs; a query that finds its service created again is refused as not run. Before: state grows with each service name.

--- a/query/engine.go
+++ b/query/engine.go
@@ -100,7 +100,8 @@
 // Engine runs queries at one VM. Its methods may be called concurrently.
 type Engine struct {
 	cfg      Config
-	services sync.Map // name to *service
+	services sync.Map   // name to *service
+	mu       sync.Mutex // serializes additions and removals of services
 	latency  *balance.Latencies
 	life     lifecycle
 }
@@ -197,6 +198,10 @@
 	if !ok {
 		return e.notRun(id, "the service was deleted", 0)
 	}
+	if value, _ := e.services.Load(svc.name); value != svc {
+		// The limits of a service that was created again do not count this query.
+		return e.notRun(id, "the service was deleted and created again", unavailableRetryAfter)
+	}
 	p := svc.current(doc)
 	b := p.bind(req.GetShards(), svc.exclusions(p, e.cfg.Transport), !req.GetNonIdempotent())
 	if b == nil {
@@ -239,14 +244,44 @@
 	if !ok {
 		return nil, nil, false
 	}
-	value, ok := e.services.Load(name)
-	if !ok {
-		value, _ = e.services.LoadOrStore(name, newService(doc, e.cfg.Metrics, e.cfg.MissingFor))
-	}
-	svc := value.(*service)
+	svc := e.service(doc)
 	return svc, svc.current(doc), true
 }
 
+// service returns the state of a service and creates it on the first query.
+func (e *Engine) service(doc *config.Service) *service {
+	if value, ok := e.services.Load(doc.Name); ok {
+		return value.(*service)
+	}
+	// The lock keeps a second state from registering its metrics.
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if value, ok := e.services.Load(doc.Name); ok {
+		return value.(*service)
+	}
+	svc := newService(doc, e.cfg.Metrics, e.cfg.MissingFor)
+	e.services.Store(doc.Name, svc)
+	return svc
+}
+
+// Update drops what the engine keeps for services that the snapshot does not
+// contain and that have no query running or waiting. It is called after the
+// configuration changed; a service that is busy is dropped at a later call.
+func (e *Engine) Update(snapshot *config.Snapshot) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.services.Range(func(name, value any) bool {
+		svc := value.(*service)
+		if _, ok := snapshot.Service(svc.name); ok || !svc.idle() {
+			return true
+		}
+		e.services.Delete(name)
+		e.latency.Forget(svc.name)
+		svc.metrics.remove()
+		return true
+	})
+}
+
 // BeginRequest issues a ticket for a non-idempotent query of a service. It
 // fails with *NotAdmittedError at a VM that admits no queries, so that callers
 // get their ticket where it can be used.
--- a/query/engine_test.go
+++ b/query/engine_test.go
@@ -185,6 +185,25 @@
 	})
 }
 
+// Guards against state of deleted services that is kept for ever, or dropped
+// while a query runs.
+func TestDeletedService(t *testing.T) {
+	bubble(t, testService(2, 2, 1), func(h *harness) {
+		var wg sync.WaitGroup
+		wg.Go(func() { h.c.Check(h.run("running").Outcome, qt.Equals, complete) })
+		synctest.Wait()
+		h.apply(func(svc *config.Service) { svc.Deleted = true })
+		h.Update(h.registry.Snapshot())
+		_, kept := h.services.Load("desk")
+		h.c.Assert(kept, qt.IsTrue)
+		wg.Wait()
+		h.Update(h.registry.Snapshot())
+		h.c.Assert(h.cfg.Metrics.ListMetricNames(), qt.HasLen, 0)
+		h.apply(func(svc *config.Service) { svc.Deleted = false })
+		h.c.Assert(h.run("again").Outcome, qt.Equals, complete)
+	})
+}
+
 // Guards against a version that no preference asks for.
 func TestPreference(t *testing.T) {
 	for preference, want := range map[config.Preference]string{
--- a/query/service.go
+++ b/query/service.go
@@ -27,6 +27,8 @@
 
 // serviceMetrics are the counters of one service.
 type serviceMetrics struct {
+	set      *metrics.Set
+	names    []string // of all metrics, for their removal
 	outcomes [briarstandv1.Outcome_OUTCOME_DEADLINE_EXCEEDED + 1]*metrics.Counter
 	duration *metrics.Histogram
 	primary  *metrics.Counter
@@ -45,31 +47,51 @@
 		metrics:   newServiceMetrics(svc.Name, set),
 	}
 	s.plan.Store(newPlan(svc))
-	gauge := func(kind string, value func() int) {
-		name := fmt.Sprintf("briarstand_admission_%s{service=%q}", kind, svc.Name)
-		set.GetOrCreateGauge(name, func() float64 { return float64(value()) })
-	}
-	gauge("running", s.admission.Running)
-	gauge("queued", s.admission.Queued)
+	s.metrics.gauge("briarstand_admission_running", svc.Name, s.admission.Running)
+	s.metrics.gauge("briarstand_admission_queued", svc.Name, s.admission.Queued)
 	return s
 }
 
-func newServiceMetrics(name string, set *metrics.Set) serviceMetrics {
-	m := serviceMetrics{
-		duration: set.GetOrCreateHistogram(fmt.Sprintf("briarstand_query_duration_seconds{service=%q}", name)),
-		denied:   set.GetOrCreateCounter(fmt.Sprintf("briarstand_extra_denied_total{service=%q}", name)),
-	}
+// idle reports whether no query of the service runs or waits.
+func (s *service) idle() bool { return s.admission.Running() == 0 && s.admission.Queued() == 0 }
+
+func newServiceMetrics(service string, set *metrics.Set) serviceMetrics {
+	m := serviceMetrics{set: set}
 	for i := range m.outcomes {
-		m.outcomes[i] = set.GetOrCreateCounter(fmt.Sprintf(
-			"briarstand_queries_total{service=%q,outcome=%q}", name, outcomeName(briarstandv1.Outcome(i))))
+		outcome := outcomeName(briarstandv1.Outcome(i))
+		m.outcomes[i] = m.counter(fmt.Sprintf("briarstand_queries_total{service=%q,outcome=%q}", service, outcome))
 	}
-	kind := func(k string) *metrics.Counter {
-		return set.GetOrCreateCounter(fmt.Sprintf("briarstand_sub_requests_total{service=%q,kind=%q}", name, k))
+	subRequests := func(kind string) *metrics.Counter {
+		return m.counter(fmt.Sprintf("briarstand_sub_requests_total{service=%q,kind=%q}", service, kind))
 	}
-	m.primary, m.hedges, m.retries, m.restarts = kind("primary"), kind("hedge"), kind("retry"), kind("restart")
+	m.primary, m.hedges = subRequests("primary"), subRequests("hedge")
+	m.retries, m.restarts = subRequests("retry"), subRequests("restart")
+	m.denied = m.counter(fmt.Sprintf("briarstand_extra_denied_total{service=%q}", service))
+	duration := fmt.Sprintf("briarstand_query_duration_seconds{service=%q}", service)
+	m.names = append(m.names, duration)
+	m.duration = set.GetOrCreateHistogram(duration)
 	return m
 }
 
+func (m *serviceMetrics) counter(name string) *metrics.Counter {
+	m.names = append(m.names, name)
+	return m.set.GetOrCreateCounter(name)
+}
+
+func (m *serviceMetrics) gauge(name, service string, value func() int) {
+	name = fmt.Sprintf("%s{service=%q}", name, service)
+	m.names = append(m.names, name)
+	m.set.GetOrCreateGauge(name, func() float64 { return float64(value()) })
+}
+
+// remove takes the metrics out of their set. Gauges of a later service of the
+// same name would otherwise report on the removed one.
+func (m *serviceMetrics) remove() {
+	for _, name := range m.names {
+		m.set.UnregisterMetric(name)
+	}
+}
+
 func limitsOf(svc *config.Service) limit.Limits {
 	return limit.Limits{MaxConcurrent: svc.Policy.MaxConcurrent, MaxQueued: svc.Policy.MaxQueued}
 }
