Test acceptance and freshness against the failure model

Cause: a state machine of failures found that a VM without any reading of the platform's list accepted a revision without the far side of a partition, because nobody it asked still knew those VMs. Excluded: refusing acceptance whenever the list cannot be read; a reading of up to two minutes is no worse than the lag of the list itself.

--- a/membership/detector.go
+++ b/membership/detector.go
@@ -57,7 +57,7 @@
 		m.cfg.Logger.Info("member is dead", "vm", d.ID, "address", d.PeerAddress, "incarnation", d.Incarnation)
 	}
 	before := len(m.table.entries)
-	m.table.reap(now, m.cfg.TombstoneTime, m.seeds.read, m.cfg.VMLister != nil)
+	m.table.reap(now, m.cfg.TombstoneTime, m.seeds.mayHave)
 	if len(died) > 0 || len(m.table.entries) != before {
 		m.publish()
 	}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -42,6 +42,8 @@
 	// ProbeTimeout bounds a direct probe, and again the indirect probes.
 	ProbeTimeout  time.Duration
 	SuspicionTime time.Duration
+	// TombstoneTime is how long a dead member is kept at least. One that the
+	// platform's list still has is kept longer.
 	TombstoneTime time.Duration
 	// SyncInterval is the shortest time between two comparisons of tables.
 	SyncInterval time.Duration
@@ -114,7 +116,7 @@
 		table:    newTable(cfg.Self),
 		delegate: cfg.Delegate,
 		rand:     cfg.Rand,
-		seeds:    newSeedList(cfg.Seeds),
+		seeds:    newSeedList(cfg.Seeds, cfg.VMLister != nil),
 		refresh:  make(chan struct{}, 1),
 	}
 	m.publish()
--- a/membership/seed.go
+++ b/membership/seed.go
@@ -22,13 +22,27 @@
 // adds nothing to the table itself.
 type seedList struct {
 	static []string
+	listed bool // there is a platform's list
 	rows   []platform.VM
 	read   time.Time // when the last successful read began
 	next   int
 }
 
-func newSeedList(static []string) seedList {
-	return seedList{static: slices.Clone(static)}
+func newSeedList(static []string, listed bool) seedList {
+	return seedList{static: slices.Clone(static), listed: listed}
+}
+
+// mayHave reports whether the platform's list may have a VM that died at the
+// given time: it was not read since, or its last reading has the VM.
+func (s *seedList) mayHave(id string, died time.Time) bool {
+	if !s.listed {
+		return false
+	}
+	if !s.read.After(died) {
+		return true
+	}
+	_, ok := slices.BinarySearchFunc(s.rows, id, func(vm platform.VM, id string) int { return cmp.Compare(vm.ID, id) })
+	return ok
 }
 
 func (s *seedList) addresses() []string {
--- a/membership/table.go
+++ b/membership/table.go
@@ -150,18 +150,14 @@
 	}
 }
 
-// reap removes tombstones that are old enough. listRead is when the platform's
-// list was last read: a VM that died later may still be on it, and whoever
-// decides on acceptance must be able to wait for that VM.
-func (t *table) reap(now time.Time, keep time.Duration, listRead time.Time, hasList bool) {
+// reap removes tombstones that are old enough. onList tells whether the
+// platform's list, read after the death, may still have a VM: whoever decides
+// on acceptance must then be able to learn of that VM from the table.
+func (t *table) reap(now time.Time, keep time.Duration, onList func(id string, died time.Time) bool) {
 	for id, e := range t.entries {
-		if e.State != Dead || now.Sub(e.changed) < keep {
-			continue
+		if e.State == Dead && now.Sub(e.changed) >= keep && !onList(id, e.changed) {
+			t.remove(id)
 		}
-		if hasList && !listRead.After(e.changed) {
-			continue
-		}
-		t.remove(id)
 	}
 }
 
--- /dev/null
+++ b/peer/cost_test.go
@@ -0,0 +1,101 @@
+package peer
+
+import (
+	"fmt"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/briarstand/briarstand/config"
+)
+
+// BenchmarkControlCost measures the control traffic of one VM in fleets of
+// several sizes that run over loopback in this process. Run it with
+// -benchtime 1x. The figures are totals of both directions as seen by HTTP,
+// without the headers of TCP and IP.
+func BenchmarkControlCost(b *testing.B) {
+	for _, n := range []int{50, 150, 430} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for range b.N {
+				measureCost(b, n)
+			}
+		})
+	}
+}
+
+const (
+	settleTime  = 45 * time.Second
+	measureTime = 60 * time.Second
+)
+
+func measureCost(b *testing.B, n int) {
+	p := newMemory()
+	for i := range 30 {
+		p.write(fmt.Sprintf("service%02d", i), &config.Service{ChangeID: "a"})
+	}
+	before := heap()
+	var fleet []*daemon
+	for i := range n {
+		d := start(b, p, i, nil)
+		defer d.stop()
+		fleet = append(fleet, d)
+	}
+	for _, d := range fleet {
+		d.ready(b)
+	}
+	time.Sleep(settleTime)
+	bytes, messages, cpu, began := traffic(fleet), sent(fleet), cpuTime(), time.Now()
+	time.Sleep(measureTime / 2)
+	fleet[n/2].control.Recorded(p.write("service07", &config.Service{ChangeID: "b"}))
+	time.Sleep(measureTime / 2)
+	perNode := 1 / (time.Since(began).Seconds() * float64(n))
+	b.ReportMetric(float64(traffic(fleet)-bytes)*perNode, "bytes/s/node")
+	b.ReportMetric(float64(sent(fleet)-messages)*perNode, "messages/s/node")
+	b.ReportMetric((cpuTime()-cpu).Seconds()*perNode*100, "%core/node")
+	b.ReportMetric(float64(heap()-before)/float64(n)/1024, "KiB/node")
+	b.ReportMetric(0, "ns/op")
+	for _, d := range fleet {
+		if got := len(d.members.View().Members); got != n {
+			b.Fatalf("%s knows %d of %d VMs", d.address, got, n)
+		}
+		if err := d.control.Admit(); err != nil {
+			b.Fatalf("%s: %v", d.address, err)
+		}
+	}
+}
+
+func traffic(fleet []*daemon) (total uint64) {
+	for _, d := range fleet {
+		c := newCounters(d.set)
+		total += c.sentBytes.Get() + c.receivedBytes.Get()
+	}
+	return total
+}
+
+// sent is the number of requests that were sent; each has one reply.
+func sent(fleet []*daemon) (total uint64) {
+	for _, d := range fleet {
+		c := newCounters(d.set)
+		for _, path := range []string{PathProbe, PathIndirectProbe, PathSync, PathPush, PathConfig} {
+			total += c.message("client", path).Get()
+		}
+	}
+	return total
+}
+
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// heap is the memory in use by objects and stacks, in bytes.
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse + m.StackInuse)
+}
--- /dev/null
+++ b/peer/fake_test.go
@@ -0,0 +1,161 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/briarstand/briarstand/config"
+	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+	"github.com/briarstand/briarstand/membership"
+	"github.com/briarstand/briarstand/platform"
+	"github.com/briarstand/briarstand/rollout"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// memory is a platform without failures: those are tested in package rollout.
+type memory struct {
+	platform.Store
+	mu      sync.Mutex
+	entries map[string]platform.Entry
+	index   int64
+	rows    []platform.VM
+}
+
+func (s *memory) ListVMs(context.Context) ([]platform.VM, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]platform.VM(nil), s.rows...), nil
+}
+
+func (s *memory) Get(_ context.Context, key string) (platform.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, ok := s.entries[key]; ok {
+		return e, nil
+	}
+	return platform.Entry{}, platform.ErrNotFound
+}
+
+func (s *memory) List(_ context.Context, prefix string) (platform.Listing, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := platform.Listing{Index: s.index}
+	for key, e := range s.entries {
+		if strings.HasPrefix(key, prefix) {
+			l.Entries = append(l.Entries, e)
+		}
+	}
+	return l, nil
+}
+
+func (s *memory) Watch(ctx context.Context, prefix string, _ int64, wait time.Duration) (platform.Listing, error) {
+	select {
+	case <-ctx.Done():
+		return platform.Listing{}, ctx.Err()
+	case <-time.After(wait):
+		return s.List(ctx, prefix)
+	}
+}
+
+func (s *memory) CompareAndSwap(_ context.Context, key string, _ int64, value []byte) (platform.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.index++
+	s.entries[key] = platform.Entry{Key: key, Value: value, Index: s.index}
+	return s.entries[key], nil
+}
+
+func decode(e platform.Entry) (*config.Service, error) {
+	svc := &config.Service{}
+	err := json.Unmarshal(e.Value, svc)
+	svc.Revision = e.Index
+	return svc, err
+}
+
+// daemon is a VM with a peer API on loopback.
+type daemon struct {
+	address string
+	set     *metrics.Set
+	client  *Client
+	members *membership.Membership
+	control *rollout.Controller
+	stop    func()
+}
+
+func newMemory() *memory { return &memory{entries: map[string]platform.Entry{}} }
+
+// start runs a daemon; edit changes its server's settings.
+func start(t testing.TB, p *memory, i int, edit func(*ServerConfig)) *daemon {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &daemon{address: listener.Addr().String(), set: metrics.NewSet()}
+	d.client = NewClient(ClientConfig{Metrics: d.set, View: func() *membership.View { return d.members.View() }})
+	self := membership.Member{
+		ID: fmt.Sprintf("vm%03d", i), Zone: fmt.Sprintf("zone-%d", i%5), Region: "r", Incarnation: int64(i + 1),
+		PeerAddress: d.address, CallerAddress: d.address,
+	}
+	p.mu.Lock()
+	p.rows = append(p.rows, platform.VM{ID: self.ID, Zone: self.Zone, PeerAddress: d.address, State: platform.VMLive})
+	p.mu.Unlock()
+	d.members, err = membership.New(membership.Config{Self: self, Transport: d.client, VMLister: p})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.control = rollout.New(rollout.Config{
+		Registry: config.NewRegistry(), Store: p, VMLister: p, Membership: d.members, Transport: d.client, Decode: decode,
+	})
+	cfg := ServerConfig{
+		VMID: self.ID, Incarnation: self.Incarnation, Membership: d.members, Rollout: d.control,
+		Metrics: d.set, AllowLoopback: true,
+		Query: func(ctx context.Context, req *briarstandv1.QueryRequest) (*briarstandv1.QueryResponse, error) {
+			return &briarstandv1.QueryResponse{RequestId: req.RequestId, VmId: self.ID, Reason: fmt.Sprint(Relayed(ctx))}, nil
+		},
+	}
+	if edit != nil {
+		edit(&cfg)
+	}
+	server := &http.Server{Handler: NewServer(cfg), ReadHeaderTimeout: time.Second}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = server.Serve(listener) })
+	wg.Go(func() { _ = d.members.Run(ctx) })
+	wg.Go(func() { _ = d.control.Run(ctx) })
+	d.stop = func() {
+		cancel()
+		_ = server.Close()
+		wg.Wait()
+		d.client.Close()
+	}
+	return d
+}
+
+// ready waits until a daemon is fresh.
+func (d *daemon) ready(t testing.TB) {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	if err := d.control.Start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	d.members.SetState(membership.Alive)
+}
+
+// write changes a service in the store.
+func (s *memory) write(name string, svc *config.Service) *config.Service {
+	svc.Name = name
+	value, _ := json.Marshal(svc)
+	e, _ := s.CompareAndSwap(context.Background(), config.ServicesPrefix+name, 0, value)
+	out, _ := decode(e)
+	return out
+}
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -23,6 +23,7 @@
 	DefaultTakeoverStep    = 5 * time.Second
 	DefaultWatcherStep     = time.Second
 	DefaultRoundTimeout    = 2400 * time.Millisecond
+	DefaultMaxListAge      = 2 * time.Minute
 	DefaultFanout          = 8
 	DefaultWatchers        = 3
 	DefaultAnnounce        = 3
@@ -68,8 +69,11 @@
 	// RoundTimeout bounds the tree of a round; repairs take up to two thirds
 	// of it more. All must fit into the freshness window.
 	RoundTimeout time.Duration
-	Fanout       int
-	Watchers     int
+	// MaxListAge is how old a reading of the platform's list may be to accept
+	// a revision by, when the list cannot be read.
+	MaxListAge time.Duration
+	Fanout     int
+	Watchers   int
 	// Announce is to how many peers a starting VM makes itself known.
 	Announce int
 }
@@ -81,6 +85,7 @@
 	setDefault(&c.TakeoverStep, DefaultTakeoverStep)
 	setDefault(&c.WatcherStep, DefaultWatcherStep)
 	setDefault(&c.RoundTimeout, DefaultRoundTimeout)
+	setDefault(&c.MaxListAge, DefaultMaxListAge)
 	setDefault(&c.Fanout, DefaultFanout)
 	setDefault(&c.Watchers, DefaultWatchers)
 	setDefault(&c.Announce, DefaultAnnounce)
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -108,6 +108,9 @@
 	// current says that the reading was made in this round. Otherwise it is
 	// an older one, which cannot show that a VM is gone.
 	current bool
+	// stale says that there is no reading, or only one too old to accept
+	// anything by: VMs may have been added that no member of this side knows.
+	stale bool
 }
 
 // responsible returns the VMs that have to confirm, ordered by id: those on
--- /dev/null
+++ b/rollout/decide_test.go
@@ -0,0 +1,215 @@
+package rollout
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/membership"
+	"github.com/briarstand/briarstand/platform"
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+func known(id string, incarnation int64, waited bool) Known {
+	return Known{ID: id, Incarnation: incarnation, Address: id + ":1", Waited: waited}
+}
+
+// Guards against a VM that is left out of the responsible set although it may
+// admit queries, and against one that is waited for forever.
+func TestResponsibleSet(t *testing.T) {
+	rows := []platform.VM{{ID: "listed", PeerAddress: "listed:1"}, {ID: "leaving", PeerAddress: "leaving:1", State: platform.VMLeaving}}
+	all := map[string]Known{}
+	mergeKnown(all, known("listed", 3, false), known("alive", 1, true), known("gone", 1, false))
+	ids := func(list listReading) (out []string) {
+		for _, k := range responsible(list, all) {
+			out = append(out, fmt.Sprintf("%s/%d", k.ID, k.Incarnation))
+		}
+		return out
+	}
+	qt.Assert(t, ids(listReading{rows: rows, current: true}), qt.DeepEquals, []string{"alive/1", "leaving/0", "listed/3"})
+	qt.Assert(t, ids(listReading{rows: rows}), qt.DeepEquals, []string{"alive/1", "gone/1", "leaving/0", "listed/3"})
+	mergeKnown(all, known("gone", 1, true))
+	qt.Assert(t, ids(listReading{current: true}), qt.DeepEquals, []string{"alive/1", "gone/1"})
+	mergeKnown(all, known("gone", 2, false))
+	qt.Assert(t, ids(listReading{current: true}), qt.DeepEquals, []string{"alive/1"})
+}
+
+// Guards against a dead VM that is forgotten while it may still be fresh, or
+// while the platform's list may not have it yet.
+func TestKnownVMsKeepsRecentlyHeard(t *testing.T) {
+	now := time.Now()
+	contact := func(s membership.State, heard time.Duration, listed bool) membership.Contact {
+		return membership.Contact{Member: membership.Member{ID: "x", State: s}, Heard: now.Add(-heard), Listed: listed}
+	}
+	for _, c := range []struct {
+		contact membership.Contact
+		want    bool
+	}{
+		{contact(membership.Suspect, time.Hour, true), true},
+		{contact(membership.Leaving, time.Hour, true), true},
+		{contact(membership.Dead, 4*time.Second, true), true},
+		{contact(membership.Dead, 6*time.Second, true), false},
+		{contact(membership.Dead, 6*time.Second, false), true},
+	} {
+		got := knownVMs(membership.Member{ID: "self"}, []membership.Contact{c.contact}, now, 5*time.Second)
+		qt.Assert(t, got[1].Waited, qt.Equals, c.want, qt.Commentf("%+v", c.contact))
+	}
+}
+
+// Guards against acceptance without a settled set: a new member, a restarted
+// one and a lower confirmation all start the settle time again, and the
+// accepted revision never decreases.
+func TestAcceptanceSettles(t *testing.T) {
+	const settle = 2 * time.Second
+	var a acceptance
+	at := time.Now()
+	step := func(after time.Duration, set []Known, revisions ...int64) int64 {
+		at = at.Add(after)
+		c := confirmations{}
+		for i, r := range revisions {
+			c.add(Confirmation{set[i].ID, set[i].Incarnation, r})
+		}
+		return a.observe(at, at, settle, set, c)
+	}
+	two := []Known{known("a", 1, true), known("b", 1, true)}
+	three := append(two[:2:2], known("c", 1, true))
+	restarted := append(two[:2:2], known("c", 2, true))
+	qt.Assert(t, step(0, two, 5, 5), qt.Equals, int64(0))
+	qt.Assert(t, step(time.Second, two, 5, 5), qt.Equals, int64(0))
+	qt.Assert(t, step(time.Second, three, 5, 5, 5), qt.Equals, int64(0)) // new member
+	qt.Assert(t, step(settle, restarted, 5, 5, 5), qt.Equals, int64(0))  // new incarnation
+	qt.Assert(t, step(settle, restarted, 5, 5), qt.Equals, int64(0))     // one does not answer
+	qt.Assert(t, step(time.Second, restarted, 5, 7, 6), qt.Equals, int64(0))
+	qt.Assert(t, step(settle, restarted, 8, 7, 6), qt.Equals, int64(5)) // the newest that all had for the settle time
+	qt.Assert(t, step(time.Second, restarted, 1, 7, 6), qt.Equals, int64(5))
+	old := confirmations{}
+	old.add(Confirmation{"c", 1, 9})
+	qt.Assert(t, old.revision(restarted[2]), qt.Equals, int64(0)) // confirmed by the run before
+}
+
+// Guards against targets that are lost or served twice when the tree is cut
+// into slices.
+func TestSplit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n, fanout := rapid.IntRange(0, 500).Draw(t, "n"), rapid.IntRange(1, 16).Draw(t, "fanout")
+		var targets []Target
+		for i := range n {
+			targets = append(targets, Target{ID: fmt.Sprint(i)})
+		}
+		parts, i := split(targets, fanout), 0
+		if len(parts) > fanout {
+			t.Fatalf("%d children", len(parts))
+		}
+		for _, p := range parts {
+			if len(p) < n/fanout || len(p) > n/fanout+1 {
+				t.Fatalf("slice of %d of %d targets for %d children", len(p), n, fanout)
+			}
+			for _, target := range p {
+				if target.ID != fmt.Sprint(i) {
+					t.Fatalf("target %s at place %d", target.ID, i)
+				}
+				i++
+			}
+		}
+		if i != n {
+			t.Fatalf("%d of %d targets", i, n)
+		}
+	})
+}
+
+// Guards against watchers in one zone only, which a zone outage takes away.
+func TestWatchersSpreadOverZones(t *testing.T) {
+	for i := range 50 {
+		var members []membership.Member
+		for j := range 12 {
+			members = append(members, membership.Member{
+				ID: fmt.Sprintf("vm%d-%d", i, j), Zone: fmt.Sprint(j % 3), State: membership.Alive,
+			})
+		}
+		zones := map[string]bool{}
+		for _, w := range watchers(members, 3) {
+			zones[w.Zone] = true
+		}
+		qt.Assert(t, zones, qt.HasLen, 3)
+	}
+}
+
+// Guards against all VMs taking a rollout over at once, or none.
+func TestTakeoverOrder(t *testing.T) {
+	learned := time.Now()
+	due := func(rank, watcher int, observed time.Duration) time.Duration {
+		o := takeover{learned: learned, rank: rank, watcher: watcher}
+		if observed > 0 {
+			o.observed = learned.Add(observed)
+		}
+		return o.due(5*time.Second, time.Second).Sub(learned)
+	}
+	qt.Assert(t, due(0, -1, 0), qt.Equals, time.Duration(0))
+	qt.Assert(t, due(3, -1, 0), qt.Equals, 15*time.Second)
+	qt.Assert(t, due(3, 1, 0), qt.Equals, 1250*time.Millisecond)
+	qt.Assert(t, due(0, 0, time.Second), qt.Equals, 6*time.Second)
+	qt.Assert(t, due(2, 0, time.Second), qt.Equals, 16*time.Second)
+}
+
+// Guards against a change in what acceptance leaves behind: the documents in
+// force at each VM and the marks in the store after a fixed session.
+func TestAcceptedDocumentsGolden(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 12)
+		defer f.stop()
+		f.write("site", "create site")
+		vms := f.grow(4, "attica", "kriti")
+		for i, name := range []string{"stock", "site", "stock", "quoting", "stock"} {
+			v := vms[i%len(vms)]
+			svc := f.write(name, fmt.Sprintf("change %d", i))
+			v.control.Recorded(svc)
+			qt.Assert(t, accepted(t, v, name, svc.Revision, 15*time.Second).Accepted, qt.IsTrue)
+			time.Sleep(2 * time.Second) // the mark is written in this time
+		}
+		var out bytes.Buffer
+		marks, _ := f.store.listing(config.AcceptedPrefix)
+		for _, mark := range marks.Entries {
+			fmt.Fprintf(&out, "%s %s\n", mark.Key, mark.Value)
+			for _, v := range vms {
+				doc, _ := json.Marshal(newest(v.registry.Snapshot(), mark.Key[len(config.AcceptedPrefix):]))
+				fmt.Fprintf(&out, "  %s %s\n", v.id, doc)
+			}
+		}
+		const golden = "testdata/accepted.golden"
+		if *update {
+			qt.Assert(t, os.WriteFile(golden, out.Bytes(), 0o644), qt.IsNil)
+		}
+		want, err := os.ReadFile(golden)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, out.String(), qt.Equals, string(want))
+	})
+}
+
+// Guards against a document of a peer that crashes a VM, fills its memory or
+// is taken although it has no name or revision.
+func FuzzDecodeDocument(f *testing.F) {
+	good, err := encodeDocument(&config.Service{Name: "stock", Revision: 3, Policy: config.DefaultPolicy()})
+	if err != nil {
+		f.Fatal(err)
+	}
+	empty, _ := encodeDocument(&config.Service{})
+	f.Add(good)
+	f.Add(empty)
+	f.Add(good[:len(good)/2])
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		svc, err := decodeDocument(b)
+		if err == nil && (svc.Name == "" || svc.Revision <= 0) {
+			t.Fatalf("took %+v", svc)
+		}
+	})
+}
--- a/rollout/drive.go
+++ b/rollout/drive.go
@@ -111,11 +111,15 @@
 	began, ended time.Time
 	set          []Known
 	confirmed    confirmations
+	staleList    bool
 }
 
-// valid reports whether the round was short enough for its confirmations to
-// be combined. A longer one means that this VM was paused.
-func (r round) valid(window time.Duration) bool { return r.ended.Sub(r.began) < window }
+// valid reports whether a revision may be accepted by the round. A round must
+// be short enough for its confirmations to be combined; a longer one means
+// that this VM was paused.
+func (r round) valid(window time.Duration) bool {
+	return !r.staleList && r.ended.Sub(r.began) < window
+}
 
 // round gathers confirmations from the responsible set. The platform's list is
 // read first: whoever starts after that reading meets VMs that are asked
@@ -143,7 +147,7 @@
 		// A listed VM that no table has yet is known by its confirmation.
 		r.set[i].Incarnation = max(k.Incarnation, g.confirmed[k.ID].Incarnation)
 	}
-	r.confirmed = g.confirmed
+	r.confirmed, r.staleList = g.confirmed, list.stale
 	r.ended = time.Now()
 	return r
 }
@@ -159,8 +163,8 @@
 	rows, err := c.cfg.VMLister.ListVMs(ctx)
 	if err != nil {
 		c.cfg.Logger.Debug("platform's VM list not read", "error", err)
-		rows, _ := c.cfg.Membership.List()
-		return listReading{rows: rows}
+		rows, read := c.cfg.Membership.List()
+		return listReading{rows: rows, stale: read.IsZero() || time.Since(read) > c.cfg.MaxListAge}
 	}
 	c.cfg.Membership.TakeList(rows, began)
 	return listReading{rows: rows, current: true}
@@ -329,8 +333,8 @@
 	if r.valid(c.cfg.FreshnessWindow) {
 		accepted = machine.observe(r.began, r.ended, c.cfg.SettleTime, r.set, r.confirmed)
 	} else {
-		c.cfg.Logger.Warn("round of confirmations took too long", "service", svc.Name,
-			"revision", svc.Revision, "seconds", r.ended.Sub(r.began).Seconds())
+		c.cfg.Logger.Warn("round of confirmations does not count", "service", svc.Name,
+			"revision", svc.Revision, "seconds", r.ended.Sub(r.began).Seconds(), "stale_list", r.staleList)
 	}
 	status := r.status(svc.Name, svc.Revision, accepted)
 	c.mu.Lock()
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -110,3 +110,208 @@
 		qt.Assert(t, frozen.registry.Snapshot().Revision("stock"), qt.Equals, svc.Revision)
 	})
 }
+
+// setStore switches the store on or off.
+func (f *fleet) setStore(down bool) {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	f.store.down = down
+}
+
+// Guards against an acceptance that hangs on the store: after the swap the
+// store fails, all VMs still have to get the change, and the mark has to be
+// written when the store is back. Meanwhile an outage of any length must not
+// make a VM refuse queries.
+func TestStoreOutageRightAfterSwap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4)
+		defer f.stop()
+		f.write("stock", "a")
+		vms := f.grow(9, "attica", "kriti")
+		time.Sleep(10 * time.Second)
+		svc := f.write("stock", "b")
+		f.setStore(true)
+		vms[4].control.Recorded(svc)
+		s := accepted(t, vms[4], "stock", svc.Revision, 15*time.Second)
+		qt.Assert(t, s.Accepted, qt.IsTrue, qt.Commentf("%v", s))
+		c := newInvariant(f, "stock")
+		for range 60 {
+			time.Sleep(5 * time.Second)
+			c.check()
+			for _, v := range vms {
+				qt.Assert(t, v.control.Admit(), qt.IsNil, qt.Commentf("%s", v.id))
+			}
+		}
+		qt.Assert(t, c.err, qt.IsNil)
+		f.setStore(false)
+		time.Sleep(30 * time.Second)
+		qt.Assert(t, f.mark("stock"), qt.Equals, svc.Revision)
+	})
+}
+
+// Guards against the loss of the VM that made a change right after the swap:
+// a watcher or the next in rank has to bring it into force.
+func TestReporterDiesAfterSwap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 5)
+		defer f.stop()
+		f.write("stock", "a")
+		vms := f.grow(9, "attica", "kriti", "makedonia")
+		time.Sleep(10 * time.Second)
+		svc := f.write("stock", "b") // no VM is told
+		began := time.Now()
+		s := accepted(t, vms[8], "stock", svc.Revision, 15*time.Second)
+		qt.Assert(t, s.Accepted, qt.IsTrue, qt.Commentf("%v", s))
+		t.Logf("accepted after %v", time.Since(began))
+	})
+}
+
+// Guards against a VM that starts in a store outage and serves nothing, or an
+// old configuration: it has to read from a fresh peer. Without one it must not
+// be ready.
+func TestStartDuringStoreOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 6)
+		defer f.stop()
+		f.write("stock", "a")
+		f.grow(5, "attica", "kriti")
+		svc := f.write("stock", "b")
+		time.Sleep(10 * time.Second)
+		f.setStore(true)
+		v := f.add("late", "kriti", "k", false)
+		began := time.Now()
+		<-v.started
+		t.Logf("started after %v", time.Since(began))
+		qt.Assert(t, v.control.Admit(), qt.IsNil)
+		qt.Assert(t, v.registry.Snapshot().Revision("stock"), qt.Equals, svc.Revision)
+
+		lone := newFleet(t, 7)
+		defer lone.stop()
+		lone.setStore(true)
+		w := lone.add("lone", "kriti", "k", true)
+		time.Sleep(time.Minute)
+		qt.Assert(t, w.control.Admit(), qt.Not(qt.IsNil))
+	})
+}
+
+// Guards against a VM that starts while a change is being accepted and that
+// neither reads the change nor is waited for: it starts at every offset
+// around the acceptance, and is on the list only sometimes.
+func TestStartConcurrentlyWithAcceptance(t *testing.T) {
+	for offset := range 12 {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, uint64(40+offset))
+			f.delay = 30 * time.Millisecond
+			defer f.stop()
+			f.write("stock", "a")
+			vms := f.grow(5, "attica", "kriti")
+			c := newInvariant(f, "stock")
+			c.run(5 * time.Second)
+			svc := f.write("stock", "b")
+			vms[0].control.Recorded(svc)
+			c.run(time.Duration(offset) * 40 * time.Millisecond)
+			f.add("late", "kriti", "k", offset%2 == 0)
+			c.run(15 * time.Second)
+			qt.Assert(t, c.err, qt.IsNil)
+			qt.Assert(t, c.accepted["stock"], qt.Equals, svc.Revision)
+		})
+	}
+}
+
+// Guards against a fleet that lapsed as a whole in a store outage and never
+// comes back, and against two lapsed VMs that make each other fresh: as long
+// as one listed VM cannot be reached, nobody may admit queries.
+func TestWholeFleetLapse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 8)
+		defer f.stop()
+		f.write("stock", "a")
+		vms := f.grow(6, "attica", "kriti")
+		time.Sleep(10 * time.Second)
+		f.setStore(true)
+		for _, a := range vms {
+			for _, b := range vms {
+				f.cutLink(a.address, b.address, true)
+			}
+		}
+		time.Sleep(20 * time.Second)
+		for _, v := range vms {
+			qt.Assert(t, v.control.Admit(), qt.Not(qt.IsNil))
+		}
+		f.heal()
+		for _, v := range vms[1:] {
+			f.cutLink(vms[0].address, v.address, true)
+		}
+		time.Sleep(time.Minute)
+		for _, v := range vms {
+			qt.Assert(t, v.control.Admit(), qt.Not(qt.IsNil), qt.Commentf("%s", v.id))
+		}
+		f.heal()
+		time.Sleep(40 * time.Second)
+		for _, v := range vms {
+			qt.Assert(t, v.control.Admit(), qt.IsNil, qt.Commentf("%s", v.id))
+		}
+	})
+}
+
+// Guards against a VM without peers that refuses queries because the store is
+// down, and against one whose only peer died.
+func TestLastVMStaysFresh(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 9)
+		defer f.stop()
+		f.write("stock", "a")
+		v := f.grow(1, "attica")[0]
+		f.setStore(true)
+		for range 100 {
+			time.Sleep(time.Second)
+			qt.Assert(t, v.control.Admit(), qt.IsNil)
+		}
+		f.setStore(false)
+		peer := f.grow(1, "attica")[0]
+		time.Sleep(5 * time.Second)
+		f.kill(peer)
+		for range 100 {
+			time.Sleep(time.Second)
+			qt.Assert(t, v.control.Admit(), qt.IsNil)
+		}
+	})
+}
+
+// Guards against a reporter that cannot reach one VM over a cut link and never
+// gets its confirmation, although others reach that VM.
+func TestCutLinkToReporter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 10)
+		defer f.stop()
+		f.write("stock", "a")
+		vms := f.grow(5, "attica", "kriti")
+		time.Sleep(5 * time.Second)
+		f.cutLink(vms[0].address, vms[3].address, true)
+		svc := f.write("stock", "b")
+		vms[0].control.Recorded(svc)
+		began := time.Now()
+		s := accepted(t, vms[0], "stock", svc.Revision, 15*time.Second)
+		qt.Assert(t, s.Accepted, qt.IsTrue, qt.Commentf("%v", s))
+		t.Logf("accepted after %v", time.Since(began))
+	})
+}
+
+// Guards against a process frozen between sending a request and reading its
+// reply that believes the old reply.
+func TestGrantCountsFromRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFreshness(time.Now(), 5*time.Second)
+		qt.Assert(t, f.admit(), qt.Equals, error(errNotLoaded))
+		sent := time.Now()
+		time.Sleep(4600 * time.Millisecond)
+		f.grant(sent)
+		qt.Assert(t, f.admit(), qt.Equals, error(errLapsed))
+		f.grant(time.Now())
+		f.grant(sent) // an older reply that arrives later takes nothing away
+		time.Sleep(4400 * time.Millisecond)
+		qt.Assert(t, f.admit(), qt.IsNil)
+		time.Sleep(200 * time.Millisecond)
+		qt.Assert(t, f.admit(), qt.Equals, error(errLapsed))
+	})
+}
