--- a/cli/script_test.go
+++ b/cli/script_test.go
@@ -71,6 +71,8 @@
 	}
 	env.Defer(func() { _ = lock.Close() })
 	env.Setenv("NET", network)
+	// The race detector lets a process wait a second at its end by default.
+	env.Setenv("GORACE", "atexit_sleep_ms=20")
 	env.Setenv("LONG", strings.Repeat("x", 40000))
 	for name, value := range map[string]string{
 		"PLATFORM_URL": "http://" + network + ".1:8500", "OPERATOR": "eleni",
--- a/server/server.go
+++ b/server/server.go
@@ -13,6 +13,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/briarstand/briarstand/backend"
+	"github.com/briarstand/briarstand/balance"
 	"github.com/briarstand/briarstand/config"
 	"github.com/briarstand/briarstand/config/command"
 	configquery "github.com/briarstand/briarstand/config/query"
@@ -139,16 +140,18 @@
 func (s *Server) view() *membership.View { return s.membership.View() }
 
 func (s *Server) assembleQueries(incarnation int64) {
-	picker := randomPicker{}
+	picker := balance.NewPicker(balance.Config{Random: rand.Uint64, Hints: loadHints{s}})
 	s.pool = backend.NewPool(backend.PoolConfig{
-		Random: rand.Float64, Logger: s.cfg.Logger, Metrics: s.cfg.Metrics,
+		Random: rand.Float64, Logger: s.cfg.Logger, Metrics: s.cfg.Metrics, OnConnect: picker.Connected,
 	})
 	var mu sync.Mutex
 	s.registry.OnApply(func(*config.Service) {
 		// The lock keeps an older snapshot from replacing a newer one.
 		mu.Lock()
 		defer mu.Unlock()
-		s.pool.Update(s.registry.Snapshot())
+		snapshot := s.registry.Snapshot()
+		s.pool.Update(snapshot)
+		picker.Update(snapshot)
 	})
 	s.engine = query.NewEngine(query.Config{
 		VMID: s.cfg.Settings.VMID, Registry: s.registry, Transport: s.pool, Picker: picker,
@@ -159,6 +162,13 @@
 	})
 }
 
+// loadHints gives the picker the load that backend servers report.
+type loadHints struct{ server *Server }
+
+func (h loadHints) Load(backendID string) (load float64, age time.Duration, ok bool) {
+	return h.server.pool.Load(backendID)
+}
+
 // Close releases what New opened. Run does it itself.
 func (s *Server) Close() {
 	for _, l := range []*listener{s.caller, s.operator, s.peer, s.admin} {
