--- a/server/server.go
+++ b/server/server.go
@@ -189,7 +189,7 @@
 	set := s.cfg.Settings
 	r := newRouter(s.cfg.bounds("caller", "", set.MaxCallerBodyBytes))
 	path, h := callerapi.New(callerapi.Config{
-		Engine: s.engine, Address: set.CallerAdvertise, MaxMessageBytes: set.MaxCallerBodyBytes,
+		Engine: s.engine, Address: set.CallerAdvertise, MaxMessageBytes: set.MaxCallerBodyBytes, Metrics: s.cfg.Metrics,
 		Resolve: func(req *briarstandv1.ResolveRequest) *briarstandv1.ResolveResponse {
 			return resolve.Select(s.membership.View(), req, resolve.Config{TTL: set.AddressTTL})
 		},
--- /dev/null
+++ b/server/server_test.go
@@ -0,0 +1,213 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"github.com/briarstand/briarstand/config"
+	platformstandin "github.com/briarstand/briarstand/platform/standin"
+	"github.com/briarstand/briarstand/settings"
+)
+
+// Guards against goroutines that outlive a daemon, which would add up in a
+// program that embeds it.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// newTestServer returns a daemon on loopback addresses and the platform
+// stand-in that it uses.
+func newTestServer(t *testing.T, overrides ...string) (*Server, *platformstandin.Server) {
+	t.Helper()
+	platform := platformstandin.New(platformstandin.Config{})
+	web := httptest.NewServer(platform)
+	t.Cleanup(func() { platform.Close(); web.Close() })
+	values := map[string]string{
+		"vm-id": "attica-1", "zone": "attica-a", "platform-url": web.URL,
+		"caller-listen": "127.0.0.1:0", "operator-listen": "127.0.0.1:0", "peer-listen": "127.0.0.1:0", "admin-listen": "127.0.0.1:0",
+		"probe-interval": "20ms", "address-ttl": "1s", "drain-serve": "1001ms", "drain-timeout": "5s",
+	}
+	for i := 0; i < len(overrides); i += 2 {
+		values[overrides[i]] = overrides[i+1]
+	}
+	set, err := settings.Parse(values)
+	qt.Assert(t, err, qt.IsNil)
+	srv, err := New(Config{Settings: set})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(srv.Close)
+	return srv, platform
+}
+
+// runServer runs a daemon and returns how to stop it and its result.
+func runServer(t *testing.T, srv *Server) (stop func(), result <-chan error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- srv.Run(ctx) }()
+	t.Cleanup(cancel)
+	return cancel, done
+}
+
+func get(c *qt.C, url string) (int, string) {
+	resp, err := http.Get(url)
+	c.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	c.Assert(err, qt.IsNil)
+	return resp.StatusCode, string(body)
+}
+
+func waitFor(c *qt.C, what string, ok func() bool) {
+	for deadline := time.Now().Add(10 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			c.Fatalf("not within 10 s: %s", what)
+		}
+	}
+}
+
+// Guards against a daemon that skips a step of the drain: readiness ends at
+// once, queries are taken for longer than the address TTL, and the VM leaves
+// the platform's list.
+func TestLifeCycle(t *testing.T) {
+	c := qt.New(t)
+	srv, platform := newTestServer(t)
+	stop, result := runServer(t, srv)
+	waitFor(c, "ready", func() bool { return srv.Ready() == nil })
+	code, body := get(c, "http://"+srv.Addresses().Admin+"/readyz")
+	c.Assert([]any{code, body}, qt.DeepEquals, []any{200, "ready\n"})
+	stop()
+	left := time.Now()
+	waitFor(c, "leaving", func() bool { return srv.Phase() == PhaseLeaving })
+	code, body = get(c, "http://"+srv.Addresses().Admin+"/readyz")
+	c.Assert([]any{code, body}, qt.DeepEquals, []any{503, "the VM is leaving\n"})
+	waitFor(c, "refusing", func() bool { return srv.Phase() == PhaseRefusing })
+	c.Assert(time.Since(left) > srv.cfg.Settings.AddressTTL, qt.IsTrue)
+	c.Assert(<-result, qt.IsNil)
+	c.Assert(srv.Phase(), qt.Equals, PhaseStopped)
+	w := httptest.NewRecorder()
+	platform.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/catalog/service/briarstand", nil))
+	c.Assert(strings.TrimSpace(w.Body.String()), qt.Equals, "[]")
+}
+
+// Guards against a daemon that ends, or reports that it is ready, when it is
+// started in a store outage; and against one that stays unregistered.
+func TestStartInStoreOutage(t *testing.T) {
+	c := qt.New(t)
+	srv, platform := newTestServer(t, "platform-timeout", "100ms")
+	platform.SetDown(true)
+	_, result := runServer(t, srv)
+	waitFor(c, "an attempt to read the store", func() bool { return platform.Calls()[platformstandin.KindList] > 0 })
+	c.Assert(srv.Ready(), qt.ErrorMatches, "the VM is starting")
+	platform.SetDown(false)
+	waitFor(c, "ready", func() bool { return srv.Ready() == nil })
+	waitFor(c, "registered", func() bool {
+		w := httptest.NewRecorder()
+		platform.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/catalog/service/briarstand", nil))
+		return strings.Contains(w.Body.String(), "attica-1")
+	})
+	select {
+	case err := <-result:
+		c.Fatalf("the daemon ended: %v", err)
+	default:
+	}
+}
+
+// Guards against a daemon that cannot be stopped before it has read a
+// configuration, and against one that then waits for callers it never had.
+func TestStopWhileStarting(t *testing.T) {
+	c := qt.New(t)
+	srv, platform := newTestServer(t, "platform-timeout", "50ms")
+	platform.SetDown(true)
+	stop, result := runServer(t, srv)
+	waitFor(c, "an attempt to read the store", func() bool { return platform.Calls()[platformstandin.KindList] > 0 })
+	stop()
+	select {
+	case err := <-result:
+		c.Assert(err, qt.IsNil)
+	case <-time.After(srv.cfg.Settings.DrainServe):
+		c.Fatal("still running")
+	}
+}
+
+// Guards against a taken address that is only noticed after the VM became a
+// member, and against an error that does not say which API it is.
+func TestTakenAddress(t *testing.T) {
+	c := qt.New(t)
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer taken.Close()
+	set, err := settings.Parse(map[string]string{
+		"vm-id": "a", "zone": "z", "caller-listen": "127.0.0.1:0", "operator-listen": taken.Addr().String(),
+		"peer-listen": "127.0.0.1:0", "admin-listen": "127.0.0.1:0",
+	})
+	c.Assert(err, qt.IsNil)
+	_, err = New(Config{Settings: set})
+	var e *ListenError
+	c.Assert(errors.As(err, &e), qt.IsTrue)
+	c.Assert(e.API, qt.Equals, "operator")
+}
+
+// Guards against a metric that docs/metrics.md does not explain, and against
+// one that is explained and does not exist.
+func TestMetricsAreDocumented(t *testing.T) {
+	c := qt.New(t)
+	srv, _ := newTestServer(t)
+	_, _ = runServer(t, srv)
+	waitFor(c, "ready", func() bool { return srv.Ready() == nil })
+	srv.registry.Apply(&config.Service{Name: "s", Revision: 1, Policy: config.DefaultPolicy()})
+	for _, url := range []string{srv.Addresses().Caller + "/briarstand.v1.CallerService/Query", srv.Addresses().Peer + "/peer/v1/probe"} {
+		resp, err := http.Post("http://"+url, "application/json", strings.NewReader(`{"service":"s"}`))
+		c.Assert(err, qt.IsNil)
+		resp.Body.Close()
+	}
+	_, text := get(c, "http://"+srv.Addresses().Admin+"/metrics")
+	docs, err := os.ReadFile("../docs/metrics.md")
+	c.Assert(err, qt.IsNil)
+	c.Assert(names(`(?m)^(briarstand_[a-z_]+)`, text), qt.DeepEquals, names("`(briarstand_[a-z_]+)", string(docs)))
+}
+
+func names(pattern, text string) map[string]bool {
+	found := map[string]bool{}
+	for _, m := range regexp.MustCompile(pattern).FindAllStringSubmatch(text, -1) {
+		name := m[1]
+		for _, part := range []string{"_bucket", "_sum", "_count"} {
+			name = strings.TrimSuffix(name, part)
+		}
+		found[name] = true
+	}
+	return found
+}
+
+// Guards against a request above the limit that waits, runs, or gets an answer
+// that its protocol does not have.
+func TestConcurrencyLimit(t *testing.T) {
+	c := qt.New(t)
+	srv, _ := newTestServer(t, "max-concurrent-requests", "1")
+	bounds := srv.cfg.bounds("test", "", 100)
+	entered, release := make(chan struct{}), make(chan struct{})
+	h := concurrencyLimit(bounds)(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { entered <- struct{}{}; <-release }))
+	go h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil))
+	<-entered
+	for contentType, want := range map[string]string{
+		"application/json": `503 {"code":"unavailable","message":"` + errBusy.Error() + `"}`,
+		"application/grpc": "200 ", // gRPC puts its status into the trailers
+		"text/plain":       "503 " + errBusy.Error(),
+	} {
+		r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader("{}"))
+		r.Header.Set("Content-Type", contentType)
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		c.Check(fmt.Sprintf("%d %s", w.Code, strings.TrimSpace(w.Body.String())), qt.Equals, want, qt.Commentf(contentType))
+	}
+	close(release)
+}
