Add proofs with real processes

Excluded: a cluster simulator; the tests run the product's programs as processes and read the stand-ins' records. Before: no such test.

--- /dev/null
+++ b/proof/booking_test.go
@@ -0,0 +1,211 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	qt "github.com/frankban/quicktest"
+
+	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+)
+
+const (
+	bookingSeed = 20261204
+	bookings    = 1000
+)
+
+// TestBookingsRunAtMostOnce guards against a booking that runs twice because it
+// was offered again, at the same VM or at another, during kills, freezes and
+// store outages, and against "not run" for one that ran.
+func TestBookingsRunAtMostOnce(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, map[string]any{"slots": 64, "service_base": "3ms"})
+	fleet := &bookingFleet{c: c}
+	for i := range 3 {
+		fleet.vms = append(fleet.vms, c.startVM(fmt.Sprintf("vm-%d", i+1), "attica-a"))
+	}
+	c.create(fleet.vms[0], "crews", c.spec(2, policy(1500*time.Millisecond, 50), "v1"))
+
+	ctx, stop := context.WithCancel(context.Background())
+	var chaos sync.WaitGroup
+	chaos.Go(func() { fleet.disturb(ctx, rand.New(rand.NewPCG(bookingSeed, 1))) })
+	var left atomic.Int64
+	left.Store(bookings)
+	results := make([][]booking, 16)
+	var workers sync.WaitGroup
+	for w := range results {
+		workers.Go(func() {
+			rng := rand.New(rand.NewPCG(bookingSeed, uint64(100+w)))
+			for left.Add(-1) >= 0 {
+				results[w] = append(results[w], fleet.book(rng))
+				time.Sleep(time.Duration(100+rng.IntN(200)) * time.Millisecond) // bookings span many faults
+			}
+		})
+	}
+	workers.Wait()
+	stop()
+	chaos.Wait()
+	time.Sleep(2 * time.Second) // offers that are still under way end within their deadline
+	t.Logf("VMs killed %d, frozen %d, store outages %d", fleet.killed, fleet.frozen, fleet.outages)
+	checkBookings(t, c, results)
+}
+
+// bookingFleet is a set of VMs that are killed, frozen and replaced.
+type bookingFleet struct {
+	c   *cluster
+	mu  sync.Mutex
+	vms []*vm
+	// killed, frozen and outages count the faults that were injected.
+	killed, frozen, outages int
+}
+
+func (f *bookingFleet) pick(rng *rand.Rand) *vm {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.vms[rng.IntN(len(f.vms))]
+}
+
+// disturb injects faults, one or two at a time, until the context ends.
+func (f *bookingFleet) disturb(ctx context.Context, rng *rand.Rand) {
+	defer f.c.storeFaults(map[string]any{})
+	for ctx.Err() == nil {
+		down := rng.IntN(3) == 0
+		f.c.storeFaults(map[string]any{"down": down, "slow_ms": rng.IntN(2) * 200})
+		if down {
+			f.outages++
+		}
+		v := f.pick(rng)
+		if rng.IntN(2) == 0 {
+			f.frozen++
+			v.signal(syscall.SIGSTOP)
+			sleep(ctx, time.Duration(500+rng.IntN(2500))*time.Millisecond)
+			v.signal(syscall.SIGCONT)
+			sleep(ctx, time.Second)
+			continue
+		}
+		f.replace(ctx, v)
+	}
+}
+
+// replace kills a VM and starts another with the same id and addresses.
+func (f *bookingFleet) replace(ctx context.Context, v *vm) {
+	v.kill()
+	sleep(ctx, 300*time.Millisecond)
+	f.c.storeFaults(map[string]any{})
+	n := f.c.launchVMAt(v.host, v.id, v.zone)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.vms {
+		if f.vms[i] == v {
+			f.vms[i] = n
+		}
+	}
+	f.killed++
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// booking is one non-idempotent request and what its offers were told.
+type booking struct {
+	ticket   string
+	outcomes []briarstandv1.Outcome
+}
+
+// book obtains a ticket and offers it several times, at random VMs, some
+// offers at the same time.
+func (f *bookingFleet) book(rng *rand.Rand) booking {
+	var b booking
+	var origin *vm
+	for b.ticket == "" {
+		origin = f.pick(rng)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		resp, err := origin.caller.BeginRequest(ctx, connect.NewRequest(&briarstandv1.BeginRequestRequest{Service: "crews"}))
+		cancel()
+		if err != nil {
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		b.ticket = resp.Msg.Ticket
+	}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for offer := range 4 {
+		v := origin
+		if offer%2 == 1 {
+			v = f.pick(rng)
+		}
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			resp, err := v.query(ctx, &briarstandv1.QueryRequest{
+				Service: "crews", Body: []byte("book"), NonIdempotent: true, Ticket: b.ticket,
+			})
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			b.outcomes = append(b.outcomes, resp.Outcome)
+		})
+		if rng.IntN(2) == 0 {
+			time.Sleep(time.Duration(rng.IntN(30)) * time.Millisecond)
+		}
+	}
+	wg.Wait()
+	return b
+}
+
+// checkBookings compares what callers were told with what backend servers ran.
+func checkBookings(t *testing.T, c *cluster, results [][]booking) {
+	runs := map[string]int{} // by ticket and shard
+	ran := map[string]bool{} // by ticket
+	for i := range c.backends {
+		for key, n := range c.record(i).NonIdempotent {
+			runs[key] += n
+			ran[key[:strings.LastIndex(key, "/")]] = true
+		}
+	}
+	offered, once, twice, falseRefusals, falseAnswers, unknown := 0, 0, 0, 0, 0, 0
+	for _, n := range runs {
+		if n > 1 {
+			twice++
+		}
+	}
+	for _, worker := range results {
+		for _, b := range worker {
+			offered++
+			if ran[b.ticket] {
+				once++
+			}
+			for _, o := range b.outcomes {
+				switch {
+				case o == briarstandv1.Outcome_OUTCOME_NOT_RUN && ran[b.ticket]:
+					falseRefusals++
+				case o == briarstandv1.Outcome_OUTCOME_COMPLETE && !ran[b.ticket]:
+					falseAnswers++
+				case o == briarstandv1.Outcome_OUTCOME_UNKNOWN:
+					unknown++
+				}
+			}
+		}
+	}
+	t.Logf("bookings offered %d, run %d, sub-requests run twice %d, \"not run\" that ran %d, offers answered outcome unknown %d",
+		offered, once, twice, falseRefusals, unknown)
+	qt.Check(t, twice, qt.Equals, 0)
+	qt.Check(t, falseRefusals, qt.Equals, 0)
+	qt.Check(t, falseAnswers, qt.Equals, 0)
+	qt.Check(t, once > offered/2, qt.IsTrue, qt.Commentf("too few bookings ran for the test to show anything"))
+}
--- /dev/null
+++ b/proof/drain_test.go
@@ -0,0 +1,71 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	qt "github.com/frankban/quicktest"
+
+	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+)
+
+// maxAfterDrain is the stated time after which a leaving backend server
+// receives no new work.
+const maxAfterDrain = 3 * time.Second
+
+// TestDrainedBackendGetsNoNewWork guards against sub-requests that still go to
+// a leaving backend server, whether an operator or the server itself says so.
+func TestDrainedBackendGetsNoNewWork(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3, map[string]any{"slots": 64, "service_base": "2ms"})
+	var fleet []*vm
+	for i := range 4 {
+		fleet = append(fleet, c.startVM(fmt.Sprintf("vm-%d", i+1), "attica-a"))
+	}
+	c.create(fleet[0], "siteapp", c.spec(6, policy(time.Second, 50), "v1"))
+	ctx, stop := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	var incomplete, queries atomic.Int64
+	for i := range 16 {
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				resp, err := fleet[i%len(fleet)].query(context.Background(), &briarstandv1.QueryRequest{Service: "siteapp", Body: []byte("x")})
+				queries.Add(1)
+				if err != nil || resp.Outcome != briarstandv1.Outcome_OUTCOME_COMPLETE {
+					incomplete.Add(1)
+				}
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	began := time.Now()
+	_, err := fleet[1].operator.DrainBackend(ctx, connect.NewRequest(&briarstandv1.DrainBackendRequest{
+		Service: "siteapp", BackendId: backendID(0), Change: change(0),
+	}))
+	c.must(err)
+	returned := time.Since(began)
+	time.Sleep(maxAfterDrain + time.Second)
+	byOperator := c.summary(0).LastReceived.Sub(began)
+
+	_, err = fleet[1].operator.RestoreBackend(ctx, connect.NewRequest(&briarstandv1.RestoreBackendRequest{
+		Service: "siteapp", BackendId: backendID(0), Change: change(0),
+	}))
+	c.must(err)
+	announced := time.Now()
+	c.must(c.post("http://"+c.backends[1]+"/standin/drain", nil))
+	time.Sleep(maxAfterDrain + time.Second)
+	byServer := c.summary(1).LastReceived.Sub(announced)
+	stop()
+	wg.Wait()
+	t.Logf("queries %d, not complete %d; last new sub-request after the drain: by operator %v (RPC returned after %v), by the backend server %v",
+		queries.Load(), incomplete.Load(), byOperator, returned, byServer)
+	qt.Check(t, byOperator <= maxAfterDrain, qt.IsTrue)
+	qt.Check(t, byServer <= maxAfterDrain, qt.IsTrue)
+	qt.Check(t, queries.Load() > 100, qt.IsTrue)
+	qt.Check(t, incomplete.Load(), qt.Equals, int64(0)) // each shard always has a replica that stays
+}
--- /dev/null
+++ b/proof/rollout_test.go
@@ -0,0 +1,238 @@
+package proof
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	qt "github.com/frankban/quicktest"
+
+	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+)
+
+// maxRollout is the stated bound from the swap to acceptance.
+const maxRollout = 15 * time.Second
+
+// revisionWatch queries every VM without pause and checks that the revision
+// that answers are bound to never decreases at a VM, and is never below one
+// that was accepted before the query began.
+type revisionWatch struct {
+	c        *cluster
+	service  string
+	accepted atomic.Int64
+	answers  atomic.Int64
+	refused  atomic.Int64
+	reverted atomic.Int64
+	stale    atomic.Int64
+}
+
+func (w *revisionWatch) follow(ctx context.Context, v *vm) {
+	var last int64
+	for ctx.Err() == nil {
+		floor := w.accepted.Load()
+		call, cancel := context.WithTimeout(ctx, 2*time.Second)
+		resp, err := v.query(call, &briarstandv1.QueryRequest{Service: w.service, Body: []byte("x")})
+		cancel()
+		if err != nil || resp.Revision == 0 {
+			w.refused.Add(1)
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		w.answers.Add(1)
+		if resp.Revision < last {
+			w.reverted.Add(1)
+		}
+		if resp.Revision < floor {
+			w.stale.Add(1)
+		}
+		last = resp.Revision
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+func (w *revisionWatch) check(t *testing.T) {
+	t.Logf("answers %d, refused %d, revisions that decreased %d, answers below an accepted revision %d",
+		w.answers.Load(), w.refused.Load(), w.reverted.Load(), w.stale.Load())
+	qt.Check(t, w.reverted.Load(), qt.Equals, int64(0))
+	qt.Check(t, w.stale.Load(), qt.Equals, int64(0))
+	qt.Check(t, w.answers.Load() > 100, qt.IsTrue)
+}
+
+// TestAcceptedConfigurationIsInForce guards against an accepted change that is
+// not in force at some VM, or that reverts, with and without a store outage
+// right after the write.
+func TestAcceptedConfigurationIsInForce(t *testing.T) {
+	t.Parallel()
+	for _, outage := range []bool{false, true} {
+		t.Run(fmt.Sprintf("outage=%v", outage), func(t *testing.T) {
+			t.Parallel()
+			acceptChanges(t, outage)
+		})
+	}
+}
+
+func acceptChanges(t *testing.T, outage bool) {
+	c := newCluster(t, 2, map[string]any{"slots": 64, "service_base": "1ms"})
+	var fleet []*vm
+	for i := range 5 {
+		fleet = append(fleet, c.startVM(fmt.Sprintf("vm-%d", i+1), "attica-a"))
+	}
+	svc := c.create(fleet[0], "siteapp", c.spec(2, policy(time.Second, 0), "v1"))
+	w := &revisionWatch{c: c, service: "siteapp"}
+	ctx, stop := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, v := range fleet {
+		wg.Go(func() { w.follow(ctx, v) })
+	}
+	revision := svc.Revision
+	var times []time.Duration
+	lost := 0
+	for i := range scaled(100) {
+		began := time.Now()
+		resp, retried := changeOnce(c, fleet[i%len(fleet)], revision, outage, int32(i+1))
+		if retried {
+			lost++ // the reply was lost: the time would be that of the outage
+		} else {
+			times = append(times, time.Since(began))
+		}
+		qt.Assert(t, resp.Rollout.State, qt.Equals, briarstandv1.RolloutState_ROLLOUT_STATE_ACCEPTED,
+			qt.Commentf("waiting for %v", resp.Rollout.WaitingFor))
+		revision = resp.Service.Revision
+		w.accepted.Store(revision)
+		time.Sleep(20 * time.Millisecond)
+	}
+	stop()
+	wg.Wait()
+	slices.Sort(times)
+	t.Logf("changes %d, of them recognised after a lost reply %d; recorded to in force at 5 VMs: median %v, maximum %v",
+		len(times)+lost, lost, times[len(times)/2], times[len(times)-1])
+	qt.Check(t, times[len(times)-1] <= maxRollout, qt.IsTrue)
+	w.check(t)
+}
+
+// changeOnce makes one change. With an outage, the store goes down as soon as
+// the write took effect, and comes back when the change was accepted. If its
+// reply was lost too, the same change is offered again afterwards.
+func changeOnce(c *cluster, v *vm, revision int64, outage bool, value int32) (*briarstandv1.ChangeResponse, bool) {
+	ch := change(revision)
+	spec := c.spec(2, policy(time.Second, value%10), "v1")
+	if !outage {
+		resp, err := c.update(v, "siteapp", spec, ch)
+		c.must(err)
+		return resp, false
+	}
+	before := c.storeWrites()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.until("write in the store", func() bool { return c.storeWrites() > before })
+		c.storeFaults(map[string]any{"down": true})
+	}()
+	resp, err := c.update(v, "siteapp", spec, ch)
+	<-done
+	c.storeFaults(map[string]any{})
+	if err == nil {
+		return resp, false
+	}
+	var refused *connect.Error
+	if !errors.As(err, &refused) {
+		c.must(err)
+	}
+	resp, err = c.update(v, "siteapp", spec, ch)
+	c.must(err)
+	return resp, true
+}
+
+// TestFrozenVMDoesNotRevert guards against a VM that was frozen while a change
+// was accepted without it, and that serves the old configuration when it thaws.
+func TestFrozenVMDoesNotRevert(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, map[string]any{"slots": 64, "service_base": "1ms"})
+	var fleet []*vm
+	for i := range 4 {
+		fleet = append(fleet, c.startVM(fmt.Sprintf("vm-%d", i+1), "attica-a"))
+	}
+	svc := c.create(fleet[0], "siteapp", c.spec(2, policy(time.Second, 0), "v1"))
+	w := &revisionWatch{c: c, service: "siteapp"}
+	revision := svc.Revision
+	for round := range 3 {
+		frozen := fleet[3]
+		frozen.signal(syscall.SIGSTOP)
+		resp, err := c.update(fleet[round%3], "siteapp", c.spec(2, policy(time.Second, int32(round+1)), "v1"), change(revision))
+		c.must(err)
+		revision = resp.Service.Revision
+		// The frozen VM is on the platform's list, so the change has to wait.
+		qt.Assert(t, resp.Rollout.State, qt.Equals, briarstandv1.RolloutState_ROLLOUT_STATE_RECORDED)
+		qt.Assert(t, resp.Rollout.WaitingFor, qt.DeepEquals, []string{frozen.id})
+		c.must(c.call("PUT", c.platformURL("/v1/agent/service/deregister/"+frozen.id), nil, nil))
+		c.until("acceptance without the frozen VM", func() bool {
+			status, err := fleet[0].operator.GetRollout(context.Background(), connect.NewRequest(&briarstandv1.GetRolloutRequest{Service: "siteapp", Revision: revision}))
+			return err == nil && status.Msg.Rollout.State == briarstandv1.RolloutState_ROLLOUT_STATE_ACCEPTED
+		})
+		w.accepted.Store(revision)
+		ctx, stop := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		for range 8 {
+			wg.Go(func() { w.follow(ctx, frozen) })
+		}
+		time.Sleep(50 * time.Millisecond) // queries wait in the frozen VM's sockets
+		frozen.signal(syscall.SIGCONT)
+		time.Sleep(2 * time.Second)
+		stop()
+		wg.Wait()
+		c.until("thawed VM known again", func() bool {
+			resp, err := fleet[0].operator.GetRollout(context.Background(), connect.NewRequest(&briarstandv1.GetRolloutRequest{Service: "siteapp"}))
+			return err == nil && resp.Msg.Rollout.State == briarstandv1.RolloutState_ROLLOUT_STATE_ACCEPTED
+		})
+	}
+	w.check(t)
+}
+
+// TestConcurrentOperators guards against a lost update when two operators swap
+// at once while replies of the store are lost.
+func TestConcurrentOperators(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, map[string]any{"service_base": "1ms"})
+	fleet := []*vm{c.startVM("vm-1", "attica-a"), c.startVM("vm-2", "attica-a")}
+	svc := c.create(fleet[0], "siteapp", c.spec(1, policy(time.Second, 0), "v1"))
+	c.storeFaults(map[string]any{"drop_replies": 10})
+	var made, conflicts atomic.Int64
+	var wg sync.WaitGroup
+	for o := range 2 {
+		wg.Go(func() {
+			revision := svc.Revision
+			for range 20 {
+				resp, err := c.update(fleet[o], "siteapp", c.spec(1, policy(time.Second, int32(o+1)), "v1"), change(revision))
+				if err == nil {
+					made.Add(1)
+					revision = resp.Service.Revision
+					continue
+				}
+				if connect.CodeOf(err) != connect.CodeAborted {
+					t.Errorf("operator %d: %v", o, err)
+					return
+				}
+				conflicts.Add(1)
+				get, err := fleet[o].operator.GetService(context.Background(), connect.NewRequest(&briarstandv1.GetServiceRequest{Name: "siteapp"}))
+				if err != nil {
+					t.Errorf("operator %d: %v", o, err)
+					return
+				}
+				revision = get.Msg.Service.Revision
+			}
+		})
+	}
+	wg.Wait()
+	audit, err := fleet[0].operator.ListAudit(context.Background(), connect.NewRequest(&briarstandv1.ListAuditRequest{Service: "siteapp", Limit: 1000}))
+	c.must(err)
+	t.Logf("changes made %d, conflicts %d, audit records %d", made.Load(), conflicts.Load(), len(audit.Msg.Records))
+	qt.Check(t, len(audit.Msg.Records), qt.Equals, int(made.Load())+1) // the creation has one too
+	qt.Check(t, conflicts.Load() > 0, qt.IsTrue)
+}
--- /dev/null
+++ b/proof/shutdown_test.go
@@ -0,0 +1,132 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+	"github.com/briarstand/briarstand/gen/briarstand/v1/briarstandv1connect"
+)
+
+// TestRollingReplacementCutsNothing guards against queries that are cut off or
+// refused when all VMs are replaced one by one. Callers keep their list of
+// addresses for its time to live, as they are told.
+func TestRollingReplacementCutsNothing(t *testing.T) {
+	t.Parallel()
+	const callers = 120
+	c := newCluster(t, 2, map[string]any{"slots": 512, "service_base": "300ms", "queue_limit": 4096})
+	var fleet []*vm
+	for i := range 4 {
+		fleet = append(fleet, c.startVM(fmt.Sprintf("vm-%d", i+1), "attica-a"))
+	}
+	c.create(fleet[0], "siteapp", c.spec(2, policy(5*time.Second, 0), "v1"))
+	load := &rollingLoad{c: c, seeds: make(chan string, 1)}
+	load.entry.Store(&[]string{fleet[0].address(callerPort), fleet[1].address(callerPort), fleet[2].address(callerPort), fleet[3].address(callerPort)})
+	ctx, stop := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Go(func() { load.run(ctx, fmt.Sprintf("caller-%d", i)) })
+	}
+	time.Sleep(2 * time.Second)
+	inFlight := 0
+	for round := range 2 {
+		for i, old := range fleet {
+			n := c.startVM(fmt.Sprintf("vm-%d-%d", round+2, i+1), "attica-a")
+			old.signal(syscall.SIGTERM)
+			inFlight += load.inFlightAt(old)
+			qt.Check(t, old.wait(40*time.Second), qt.Equals, 0, qt.Commentf("%s: %s", old.id, old.log))
+			fleet[i] = n
+			entry := []string{}
+			for _, v := range fleet {
+				entry = append(entry, v.address(callerPort))
+			}
+			load.entry.Store(&entry)
+		}
+	}
+	stop()
+	wg.Wait()
+	t.Logf("VMs replaced 8, queries %d, in flight at a shutdown %d, cut off %d, refused %d, not complete %d",
+		load.queries.Load(), inFlight, load.cut.Load(), load.refused.Load(), load.incomplete.Load())
+	qt.Check(t, load.cut.Load(), qt.Equals, int64(0), qt.Commentf("first error: %v", load.firstError.Load()))
+	qt.Check(t, load.refused.Load(), qt.Equals, int64(0))
+	qt.Check(t, load.incomplete.Load(), qt.Equals, int64(0))
+	qt.Check(t, inFlight > 100, qt.IsTrue, qt.Commentf("only %d queries were in flight at a shutdown", inFlight))
+}
+
+// rollingLoad is a set of callers that follow the addresses they are told.
+type rollingLoad struct {
+	c          *cluster
+	entry      atomic.Pointer[[]string] // where a caller without a list asks
+	seeds      chan string
+	perVM      sync.Map // address to *atomic.Int64
+	queries    atomic.Int64
+	cut        atomic.Int64
+	refused    atomic.Int64
+	incomplete atomic.Int64
+	firstError atomic.Pointer[string]
+}
+
+func (l *rollingLoad) counter(address string) *atomic.Int64 {
+	n, _ := l.perVM.LoadOrStore(address, new(atomic.Int64))
+	return n.(*atomic.Int64)
+}
+
+func (l *rollingLoad) inFlightAt(v *vm) int { return int(l.counter(v.address(callerPort)).Load()) }
+
+// run queries until the context ends. It asks for addresses again when their
+// time to live is over.
+func (l *rollingLoad) run(ctx context.Context, id string) {
+	rng := rand.New(rand.NewPCG(7, uint64(len(id))+uint64(id[len(id)-1])))
+	var addresses []string
+	var expiry time.Time
+	for ctx.Err() == nil {
+		if time.Now().After(expiry) {
+			addresses, expiry = l.resolve(id, rng)
+			continue
+		}
+		l.query(addresses[rng.IntN(len(addresses))], fmt.Sprintf("%s-%d", id, rng.Uint32()))
+	}
+}
+
+func (l *rollingLoad) resolve(id string, rng *rand.Rand) ([]string, time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	entry := *l.entry.Load()
+	address := entry[rng.IntN(len(entry))]
+	asked := time.Now()
+	v := &vm{caller: briarstandv1connect.NewCallerServiceClient(l.c.client, "http://"+address)}
+	addresses, ttl, err := v.addresses(ctx, id)
+	if err != nil || len(addresses) == 0 {
+		time.Sleep(10 * time.Millisecond)
+		return nil, time.Time{}
+	}
+	return addresses, asked.Add(ttl)
+}
+
+func (l *rollingLoad) query(address, id string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	v := &vm{caller: briarstandv1connect.NewCallerServiceClient(l.c.client, "http://"+address)}
+	l.queries.Add(1)
+	l.counter(address).Add(1)
+	defer l.counter(address).Add(-1)
+	resp, err := v.query(ctx, &briarstandv1.QueryRequest{Service: "siteapp", RequestId: id, Body: []byte("x")})
+	switch {
+	case err != nil:
+		text := address + ": " + err.Error()
+		l.firstError.CompareAndSwap(nil, &text)
+		l.cut.Add(1)
+	case resp.Outcome == briarstandv1.Outcome_OUTCOME_NOT_RUN:
+		l.refused.Add(1)
+	case resp.Outcome != briarstandv1.Outcome_OUTCOME_COMPLETE:
+		l.incomplete.Add(1)
+	}
+}
--- /dev/null
+++ b/proof/snapshot_test.go
@@ -0,0 +1,152 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+)
+
+// answer is what a caller was told about one query.
+type answer struct {
+	id, version     string
+	answered, total int32
+	missing         map[int32]bool
+	mixed           bool
+	foreign         bool
+}
+
+// TestAnswersComeFromOneSnapshot guards against answers that mix index
+// versions or claim a coverage that was not run, while versions change, a
+// backend server is slow, replies are duplicated, late and of wrong versions,
+// and a replica is lost.
+func TestAnswersComeFromOneSnapshot(t *testing.T) {
+	t.Parallel()
+	const shards = 6
+	c := newCluster(t, 3, map[string]any{"slots": 64, "service_base": "1ms"})
+	var fleet []*vm
+	for i := range 3 {
+		fleet = append(fleet, c.startVM(fmt.Sprintf("vm-%d", i+1), "attica-a"))
+	}
+	svc := c.create(fleet[0], "siteapp", c.spec(shards, policy(300*time.Millisecond, 50), "v1"))
+	c.must(c.post("http://"+c.backends[0]+"/standin/faults", map[string]any{
+		"duplicate_probability": 0.1, "wrong_version_probability": 0.05, "wrong_shard_probability": 0.02,
+		"delay_probability": 0.05, "reply_delay": "400ms", "invent_probability": 0.05,
+	}))
+	total := scaled(10000)
+	answers := make([][]answer, 12)
+	ctx, stop := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for w := range answers {
+		wg.Go(func() {
+			rng := rand.New(rand.NewPCG(3, uint64(w)))
+			for n := 0; n < total/len(answers)+1; n++ {
+				v := fleet[rng.IntN(len(fleet))]
+				if a, ok := ask(v, fmt.Sprintf("q-%d-%d", w, n)); ok {
+					answers[w] = append(answers[w], a)
+				}
+			}
+		})
+	}
+	var changes sync.WaitGroup
+	published := 1
+	changes.Go(func() {
+		revision := svc.Revision
+		for n := 2; ctx.Err() == nil; n++ {
+			// The newest backend-side version is held by some servers only at
+			// first: the others answer that they lack it.
+			c.must(c.post("http://"+c.backends[1]+"/standin/settings", map[string]any{"holdings": []map[string]any{{"version": fmt.Sprintf("v%d", n-1)}}}))
+			spec := c.spec(shards, policy(300*time.Millisecond, 50), fmt.Sprintf("v%d", n-1), fmt.Sprintf("v%d", n))
+			for i := range spec.IndexVersions {
+				spec.IndexVersions[i].Sequence = int64(n + i)
+			}
+			resp, err := c.update(fleet[0], "siteapp", spec, change(revision))
+			c.must(err)
+			revision, published = resp.Service.Revision, n
+			sleep(ctx, 100*time.Millisecond)
+			c.must(c.post("http://"+c.backends[1]+"/standin/settings", map[string]any{"holdings": []map[string]any{}}))
+			if n == 4 {
+				c.must(c.post("http://"+c.backends[2]+"/standin/faults", map[string]any{"straggler_factor": 100}))
+			}
+			sleep(ctx, 200*time.Millisecond)
+		}
+	})
+	wg.Wait()
+	stop()
+	changes.Wait()
+	checkAnswers(t, c, answers, published)
+}
+
+func ask(v *vm, id string) (answer, bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	resp, err := v.query(ctx, &briarstandv1.QueryRequest{Service: "siteapp", RequestId: id, Body: []byte("x"), Limit: 100})
+	if err != nil {
+		return answer{}, false
+	}
+	a := answer{id: id, version: resp.IndexVersion, answered: resp.Coverage.ShardsAnswered, total: resp.Coverage.ShardsTotal, missing: map[int32]bool{}}
+	for _, s := range resp.Coverage.MissingShards {
+		a.missing[s] = true
+	}
+	for _, h := range resp.Hits {
+		a.mixed = a.mixed || versionOf(h) != resp.IndexVersion
+		a.foreign = a.foreign || a.missing[h.Shard]
+	}
+	a.foreign = a.foreign || resp.RequestId != id
+	return a, true
+}
+
+// checkAnswers compares answers with what the backend servers ran.
+func checkAnswers(t *testing.T, c *cluster, answers [][]answer, versions int) {
+	type ranShard struct {
+		id, version string
+		shard       int
+	}
+	ran := map[ranShard]bool{}
+	for i := range c.backends {
+		for _, r := range c.record(i).Runs {
+			ran[ranShard{r.RequestID, r.IndexVersion, r.Shard}] = true
+		}
+	}
+	n, complete, partial, mixed, foreign, overstated, used := 0, 0, 0, 0, 0, 0, map[string]bool{}
+	for _, worker := range answers {
+		for _, a := range worker {
+			n++
+			used[a.version] = true
+			if a.mixed {
+				mixed++
+			}
+			if a.foreign {
+				foreign++
+			}
+			if a.answered == a.total {
+				complete++
+			} else {
+				partial++
+			}
+			if int(a.answered)+len(a.missing) != int(a.total) {
+				overstated++
+				continue
+			}
+			for s := range a.total {
+				if !a.missing[s] && !ran[ranShard{a.id, a.version, int(s)}] {
+					overstated++
+					break
+				}
+			}
+		}
+	}
+	t.Logf("answers %d (complete %d, partial %d) over %d versions (%d used): mixing versions %d, not its own %d, claiming a shard that did not run %d",
+		n, complete, partial, versions, len(used), mixed, foreign, overstated)
+	qt.Check(t, mixed, qt.Equals, 0)
+	qt.Check(t, foreign, qt.Equals, 0)
+	qt.Check(t, overstated, qt.Equals, 0)
+	qt.Check(t, n >= scaled(10000), qt.IsTrue)
+	qt.Check(t, len(used) > 2, qt.IsTrue)
+}
