Test documents, archiving, the client and the stand-in

Cause: validation, the codec, audit archiving and the platform client had no tests of their own. Excluded: 18 updates at the target size, which took 28 s under the race detector; two updates that change every backend server reach the limit of 1 MB as well. After: it compares the base of every write with the revision that its change expects.

--- a/config/command/command_test.go
+++ b/config/command/command_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,6 +11,8 @@
 
 	"github.com/briarstand/briarstand/config"
 	"github.com/briarstand/briarstand/config/command"
+	"github.com/briarstand/briarstand/config/query"
+	"github.com/briarstand/briarstand/platform"
 	"github.com/briarstand/briarstand/platform/httpkv"
 	"github.com/briarstand/briarstand/platform/standin"
 )
@@ -72,3 +76,138 @@
 	c.Assert(repeated.Backends, qt.DeepEquals, created.Backends)
 	c.Assert(f.server.Writes(), qt.HasLen, 3)
 }
+
+// TestArchive guards against records that are lost, doubled or no longer
+// recognised when the embedded trail is archived, also when the reply to the
+// archive write is lost or another VM wrote the chunk before.
+func TestArchive(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	f := newFixture(t)
+	defer f.server.Close()
+	ctx := context.Background()
+	first, err := f.commands.Create(ctx, declaration(), change("c0", 0))
+	c.Assert(err, qt.IsNil)
+	const changes = 100
+	for i := 1; i <= changes; i++ {
+		f.server.SetDropReplies(i % 2)
+		svc, err := f.commands.Drain(ctx, "tickets", "b1", change(fmt.Sprintf("c%d", i), 0))
+		c.Assert(err, qt.IsNil)
+		c.Assert(len(svc.Audit) <= 64, qt.IsTrue)
+	}
+	records, err := query.New(f.store).Audit(ctx, "tickets", changes+10)
+	c.Assert(err, qt.IsNil)
+	c.Assert(records, qt.HasLen, changes+1)
+	for i, r := range records {
+		c.Assert(r.ChangeID, qt.Equals, fmt.Sprintf("c%d", changes-i))
+	}
+	writes := len(f.server.Writes())
+	for _, id := range []string{"c100", "c60"} {
+		_, err := f.commands.Drain(ctx, "tickets", "b1", change(id, 0))
+		c.Assert(err, qt.IsNil)
+	}
+	second, err := f.commands.Drain(ctx, "tickets", "b1", change("c1", first.Revision))
+	c.Assert(err, qt.IsNil)
+	c.Assert(second.Revision, qt.Equals, first.Revision+1)
+	c.Assert(f.server.Writes(), qt.HasLen, writes)
+}
+
+// TestArchiveLeftBehind guards against dropping records that a chunk does not
+// hold: a VM wrote a chunk and then lost the race for the document.
+func TestArchiveLeftBehind(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(t)
+	defer f.server.Close()
+	ctx := context.Background()
+	svc, err := f.commands.Create(ctx, declaration(), change("c0", 0))
+	c.Assert(err, qt.IsNil)
+	value, err := config.EncodeChunk(&config.AuditChunk{Service: "tickets", Records: svc.Audit})
+	c.Assert(err, qt.IsNil)
+	_, err = f.store.CompareAndSwap(ctx, config.AuditKey("tickets", svc.Revision), 0, value)
+	c.Assert(err, qt.IsNil)
+	f.commands.SetMaxEmbedded(8)
+	for i := 1; i <= 20; i++ {
+		_, err := f.commands.Restore(ctx, "tickets", "b1", change(fmt.Sprintf("c%d", i), 0))
+		c.Assert(err, qt.IsNil)
+	}
+	records, err := query.New(f.store).Audit(ctx, "tickets", 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(records, qt.HasLen, 21)
+}
+
+// TestErrors guards against a failure that is reported with the wrong type,
+// from which operators would draw the wrong conclusion.
+func TestErrors(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(t)
+	defer f.server.Close()
+	ctx := context.Background()
+	svc, err := f.commands.Create(ctx, declaration(), change("c1", 0))
+	c.Assert(err, qt.IsNil)
+	_, err = f.commands.Update(ctx, declaration(), change("c2", svc.Revision+5))
+	var conflict *command.ConflictError
+	c.Assert(errors.As(err, &conflict), qt.IsTrue)
+	c.Assert(*conflict, qt.Equals, command.ConflictError{Service: "tickets", Expected: svc.Revision + 5, Actual: svc.Revision})
+	_, err = f.commands.Create(ctx, declaration(), change("c3", 0))
+	c.Assert(err, qt.ErrorAs, new(*command.ExistsError))
+	_, err = f.commands.Drain(ctx, "tickets", "b9", change("c4", 0))
+	c.Assert(err, qt.ErrorAs, new(*command.NotFoundError))
+	_, err = f.commands.Delete(ctx, "absent", change("c5", 3))
+	c.Assert(err, qt.ErrorAs, new(*command.NotFoundError))
+	_, err = f.commands.Drain(ctx, "tickets", "b1", change("c1", 0))
+	c.Assert(err, qt.ErrorAs, new(*command.ReusedError))
+	_, err = f.commands.Create(ctx, declaration(), command.Change{ID: "c\x00", ExpectedRevision: 4})
+	var invalid *config.ValidationError
+	c.Assert(errors.As(err, &invalid), qt.IsTrue)
+	c.Assert(invalid.Fields, qt.HasLen, 3)
+	f.server.SetDown(true)
+	_, err = f.commands.Drain(ctx, "tickets", "b1", change("c6", 0))
+	c.Assert(err, qt.ErrorAs, new(*platform.UnavailableError))
+	f.server.SetDown(false)
+	_, err = f.store.CompareAndSwap(ctx, config.ServiceKey("tickets"), svc.Revision, []byte("{"))
+	c.Assert(err, qt.IsNil)
+	_, err = f.commands.Drain(ctx, "tickets", "b1", change("c7", 0))
+	c.Assert(err, qt.ErrorAs, new(*config.DocumentError))
+}
+
+// TestTargetSize guards against a service of the target size (2,100 backend
+// servers, 990 shards, 2 replicas, 2 index versions) that cannot be declared
+// or changed within the limit of 1 MB, audit records included.
+func TestTargetSize(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	f := newFixture(t)
+	defer f.server.Close()
+	ctx := context.Background()
+	svc := &config.Service{Name: "site", Policy: config.DefaultPolicy()}
+	for i := range 2100 {
+		svc.Backends = append(svc.Backends, config.Backend{
+			ID: fmt.Sprintf("searcher-%04d", i), Address: fmt.Sprintf("10.20.%d.%d:9000", i/250, i%250+1),
+			Zone: "attica-a", Region: "attica", Slots: 2, MaxConnections: 60,
+		})
+	}
+	version := func(sequence int64) config.IndexVersion {
+		v := config.IndexVersion{Name: fmt.Sprintf("v%d", sequence), Sequence: sequence}
+		for shard := range 990 {
+			v.Shards = append(v.Shards, []string{svc.Backends[shard].ID, svc.Backends[shard+990].ID})
+		}
+		return v
+	}
+	svc.Versions = []config.IndexVersion{version(1)}
+	now, err := f.commands.Create(ctx, svc, change("create", 0))
+	c.Assert(err, qt.IsNil)
+	for i := int64(2); i <= 3; i++ {
+		for b := range svc.Backends {
+			svc.Backends[b].Slots, svc.Backends[b].MaxConnections = int(i), 60+int(i)
+		}
+		svc.Versions = []config.IndexVersion{version(i - 1), version(i)}
+		now, err = f.commands.Update(ctx, svc, change(fmt.Sprintf("v%d", i), now.Revision))
+		c.Assert(err, qt.IsNil)
+	}
+	records, err := query.New(f.store).Audit(ctx, "site", 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(records, qt.HasLen, 3)
+	c.Assert(now.ArchivedFrom, qt.Not(qt.Equals), int64(0))
+	_, err = f.commands.Delete(ctx, "site", change("delete", now.Revision))
+	c.Assert(err, qt.IsNil)
+}
--- a/config/command/machine_test.go
+++ b/config/command/machine_test.go
@@ -112,6 +112,7 @@
 	late   []func()
 	serial int
 
+	started map[string]*operation // by change id
 	docs    []*config.Service
 	decoded int // writes already in docs
 	checked int // docs already checked against the one before
@@ -197,6 +198,7 @@
 	c := &call{op: op, store: &scheduledStore{Store: m.store}}
 	op.active++
 	op.refused = false
+	m.started[op.change.ID] = op
 	commands := command.New(c.store, func() time.Time { return time.Unix(1_700_000_000, 0) })
 	commands.SetMaxEmbedded(4)
 	m.calls = append(m.calls, c)
@@ -354,6 +356,9 @@
 		return
 	}
 	last := older[len(older)-1]
+	if expected := m.started[doc.ChangeID].change.ExpectedRevision; expected > 0 && record.Base != expected {
+		t.Fatalf("change %s expects revision %d, but was written on %d", doc.ChangeID, expected, record.Base)
+	}
 	if doc.Revision <= last.Revision || record.Base != last.Revision {
 		t.Fatalf("revision %d is based on %d after %d", doc.Revision, record.Base, last.Revision)
 	}
@@ -388,7 +393,7 @@
 func TestConcurrentChanges(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		rapid.SyncTest(rt, func(rt *rapid.T) {
-			m := &machine{fixture: newFixture(t)}
+			m := &machine{fixture: newFixture(t), started: map[string]*operation{}}
 			defer m.server.Close()
 			defer m.abandon()
 			rt.Repeat(rapid.StateMachineActions(m))
--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,273 @@
+package config_test
+
+import (
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/briarstand/briarstand/config"
+	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+	"github.com/briarstand/briarstand/platform"
+)
+
+// TestMain fixes the seed of the property tests, unless one is given by flag.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "20260101", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+func valid() *config.Service {
+	return &config.Service{
+		Name: "tickets",
+		Backends: []config.Backend{
+			{ID: "b1", Address: "10.0.0.1:9000", Zone: "z1", Region: "r1", Slots: 2, MaxConnections: 55},
+			{ID: "b2", Address: "[2001:db8::2]:9000", Zone: "z2", Slots: 2, MaxConnections: 55, Draining: true},
+		},
+		Versions: []config.IndexVersion{
+			{Name: "v1", Sequence: 1, Shards: [][]string{{"b1", "b2"}, {"b2"}}},
+			{Name: "v2", Sequence: 2, Shards: [][]string{{"b1"}}},
+		},
+		Policy: config.DefaultPolicy(),
+	}
+}
+
+// TestValidate guards against a bad field that is accepted, or reported under
+// another name.
+func TestValidate(t *testing.T) {
+	qt.Assert(t, config.Validate(valid()), qt.IsNil)
+	for field, spoil := range map[string]func(*config.Service){
+		"name": func(s *config.Service) { s.Name = "a/b" },
+		// A renamed backend server leaves its shards without it.
+		"backends[0].id index_versions[0].shards[0] index_versions[1].shards[0]": func(s *config.Service) { s.Backends[0].ID = "" },
+		"backends[1].id index_versions[0].shards[0] index_versions[0].shards[1]": func(s *config.Service) { s.Backends[1].ID = "b1" },
+		"backends[0].address":                    func(s *config.Service) { s.Backends[0].Address = "host:9000" },
+		"backends[1].address":                    func(s *config.Service) { s.Backends[1].Address = "10.0.0.1:0" },
+		"backends[0].zone":                       func(s *config.Service) { s.Backends[0].Zone = "" },
+		"backends[0].region":                     func(s *config.Service) { s.Backends[0].Region = "-" },
+		"backends[0].slots":                      func(s *config.Service) { s.Backends[0].Slots = 0 },
+		"backends[0].max_connections":            func(s *config.Service) { s.Backends[0].MaxConnections = -1 },
+		"index_versions[0].name":                 func(s *config.Service) { s.Versions[0].Name = " " },
+		"index_versions[1].name":                 func(s *config.Service) { s.Versions[1].Name = "v1" },
+		"index_versions[1].sequence":             func(s *config.Service) { s.Versions[1].Sequence = 1 },
+		"index_versions[0].sequence":             func(s *config.Service) { s.Versions[0].Sequence = 0 },
+		"index_versions[0].shards":               func(s *config.Service) { s.Versions[0].Shards = nil },
+		"index_versions[0].shards[1]":            func(s *config.Service) { s.Versions[0].Shards[1] = nil },
+		"index_versions[1].shards[0]":            func(s *config.Service) { s.Versions[1].Shards[0] = []string{"b3"} },
+		"index_versions[0].shards[0]":            func(s *config.Service) { s.Versions[0].Shards[0] = []string{"b1", "b1"} },
+		"policy.deadline_ms":                     func(s *config.Service) { s.Policy.DeadlineMS = 0 },
+		"policy.max_concurrent":                  func(s *config.Service) { s.Policy.MaxConcurrent = 0 },
+		"policy.max_queued":                      func(s *config.Service) { s.Policy.MaxQueued = -1 },
+		"policy.extra_load_permille":             func(s *config.Service) { s.Policy.ExtraLoadPermille = 1001 },
+		"policy.hedge_permille":                  func(s *config.Service) { s.Policy.HedgePermille = 1000 },
+		"policy.min_coverage_permille":           func(s *config.Service) { s.Policy.MinCoveragePermille = -1 },
+		"policy.default_limit":                   func(s *config.Service) { s.Policy.DefaultLimit = 0 },
+		"policy.priority":                        func(s *config.Service) { s.Policy.Priority = 4 },
+		"policy.preference":                      func(s *config.Service) { s.Policy.Preference = "" },
+		"policy.replica_choice":                  func(s *config.Service) { s.Policy.ReplicaChoice = "best" },
+		"backends[0].slots policy.default_limit": func(s *config.Service) { s.Backends[0].Slots, s.Policy.DefaultLimit = -1, -1 },
+	} {
+		s := valid()
+		spoil(s)
+		var invalid *config.ValidationError
+		qt.Check(t, errors.As(config.Validate(s), &invalid), qt.IsTrue, qt.Commentf(field))
+		var got []string
+		for _, f := range invalid.Fields {
+			got = append(got, f.Field)
+		}
+		qt.Check(t, strings.Join(got, " "), qt.Equals, field)
+		qt.Check(t, error(invalid), qt.ErrorAs, new(*config.FieldError))
+	}
+}
+
+// TestProtoRoundTrip guards against a field that is lost between a message and
+// a document, and against wrong defaults.
+func TestProtoRoundTrip(t *testing.T) {
+	c := qt.New(t)
+	want := valid()
+	want.Revision, want.ChangeID = 7, "c1"
+	got, err := config.FromProto(config.ToProto(want))
+	c.Assert(err, qt.IsNil)
+	c.Assert(got, qt.DeepEquals, want)
+	message := config.ToProto(want)
+	message.Spec.Policy = nil
+	got, err = config.FromProto(message)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got.Policy, qt.Equals, config.DefaultPolicy())
+	message.Spec.Policy = &briarstandv1.Policy{DeadlineMs: 100, MaxConcurrent: 1, DefaultLimit: 1}
+	got, err = config.FromProto(message)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got.Policy, qt.Equals, config.Policy{
+		DeadlineMS: 100, MaxConcurrent: 1, DefaultLimit: 1,
+		Preference: config.PreferLatency, Priority: config.PriorityNormal, ReplicaChoice: config.ChoiceAdaptive,
+	})
+	message.Spec.Policy.Preference = 99
+	_, err = config.FromProto(message)
+	c.Assert(err, qt.ErrorAs, new(*config.FieldError))
+	_, err = config.FromProto(&briarstandv1.Service{Name: "x", Spec: &briarstandv1.ServiceSpec{Backends: []*briarstandv1.Backend{nil}}})
+	c.Assert(err, qt.ErrorAs, new(*config.FieldError))
+}
+
+// service draws a valid service from a small set of backend servers and index
+// versions, so that two of them share some.
+func service(t *rapid.T, label string) *config.Service {
+	s := &config.Service{Name: "tickets", Policy: config.DefaultPolicy()}
+	if rapid.IntRange(0, 9).Draw(t, label+" deleted") == 0 {
+		return &config.Service{Name: "tickets", Deleted: true}
+	}
+	s.Policy.DeadlineMS = int64(rapid.IntRange(1, 2).Draw(t, label+" deadline"))
+	s.Policy.HedgePermille = rapid.IntRange(0, 1).Draw(t, label+" hedge")
+	for i := range 3 {
+		if kind := rapid.IntRange(0, 3).Draw(t, label+" backend"); kind > 0 {
+			s.Backends = append(s.Backends, config.Backend{
+				ID: fmt.Sprintf("b%d", i), Address: "10.0.0.1:1", Zone: "z", Region: strings.Repeat("r", kind-1),
+				Slots: 1, MaxConnections: kind, Draining: kind == 2,
+			})
+		}
+	}
+	for i := range 3 {
+		kind := rapid.IntRange(0, 2).Draw(t, label+" version")
+		if kind == 0 || len(s.Backends) == 0 {
+			continue
+		}
+		v := config.IndexVersion{Name: fmt.Sprintf("v%d", i), Sequence: int64(i + 1)}
+		for range kind {
+			v.Shards = append(v.Shards, []string{s.Backends[i%len(s.Backends)].ID})
+		}
+		s.Versions = append(s.Versions, v)
+	}
+	return s
+}
+
+// TestRewind guards against audit records that lack a changed field: undoing a
+// change from its record must give exactly the state before it.
+func TestRewind(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		before, after := service(t, "before"), service(t, "after")
+		b, a, err := config.Diff(before, after)
+		if err != nil {
+			t.Fatal(err)
+		}
+		// A record in a document must read back as it was written.
+		data, err := json.Marshal(config.AuditRecord{ChangeID: "c", Base: 3, Before: b, After: a})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var record config.AuditRecord
+		if err := json.Unmarshal(data, &record); err != nil || record.Before != b || record.After != a {
+			t.Fatalf("record changed on the way: %v: %s", err, data)
+		}
+		got, err := config.Rewind(after, record)
+		if err != nil {
+			t.Fatal(err)
+		}
+		before.Revision = 3
+		gotText, _ := json.Marshal(got)
+		wantText, _ := json.Marshal(before)
+		if string(gotText) != string(wantText) {
+			t.Fatalf("got %s, want %s", gotText, wantText)
+		}
+	})
+}
+
+func document(t testing.TB) []byte {
+	s := valid()
+	s.ChangeID = "c2"
+	s.Audit = []config.AuditRecord{
+		{ChangeID: "c1", Revision: 4, Operator: "asha", Action: "create", After: `{"deleted":false}`},
+		{ChangeID: "c2", Revision: 9, Base: 4, Operator: "asha", Action: "update", Before: "text"},
+	}
+	data, err := config.Encode(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// TestDecode guards against a corrupt document that is taken for a valid one,
+// or that hides the others of a listing.
+func TestDecode(t *testing.T) {
+	c := qt.New(t)
+	key := config.ServiceKey("tickets")
+	text := string(document(t))
+	svc, err := config.Decode(platform.Entry{Key: key, Value: []byte(text), Index: 9})
+	c.Assert(err, qt.IsNil)
+	c.Assert(svc.Revision, qt.Equals, int64(9))
+	c.Assert(svc.Audit[1].Revision, qt.Equals, int64(9))
+	c.Assert(svc.Audit[1].Before, qt.Equals, "text")
+	listing := platform.Listing{Entries: []platform.Entry{{Key: key, Value: []byte(text), Index: 9}}}
+	for _, bad := range []string{
+		"", "null", "{}", "[]", text + "x", text[:len(text)-1],
+		strings.Replace(text, `"name":"tickets"`, `"name":"other"`, 1),
+		strings.Replace(text, `"name":"tickets"`, `"name":"tickets","revision":9`, 1),
+		strings.Replace(text, `"name":"tickets"`, `"name":"tickets","unknown":1`, 1),
+		strings.Replace(text, `"operator"`, `"unknown"`, 1),
+		strings.Replace(text, `"slots":2`, `"slots":0`, 1),
+		strings.Replace(text, `"revision":4`, `"revision":9`, 1),
+		strings.Replace(text, `"change_id":"c2"`, `"change_id":"c3"`, 1),
+		strings.Replace(text, `"policy"`, `"deleted":true,"policy"`, 1),
+	} {
+		entry := platform.Entry{Key: key, Value: []byte(bad), Index: 9}
+		_, err := config.Decode(entry)
+		c.Check(err, qt.ErrorAs, new(*config.DocumentError), qt.Commentf(bad))
+		listing.Entries = append(listing.Entries, entry)
+	}
+	services, corrupt := config.DecodeListing(listing)
+	c.Assert(services, qt.HasLen, 1)
+	c.Assert(corrupt, qt.HasLen, len(listing.Entries)-1)
+	large := valid()
+	large.Audit = []config.AuditRecord{{Reason: strings.Repeat("x", config.MaxDocumentBytes)}}
+	_, err = config.Encode(large)
+	c.Assert(err, qt.ErrorAs, new(*config.FieldError))
+}
+
+// FuzzDecode guards against a panic on a corrupt document, and against a
+// document that changes when it is written again.
+func FuzzDecode(f *testing.F) {
+	f.Add(document(f), int64(9))
+	f.Add([]byte(`{"name":"tickets","change_id":"c","deleted":true,"policy":{}}`), int64(1))
+	f.Add([]byte(`{"name":"tickets","audit":[{"change_id":"","before":"x"}]}`), int64(1))
+	f.Add([]byte(`{"service":"tickets","records":[{"change_id":"c","revision":3}]}`), int64(3))
+	f.Fuzz(func(t *testing.T, data []byte, index int64) {
+		_, _ = config.DecodeChunk(platform.Entry{Key: config.AuditKey("tickets", index), Value: data, Index: index})
+		key := config.ServiceKey("tickets")
+		svc, err := config.Decode(platform.Entry{Key: key, Value: data, Index: index})
+		if err != nil {
+			if !errors.As(err, new(*config.DocumentError)) {
+				t.Fatalf("wrong type: %v", err)
+			}
+			return
+		}
+		again, err := config.Encode(svc)
+		if errors.As(err, new(*config.FieldError)) {
+			return // escaping can make a document larger
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		svc2, err := config.Decode(platform.Entry{Key: key, Value: again, Index: index})
+		if err != nil {
+			t.Fatalf("not readable again: %v\n%s", err, again)
+		}
+		a, _ := json.Marshal(svc)
+		b, _ := json.Marshal(svc2)
+		if string(a) != string(b) {
+			t.Fatalf("changed:\n%s\n%s", a, b)
+		}
+		if !svc.Deleted && !proto.Equal(config.ToProto(svc), config.ToProto(svc2)) {
+			t.Fatal("message form changed")
+		}
+	})
+}
