Test the operator API; bound validation and audit replies

Cause: a request of 2 MB could name one shard with several hundred thousand backend servers, whose search for duplicates is quadratic, and an audit reply could gather 10,000 records of several hundred kilobytes. Excluded: a limit on reported fields in the error type; only its message is cut, to 20 fields. Before: no bound but the size of the message. After: 64 replicas a shard, 16 MB of audit text.

--- a/config/command/command_test.go
+++ b/config/command/command_test.go
@@ -196,18 +196,16 @@
 	svc.Versions = []config.IndexVersion{version(1)}
 	now, err := f.commands.Create(ctx, svc, change("create", 0))
 	c.Assert(err, qt.IsNil)
-	for i := int64(2); i <= 3; i++ {
-		for b := range svc.Backends {
-			svc.Backends[b].Slots, svc.Backends[b].MaxConnections = int(i), 60+int(i)
-		}
-		svc.Versions = []config.IndexVersion{version(i - 1), version(i)}
-		now, err = f.commands.Update(ctx, svc, change(fmt.Sprintf("v%d", i), now.Revision))
-		c.Assert(err, qt.IsNil)
+	for b := range svc.Backends {
+		svc.Backends[b].Slots, svc.Backends[b].MaxConnections = 3, 61
 	}
+	svc.Versions = append(svc.Versions, version(2))
+	now, err = f.commands.Update(ctx, svc, change("update", now.Revision))
+	c.Assert(err, qt.IsNil)
+	deleted, err := f.commands.Delete(ctx, "site", change("delete", now.Revision))
+	c.Assert(err, qt.IsNil)
+	c.Assert(deleted.ArchivedFrom, qt.Not(qt.Equals), int64(0))
 	records, err := query.New(f.store).Audit(ctx, "site", 0)
 	c.Assert(err, qt.IsNil)
 	c.Assert(records, qt.HasLen, 3)
-	c.Assert(now.ArchivedFrom, qt.Not(qt.Equals), int64(0))
-	_, err = f.commands.Delete(ctx, "site", change("delete", now.Revision))
-	c.Assert(err, qt.IsNil)
 }
--- a/config/command/machine_test.go
+++ b/config/command/machine_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -24,22 +23,12 @@
 
 // TestMain fixes the seed of the property tests, unless one is given by flag.
 func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "20260101"); err != nil {
-		panic(err)
-	}
-	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
-		panic(err)
-	}
-	flag.Parse()
-	if err := goleak.Find(); err != nil {
-		panic(err)
-	}
-	code := m.Run()
-	if err := goleak.Find(); err != nil && code == 0 {
-		fmt.Fprintln(os.Stderr, err)
-		code = 1
+	for name, value := range map[string]string{"rapid.seed": "20260101", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
 	}
-	os.Exit(code)
+	goleak.VerifyTestMain(m)
 }
 
 // storeCall is a call of the store that waits for the test to let it run.
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -5,11 +5,11 @@
 	"errors"
 	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
@@ -25,8 +25,7 @@
 			panic(err)
 		}
 	}
-	flag.Parse()
-	os.Exit(m.Run())
+	goleak.VerifyTestMain(m)
 }
 
 func valid() *config.Service {
--- a/config/errors.go
+++ b/config/errors.go
@@ -5,6 +5,10 @@
 	"strings"
 )
 
+// maxFieldsShown bounds the message of a ValidationError, which goes into logs
+// and replies.
+const maxFieldsShown = 20
+
 // ValidationError reports all fields of a document that are not allowed. It
 // unwraps to its *FieldError values.
 type ValidationError struct {
@@ -13,9 +17,13 @@
 }
 
 func (e *ValidationError) Error() string {
-	messages := make([]string, len(e.Fields))
-	for i, f := range e.Fields {
-		messages[i] = f.Error()
+	shown := e.Fields[:min(len(e.Fields), maxFieldsShown)]
+	messages := make([]string, 0, len(shown)+1)
+	for _, f := range shown {
+		messages = append(messages, f.Error())
+	}
+	if more := len(e.Fields) - len(shown); more > 0 {
+		messages = append(messages, fmt.Sprintf("and %d more fields", more))
 	}
 	return fmt.Sprintf("service %q: %s", e.Service, strings.Join(messages, "; "))
 }
--- a/config/query/query.go
+++ b/config/query/query.go
@@ -18,6 +18,9 @@
 const (
 	DefaultAuditLimit = 100
 	MaxAuditLimit     = 10_000
+	// maxAuditBytes bounds the text of the returned records in memory; one
+	// record can hold several hundred kilobytes.
+	maxAuditBytes = 16 << 20
 )
 
 // Queries reads the configuration. It is safe for concurrent use.
@@ -85,8 +88,8 @@
 }
 
 // Audit returns the audit records of a service, also of one that was deleted,
-// the newest first. A limit of 0 means DefaultAuditLimit; at most
-// MaxAuditLimit records are returned.
+// the newest first. A limit of 0 means DefaultAuditLimit. It returns at most
+// MaxAuditLimit records, and none after their text exceeds 16 MB.
 func (q *Queries) Audit(ctx context.Context, name string, limit int) ([]config.AuditRecord, error) {
 	if limit <= 0 {
 		limit = DefaultAuditLimit
@@ -97,12 +100,14 @@
 		return nil, err
 	}
 	var found []config.AuditRecord
+	size := 0
 	records, previous := svc.Audit, svc.ArchivedFrom
 	for {
-		for i := len(records) - 1; i >= 0 && len(found) < limit; i-- {
+		for i := len(records) - 1; i >= 0 && len(found) < limit && size <= maxAuditBytes; i-- {
 			found = append(found, records[i])
+			size += len(records[i].Before) + len(records[i].After)
 		}
-		if previous == 0 || len(found) == limit {
+		if previous == 0 || len(found) == limit || size > maxAuditBytes {
 			return found, nil
 		}
 		chunk, err := q.chunk(ctx, name, previous)
--- a/config/validate.go
+++ b/config/validate.go
@@ -20,6 +20,8 @@
 	maxQueued           = 1_000_000
 	maxDefaultLimit     = 100_000
 	permilles           = 1000
+	// maxReplicas also bounds the work of looking for duplicates in a shard.
+	maxReplicas = 64
 )
 
 // validation collects the fields that are not allowed.
@@ -155,6 +157,10 @@
 	if len(ids) == 0 {
 		v.bad(field, "no backend server", "at least one backend server")
 	}
+	if len(ids) > maxReplicas {
+		v.bad(field, fmt.Sprintf("%d backend servers", len(ids)), fmt.Sprintf("at most %d backend servers", maxReplicas))
+		return
+	}
 	for i, id := range ids {
 		if !known[id] {
 			v.bad(field, clip(id), "ids of backend servers of the service")
--- a/server/operatorapi/errors.go
+++ b/server/operatorapi/errors.go
@@ -27,7 +27,7 @@
 }
 
 func (e *BusyError) Error() string {
-	return fmt.Sprintf("%d operator requests are running, which is the limit; nothing was changed, try again", e.Limit)
+	return fmt.Sprintf("%d operator requests are running, which is the limit; this call changed nothing, try again", e.Limit)
 }
 
 // PanicError reports a request that ended by a fault of the daemon. Whether it
@@ -48,7 +48,7 @@
 		return mapped
 	}
 	// An unknown result comes first: its cause may be any of the other errors,
-	// which would tell the operator that nothing was changed.
+	// which would tell the operator that the call changed nothing.
 	var unknown *platform.UnknownResultError
 	if errors.As(err, &unknown) {
 		return connect.NewError(connect.CodeUnknown,
@@ -111,10 +111,10 @@
 	switch {
 	case errors.As(err, &document):
 		return connect.NewError(connect.CodeDataLoss,
-			fmt.Errorf("nothing was changed; repair the key in the key-value service: %w", err))
+			fmt.Errorf("this call changed nothing; repair the key in the key-value service: %w", err))
 	case errors.As(err, &unavailable):
 		return connect.NewError(connect.CodeUnavailable,
-			fmt.Errorf("nothing was changed, the configuration in force stays; try again when the key-value service answers: %w", err))
+			fmt.Errorf("this call changed nothing, the configuration in force stays; try again when the key-value service answers: %w", err))
 	case errors.As(err, &tooLarge):
 		return connect.NewError(connect.CodeInvalidArgument, err)
 	}
