Make the target-size test reach the limit with one update

Before: ArchivedFrom was 0 after one update. Conclusion: the assertion is unchanged, only moved from the deletion to the update that reaches the limit.

--- a/config/command/command_test.go
+++ b/config/command/command_test.go
@@ -182,8 +182,8 @@
 	svc := &config.Service{Name: "site", Policy: config.DefaultPolicy()}
 	for i := range 2100 {
 		svc.Backends = append(svc.Backends, config.Backend{
-			ID: fmt.Sprintf("searcher-%04d", i), Address: fmt.Sprintf("10.20.%d.%d:9000", i/250, i%250+1),
-			Zone: "attica-a", Region: "attica", Slots: 2, MaxConnections: 60,
+			ID: fmt.Sprintf("searcher-attica-a-%04d", i), Address: fmt.Sprintf("10.20.%d.%d:9000", i/250, i%250+1),
+			Zone: "attica-availability-zone-a", Region: "attica", Slots: 2, MaxConnections: 60,
 		})
 	}
 	version := func(sequence int64) config.IndexVersion {
@@ -202,9 +202,9 @@
 	svc.Versions = append(svc.Versions, version(2))
 	now, err = f.commands.Update(ctx, svc, change("update", now.Revision))
 	c.Assert(err, qt.IsNil)
-	deleted, err := f.commands.Delete(ctx, "site", change("delete", now.Revision))
+	c.Assert(now.ArchivedFrom, qt.Not(qt.Equals), int64(0))
+	_, err = f.commands.Delete(ctx, "site", change("delete", now.Revision))
 	c.Assert(err, qt.IsNil)
-	c.Assert(deleted.ArchivedFrom, qt.Not(qt.Equals), int64(0))
 	records, err := query.New(f.store).Audit(ctx, "site", 0)
 	c.Assert(err, qt.IsNil)
 	c.Assert(records, qt.HasLen, 3)
