--- a/config/command/command_test.go
+++ b/config/command/command_test.go
@@ -135,6 +135,27 @@
 	c.Assert(records, qt.HasLen, 21)
 }
 
+// TestForeignChunk guards against dropping records because a chunk exists under
+// their key that holds others.
+func TestForeignChunk(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(t)
+	defer f.server.Close()
+	ctx := context.Background()
+	svc, err := f.commands.Create(ctx, declaration(), change("c0", 0))
+	c.Assert(err, qt.IsNil)
+	foreign := svc.Audit[0]
+	foreign.ChangeID = "other"
+	value, err := config.EncodeChunk(&config.AuditChunk{Service: "tickets", Records: []config.AuditRecord{foreign}})
+	c.Assert(err, qt.IsNil)
+	_, err = f.store.CompareAndSwap(ctx, config.AuditKey("tickets", svc.Revision), 0, value)
+	c.Assert(err, qt.IsNil)
+	f.commands.SetMaxEmbedded(1)
+	_, err = f.commands.Drain(ctx, "tickets", "b1", change("c1", 0))
+	c.Assert(err, qt.ErrorAs, new(*config.DocumentError))
+	c.Assert(f.server.Writes(), qt.HasLen, 2)
+}
+
 // TestErrors guards against a failure that is reported with the wrong type,
 // from which operators would draw the wrong conclusion.
 func TestErrors(t *testing.T) {
--- /dev/null
+++ b/config/query/query_test.go
@@ -0,0 +1,71 @@
+package query_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/config/command"
+	"github.com/briarstand/briarstand/config/query"
+	"github.com/briarstand/briarstand/platform"
+	"github.com/briarstand/briarstand/platform/httpkv"
+	"github.com/briarstand/briarstand/platform/standin"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// TestQueries guards against a deleted service that shows up again, a corrupt
+// document that hides others, and an audit trail that ends with the service or
+// silently leaves out an archived chunk.
+func TestQueries(t *testing.T) {
+	c := qt.New(t)
+	server := standin.New(standin.Config{})
+	defer server.Close()
+	store, err := httpkv.New(httpkv.Config{BaseURL: "http://standin", Transport: server.Transport()})
+	c.Assert(err, qt.IsNil)
+	commands, queries := command.New(store, time.Now), query.New(store)
+	ctx := context.Background()
+	change := command.Change{ID: "c1", Operator: "asha"}
+	for _, name := range []string{"b", "a", "gone"} {
+		_, err := commands.Create(ctx, &config.Service{Name: name}, change)
+		c.Assert(err, qt.IsNil)
+	}
+	revision, err := queries.Revision(ctx, "gone")
+	c.Assert(err, qt.IsNil)
+	tombstone, err := commands.Delete(ctx, "gone", command.Change{ID: "c2", Operator: "asha", ExpectedRevision: revision})
+	c.Assert(err, qt.IsNil)
+	_, err = queries.Get(ctx, "gone")
+	var missing *query.NotFoundError
+	c.Assert(errors.As(err, &missing), qt.IsTrue)
+	c.Assert(missing.Revision, qt.Equals, tombstone.Revision)
+	records, err := queries.Audit(ctx, "gone", 1)
+	c.Assert(err, qt.IsNil)
+	c.Assert(records, qt.HasLen, 1)
+	c.Assert(records[0].ChangeID, qt.Equals, "c2")
+	_, err = store.CompareAndSwap(ctx, config.ServiceKey("bad"), 0, []byte("{}"))
+	c.Assert(err, qt.IsNil)
+	services, corrupt, err := queries.List(ctx)
+	c.Assert(err, qt.IsNil)
+	c.Assert([]string{services[0].Name, services[1].Name}, qt.DeepEquals, []string{"a", "b"})
+	c.Assert(corrupt, qt.HasLen, 1)
+	_, err = queries.Get(ctx, "../accepted/a")
+	c.Assert(err, qt.ErrorAs, new(*config.FieldError))
+	// A document that points to an archived chunk which does not exist.
+	svc, err := queries.Get(ctx, "a")
+	c.Assert(err, qt.IsNil)
+	svc.ArchivedFrom = 1
+	value, err := config.Encode(svc)
+	c.Assert(err, qt.IsNil)
+	_, err = store.CompareAndSwap(ctx, config.ServiceKey("a"), svc.Revision, value)
+	c.Assert(err, qt.IsNil)
+	_, err = queries.Audit(ctx, "a", 0)
+	c.Assert(err, qt.ErrorAs, new(*config.DocumentError))
+	server.SetDown(true)
+	_, _, err = queries.List(ctx)
+	c.Assert(err, qt.ErrorAs, new(*platform.UnavailableError))
+}
