Cancel the hedge of a shard that answers while the query ends

Excluded: cancelling all shards again, which would count latencies twice. Conclusion: every way to count an answer cancels the shard's other attempts.

--- a/query/engine_test.go
+++ b/query/engine_test.go
@@ -63,6 +63,21 @@
 	})
 }
 
+// Guards against a hedge that is left uncancelled when the first sub-request
+// answers while the query ends. The fake never answers the hedge on its own, so
+// settle finds it in flight.
+func TestAnswerAtDeadline(t *testing.T) {
+	bubble(t, testService(1, 2, 1), func(h *harness) {
+		h.transport.behave = func(id string, _ *backend.Request) script {
+			return script{status: backend.OK, delay: 90 * time.Millisecond, silent: id == "b0-1"}
+		}
+		for range 200 {
+			h.runReq(&briarstandv1.QueryRequest{Service: "desk", TimeoutMs: 100})
+			h.run("earn tokens")
+		}
+	})
+}
+
 // Guards against extra load above the budget when every replica is slow or
 // refuses.
 func TestExtraLoadBound(t *testing.T) {
--- a/query/run.go
+++ b/query/run.go
@@ -329,7 +329,7 @@
 	now := time.Now()
 	batch := r.collector.close()
 	for i := range batch {
-		r.handleLast(&batch[i])
+		r.handleLast(&batch[i], now)
 	}
 	for i := range r.shards {
 		s := &r.shards[i]
@@ -349,7 +349,7 @@
 
 // handleLast takes a reply into account that arrived while the query ended.
 // Nothing more is sent for it.
-func (r *run) handleLast(d *delivery) {
+func (r *run) handleLast(d *delivery, now time.Time) {
 	a := &r.collector.attempts[d.tag]
 	if a.round != r.round {
 		r.mayHaveRun = r.mayHaveRun || !d.reply.Status.NotRun()
@@ -358,10 +358,8 @@
 	s := &r.shards[a.position]
 	s.outstanding--
 	s.mayHaveRun = s.mayHaveRun || !d.reply.Status.NotRun()
-	if d.reply.Status == backend.OK && r.matches(s, &d.reply) && s.state == shardOpen {
+	if d.reply.Status == backend.OK && r.matches(s, &d.reply) {
 		r.engine.latency.Observe(r.svc.name, d.latency)
-		s.state = shardAnswered
-		s.hits = d.reply.Hits
-		r.open--
+		r.answered(s, &d.reply, now)
 	}
 }
