Bound takeovers of rollouts and keep the tree for new revisions

Cause: 430 VMs started in one process with 30 services without accepted marks never settled: a stack dump shows 11,832 rollouts driven at once, because a VM with a small table ranks itself first and a fleet too busy to answer looks like one without reporters. Excluded: a longer takeover step, which only delays the same storm. Before: the run at 430 VMs does not end. The golden session now waits until its first document is accepted; its revisions depended on that time before. The check is otherwise the same.

--- a/membership/detector.go
+++ b/membership/detector.go
@@ -191,9 +191,12 @@
 			m.recheck(u.ID)
 		}
 	}
-	if m.table.digests != before {
+	switch {
+	case m.table.digests != before:
 		m.markListed()
 		m.publish()
+	case m.table.indexed:
+		m.view.Store(m.table.view())
 	}
 	return nil
 }
--- a/membership/table.go
+++ b/membership/table.go
@@ -23,6 +23,8 @@
 	self    string
 	entries map[string]*entry
 	digests Digests
+	// indexed says that a configuration index grew since the last view.
+	indexed bool
 }
 
 func newTable(self Member) *table {
@@ -104,10 +106,14 @@
 	if from.ID == t.self {
 		return &MessageError{"sender", "has the receiver's id"}
 	}
+	index := int64(0)
+	if e != nil {
+		index = e.ConfigIndex
+	}
 	t.merge(from, now)
 	if e = t.entries[from.ID]; e != nil {
 		e.heard = now
-		e.ConfigIndex = max(e.ConfigIndex, from.ConfigIndex)
+		t.indexed = t.indexed || e.ConfigIndex > index
 	}
 	return nil
 }
@@ -218,6 +224,7 @@
 
 // view builds the picture that is published.
 func (t *table) view() *View {
+	t.indexed = false
 	return &View{Members: sortByID(append(t.living(), t.entries[t.self].Member))}
 }
 
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -280,6 +280,10 @@
 	t := c.task(svc.Name)
 	if svc.Revision > t.revision {
 		t.revision, t.learned, t.observed, t.reporter = svc.Revision, time.Now(), time.Time{}, ""
+		if !c.freshness.loaded() {
+			// What a starting VM reads is usually in the care of others.
+			t.observed = t.learned
+		}
 		t.notify()
 	}
 	c.poke()
@@ -304,24 +308,43 @@
 
 // due returns the rollouts that this VM has to start driving.
 func (c *Controller) due(now time.Time) []*task {
+	view := c.cfg.Membership.View()
+	self, _ := view.Member(c.self.ID)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	takeovers := 0
+	for _, t := range c.tasks {
+		if t.driving && !t.forced(now) {
+			takeovers++
+		}
+	}
 	var out []*task
 	for _, t := range c.tasks {
 		if t.driving || t.revision <= t.accepted {
 			continue
 		}
-		if t.forced(now) || !now.Before(c.takeover(t).due(c.cfg.TakeoverStep, c.cfg.WatcherStep)) {
-			t.driving = true
-			out = append(out, t)
+		forced := t.forced(now)
+		if !forced {
+			if self.State != membership.Alive || takeovers >= maxTakeovers ||
+				now.Before(c.takeover(t, view.Members).due(c.cfg.TakeoverStep, c.cfg.WatcherStep)) {
+				continue
+			}
+			takeovers++
 		}
+		t.driving = true
+		out = append(out, t)
 	}
 	return out
 }
 
+// maxTakeovers is how many rollouts a VM takes over at once. Without a bound,
+// a fleet that is too busy to answer in time takes all rollouts over at every
+// VM and never recovers. Only VMs that are alive take over: a starting one
+// knows too few members to find its rank.
+const maxTakeovers = 2
+
 // takeover returns this VM's place among those that may drive a rollout.
-func (c *Controller) takeover(t *task) takeover {
-	members := c.cfg.Membership.View().Members
+func (c *Controller) takeover(t *task, members []membership.Member) takeover {
 	key := rolloutKey(t.service, t.revision)
 	own, rank := membership.Score(key, c.self.ID), 0
 	for _, m := range members {
--- a/rollout/decide_test.go
+++ b/rollout/decide_test.go
@@ -168,6 +168,7 @@
 		defer f.stop()
 		f.write("site", "create site")
 		vms := f.grow(4, "attica", "kriti")
+		time.Sleep(30 * time.Second) // in which the first document is accepted
 		for i, name := range []string{"stock", "site", "stock", "quoting", "stock"} {
 			v := vms[i%len(vms)]
 			svc := f.write(name, fmt.Sprintf("change %d", i))
--- a/rollout/drive.go
+++ b/rollout/drive.go
@@ -32,12 +32,14 @@
 	}
 	var machine acceptance
 	retry := minRetry
-	for document := true; ; document = false {
+	var sent int64 // revision that went down the tree with its document
+	for {
 		svc, done := c.target(t, &machine)
 		if done {
 			return
 		}
-		r := c.round(ctx, svc, document)
+		r := c.round(ctx, svc, svc.Revision > sent)
+		sent = svc.Revision
 		if ctx.Err() != nil {
 			return
 		}
--- a/rollout/fake_test.go
+++ b/rollout/fake_test.go
@@ -164,6 +164,13 @@
 	f.cut = map[[2]string]bool{}
 }
 
+// setDelay sets the time that a message takes one way.
+func (f *fleet) setDelay(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.delay = d
+}
+
 // freeze holds every message from and to a VM until thaw.
 func (f *fleet) freeze(v *vm) {
 	f.mu.Lock()
