Let one VM's sight of the platform's list count for all

Cause: a dead VM was waited for until its tombstone went (60 s) when the confirming VMs had not read the platform's list since it joined, although the VM that drives the rollout had seen it listed and now sees it gone. Excluded: a fault in the detector (the VM was dead after 2 s) and a lagging list (the stand-in's list was current). Conclusion: reports carry whether a VM was seen listed, separately from whether it must be waited for; never listed anywhere still means waiting.

--- a/proof/drain_test.go
+++ b/proof/drain_test.go
@@ -31,12 +31,15 @@
 	ctx, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	var incomplete, queries atomic.Int64
+	var firstFailure atomic.Pointer[string]
 	for i := range 16 {
 		wg.Go(func() {
 			for ctx.Err() == nil {
 				resp, err := fleet[i%len(fleet)].query(context.Background(), &briarstandv1.QueryRequest{Service: "siteapp", Body: []byte("x")})
 				queries.Add(1)
 				if err != nil || resp.Outcome != briarstandv1.Outcome_OUTCOME_COMPLETE {
+					text := fmt.Sprintf("%v %v", resp, err)
+					firstFailure.CompareAndSwap(nil, &text)
 					incomplete.Add(1)
 				}
 			}
@@ -67,5 +70,8 @@
 	qt.Check(t, byOperator <= maxAfterDrain, qt.IsTrue)
 	qt.Check(t, byServer <= maxAfterDrain, qt.IsTrue)
 	qt.Check(t, queries.Load() > 100, qt.IsTrue)
+	if first := firstFailure.Load(); first != nil {
+		t.Logf("first query that was not complete: %s", *first)
+	}
 	qt.Check(t, incomplete.Load(), qt.Equals, int64(0)) // each shard always has a replica that stays
 }
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -53,16 +53,14 @@
 }
 
 // knownVMs returns what this VM reports with a confirmation: itself and every
-// VM in its table. A dead VM is waited for while its own freshness may last,
-// and while its tombstone is kept if the platform's list never had it, because
-// then the list's lack of it says nothing.
+// VM in its table. A dead VM is waited for while its own freshness may last.
 func knownVMs(self membership.Member, contacts []membership.Contact, now time.Time, window time.Duration) []Known {
 	out := make([]Known, 0, len(contacts)+1)
-	out = append(out, Known{self.ID, self.Incarnation, self.PeerAddress, true})
+	out = append(out, Known{ID: self.ID, Incarnation: self.Incarnation, Address: self.PeerAddress, Waited: true})
 	for _, c := range contacts {
 		recent := !c.Heard.IsZero() && now.Sub(c.Heard) <= window
-		waited := c.State != membership.Dead || recent || !c.Listed
-		out = append(out, Known{c.ID, c.Incarnation, c.PeerAddress, waited})
+		waited := c.State != membership.Dead || recent
+		out = append(out, Known{ID: c.ID, Incarnation: c.Incarnation, Address: c.PeerAddress, Waited: waited, Listed: c.Listed})
 	}
 	return out
 }
@@ -71,13 +69,18 @@
 func knownDigest(known []Known) uint64 {
 	var sum uint64
 	for _, k := range known {
-		var b [9]byte
+		var b [10]byte
 		for i := range 8 {
 			b[i] = byte(k.Incarnation >> (8 * i))
 		}
 		if k.Waited {
 			b[8] = 1
 		}
+		// Whether a VM was listed matters only when it is not waited for
+		// anyway, and differs between VMs that read the list at other times.
+		if k.Listed && !k.Waited {
+			b[9] = 1
+		}
 		var d xxhash.Digest
 		d.Reset()
 		_, _ = d.WriteString(k.ID)
@@ -88,15 +91,17 @@
 }
 
 // mergeKnown adds reports of VMs to those gathered so far. The newest
-// incarnation counts, and a VM that any report waits for is waited for.
+// incarnation counts. A VM that any report waits for is waited for, and one
+// that any report has seen listed was listed.
 func mergeKnown(all map[string]Known, reports ...Known) {
 	for _, k := range reports {
 		have, ok := all[k.ID]
 		switch {
 		case !ok || k.Incarnation > have.Incarnation:
 			all[k.ID] = k
-		case k.Incarnation == have.Incarnation && k.Waited:
-			have.Waited = true
+		case k.Incarnation == have.Incarnation:
+			have.Waited = have.Waited || k.Waited
+			have.Listed = have.Listed || k.Listed
 			all[k.ID] = have
 		}
 	}
@@ -114,15 +119,16 @@
 }
 
 // responsible returns the VMs that have to confirm, ordered by id: those on
-// the platform's list and those that a report waits for. Without a current
-// reading of the list nobody that is known is left out.
+// the platform's list, those that a report waits for, and those that no report
+// has seen listed. Without a current reading of the list nobody that is known
+// is left out.
 func responsible(list listReading, known map[string]Known) []Known {
 	set := map[string]Known{}
 	for _, vm := range list.rows {
 		set[vm.ID] = Known{ID: vm.ID, Address: vm.PeerAddress, Waited: true}
 	}
 	for id, k := range known {
-		if _, listed := set[id]; listed || k.Waited || !list.current {
+		if _, listed := set[id]; listed || k.Waited || !k.Listed || !list.current {
 			k.Waited = true
 			set[id] = k
 		}
--- a/rollout/message.go
+++ b/rollout/message.go
@@ -63,8 +63,12 @@
 	Incarnation int64  `json:"n"`
 	Address     string `json:"p"`
 	// Waited says that acceptance has to wait for the VM: it is not dead, or
-	// it was heard within the freshness window, or it was never listed.
+	// it was heard within the freshness window.
 	Waited bool `json:"w,omitempty"`
+	// Listed says that the sender has seen the VM on the platform's list. When
+	// no report says so, the list's lack of the VM shows nothing, and
+	// acceptance has to wait for it too.
+	Listed bool `json:"l,omitempty"`
 }
 
 // PushReply carries the confirmations of the receiver and its slice.
