--- a/cli/caller.go
+++ b/cli/caller.go
@@ -22,6 +22,8 @@
 	bootstrap []string
 	callerID  string
 	zone      string
+	// least is the shortest time that a VM gets to answer a query.
+	least time.Duration
 }
 
 func (c *callerClient) at(url string) callerAPI {
@@ -31,9 +33,13 @@
 // resolve asks one bootstrap address after the other for the addresses to use.
 func (c *callerClient) resolve(ctx context.Context) (*briarstandv1.ResolveResponse, error) {
 	var last error
-	for _, url := range c.bootstrap {
+	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
+	defer cancel()
+	for i, url := range c.bootstrap {
 		req := &briarstandv1.ResolveRequest{CallerId: c.callerID, Zone: c.zone}
-		resp, err := c.at(url).Resolve(ctx, connect.NewRequest(req))
+		try, done := attempt(ctx, len(c.bootstrap)-i, 0)
+		resp, err := c.at(url).Resolve(try, connect.NewRequest(req))
+		done()
 		if err == nil {
 			return resp.Msg, nil
 		}
@@ -77,13 +83,13 @@
 	}
 	var last error
 	var refused *briarstandv1.QueryResponse
-	for _, url := range urls {
-		resp, err := c.at(url).Query(ctx, connect.NewRequest(req))
+	for i, url := range urls {
+		resp, err := c.send(ctx, url, len(urls)-i, req)
 		switch {
-		case err == nil && resp.Msg.Outcome != briarstandv1.Outcome_OUTCOME_NOT_RUN:
-			return resp.Msg, nil
+		case err == nil && resp.Outcome != briarstandv1.Outcome_OUTCOME_NOT_RUN:
+			return resp, nil
 		case err == nil:
-			refused = resp.Msg
+			refused = resp
 		case permanent(err):
 			return nil, err
 		default:
@@ -99,6 +105,17 @@
 	return nil, &UnreachableError{API: "caller", Addresses: urls, Err: last}
 }
 
+// send sends a request to one VM, with left VMs to try, this one included.
+func (c *callerClient) send(ctx context.Context, url string, left int, req *briarstandv1.QueryRequest) (*briarstandv1.QueryResponse, error) {
+	ctx, cancel := attempt(ctx, left, c.least)
+	defer cancel()
+	resp, err := c.at(url).Query(ctx, connect.NewRequest(req))
+	if err != nil {
+		return nil, err
+	}
+	return resp.Msg, nil
+}
+
 // permanent reports an answer that another VM would give too.
 func permanent(err error) bool {
 	var rpc *connect.Error
@@ -121,7 +138,9 @@
 	var last error
 	var refused *briarstandv1.QueryResponse
 	for i, url := range urls {
-		begun, err := c.at(url).BeginRequest(ctx, connect.NewRequest(&briarstandv1.BeginRequestRequest{Service: req.Service}))
+		try, done := attempt(ctx, len(urls)-i, 0)
+		begun, err := c.at(url).BeginRequest(try, connect.NewRequest(&briarstandv1.BeginRequestRequest{Service: req.Service}))
+		done()
 		if err != nil {
 			if permanent(err) {
 				return nil, err
@@ -147,10 +166,10 @@
 // relay it to the VM that issued it.
 func (c *callerClient) offer(ctx context.Context, urls []string, req *briarstandv1.QueryRequest) (*briarstandv1.QueryResponse, error) {
 	var last error
-	for _, url := range append([]string{urls[0]}, urls...) {
-		resp, err := c.at(url).Query(ctx, connect.NewRequest(req))
+	for i, url := range append([]string{urls[0]}, urls...) {
+		resp, err := c.send(ctx, url, len(urls)+1-i, req)
 		if err == nil {
-			return resp.Msg, nil
+			return resp, nil
 		}
 		if permanent(err) {
 			return nil, err
@@ -168,6 +187,9 @@
 	return append(append([]string{}, urls[first:]...), urls[:first]...)
 }
 
+// resolveTimeout bounds the request for addresses over all VMs that are asked.
+const resolveTimeout = 5 * time.Second
+
 // callSlack is how much longer the client waits than the daemon may take, so
 // that an answer given at the deadline still arrives.
 const callSlack = 2 * time.Second
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -101,8 +101,11 @@
 func arguments(cmd *cli.Command, names ...string) ([]string, error) {
 	got := cmd.Args().Slice()
 	if len(got) != len(names) {
-		return nil, usageError(fmt.Sprintf("run \"%s --help\"", cmd.FullName()),
-			"%s takes %d arguments (%s), got %d", cmd.FullName(), len(names), strings.Join(names, " "), len(got))
+		takes := strings.Join(names, " ")
+		if takes == "" {
+			takes = "no arguments"
+		}
+		return nil, usageError(fmt.Sprintf("run \"%s --help\"", cmd.FullName()), "%s takes %s; got %q", cmd.FullName(), takes, got)
 	}
 	return got, nil
 }
@@ -131,6 +134,17 @@
 	return urls, nil
 }
 
+// attempt bounds one of several tries, so that one VM that does not answer
+// leaves time for the others: it gets an even share of the time left, but not
+// less than least.
+func attempt(ctx context.Context, left int, least time.Duration) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, max(time.Until(deadline)/time.Duration(left), least))
+}
+
 func timeoutFlag(def time.Duration, usage string) cli.Flag {
 	return &cli.DurationFlag{Name: "timeout", Value: def, Usage: usage, Validator: func(d time.Duration) error {
 		if d <= 0 {
--- a/cli/operator.go
+++ b/cli/operator.go
@@ -80,8 +80,10 @@
 // answers. Repeating a change is safe, because it carries its change id.
 func callOperator[Req, Resp any](ctx context.Context, c *operatorClient, call operatorCall[Req, Resp], req *Req) (*Resp, error) {
 	var last error
-	for _, client := range c.clients {
-		resp, err := call(client, ctx, connect.NewRequest(req))
+	for i, client := range c.clients {
+		try, cancel := attempt(ctx, len(c.clients)-i, 0)
+		resp, err := call(client, try, connect.NewRequest(req))
+		cancel()
 		if err == nil {
 			return resp.Msg, nil
 		}
--- a/cli/query.go
+++ b/cli/query.go
@@ -13,7 +13,12 @@
 	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
 )
 
-const defaultCallerAddress = "127.0.0.1:7401"
+const (
+	defaultCallerAddress = "127.0.0.1:7401"
+	// defaultQueryWait is how long a query without a timeout of its own waits,
+	// over all VMs that are tried.
+	defaultQueryWait = 30 * time.Second
+)
 
 func callerFlags(extra ...cli.Flag) []cli.Flag {
 	return append([]cli.Flag{
@@ -94,11 +99,12 @@
 	if err != nil {
 		return err
 	}
-	wait := cmd.Duration("timeout")
-	if wait <= 0 {
-		wait = 30 * time.Second
+	wait := defaultQueryWait
+	if t := cmd.Duration("timeout"); t > 0 {
+		c.least = t + callSlack/4
+		wait = t + callSlack
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+callSlack)
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	resp, err := c.query(ctx, req)
 	if err != nil {
@@ -118,7 +124,7 @@
 func queryRequest(cmd *cli.Command) (*briarstandv1.QueryRequest, error) {
 	args := cmd.Args().Slice()
 	if len(args) < 1 || len(args) > 2 {
-		return nil, usageError("run \"briarstand query --help\"", "query takes 1 or 2 arguments (SERVICE [BODY]), got %d", len(args))
+		return nil, usageError("run \"briarstand query --help\"", "briarstand query takes SERVICE [BODY]; got %q", args)
 	}
 	priority, err := parsePriority(cmd.String("priority"))
 	if err != nil {
--- a/cli/script_test.go
+++ b/cli/script_test.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -49,7 +50,7 @@
 		RequireExplicitExec: true,
 		Setup:               setupScript,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"run": cmdRun, "until": cmdUntil, "http": cmdHTTP, "note": cmdNote, "capture": cmdCapture, "expand": cmdExpand, "total": cmdTotal, "signal": cmdSignal,
+			"run": cmdRun, "until": cmdUntil, "http": cmdHTTP, "note": cmdNote, "capture": cmdCapture, "expand": cmdExpand, "total": cmdTotal, "signal": cmdSignal, "fetch": cmdFetch,
 		},
 	})
 }
@@ -113,6 +114,7 @@
 var (
 	timePattern   = regexp.MustCompile(`\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d(\.\d+)?Z`)
 	longPattern   = regexp.MustCompile(`x{100,}`)
+	incarnation   = regexp.MustCompile(`([?&]n=)\d{15,}`)
 	ticketPattern = regexp.MustCompile(`\bA[0-9A-Za-z_-]{40,}`)
 	uuidPattern   = regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}`)
 	// Revisions appear in sentences and options, in JSON, in the path of a
@@ -133,11 +135,13 @@
 // normalise replaces what differs from run to run: networks, times, generated
 // ids and revisions. Revisions become r1, r2 and so on, in order of appearance.
 func (s *session) normalise(text string) string {
+	text = strings.ReplaceAll(text, "\u00a0", " ")
 	text = portPattern.ReplaceAllString(text, "127.0.0.1:PORT")
 	text = strings.ReplaceAll(text, s.network+".", "127.0.0.")
 	text = timePattern.ReplaceAllString(text, "TIME")
 	text = uuidPattern.ReplaceAllString(text, "UUID")
 	text = longPattern.ReplaceAllString(text, "xxx...")
+	text = incarnation.ReplaceAllString(text, "${1}N")
 	text = ticketPattern.ReplaceAllString(text, "TICKET")
 	text = columnPattern.ReplaceAllString(text, "$1  ")
 	text = trailingPattern.ReplaceAllString(text, "")
@@ -262,6 +266,11 @@
 	if err != nil {
 		return err.Error() + "\n"
 	}
+	// The protobuf library varies white space from build to build on purpose.
+	var compact bytes.Buffer
+	if json.Compact(&compact, answer) == nil {
+		answer = compact.Bytes()
+	}
 	return fmt.Sprintf("%d %s\n", resp.StatusCode, strings.TrimSpace(string(answer)))
 }
 
@@ -300,6 +309,15 @@
 	record(ts, fmt.Sprintf("%s at %s: %v\n", args[0], strings.Join(args[1:], " and "), total))
 }
 
+// cmdFetch sets a variable to a field of the JSON answer to a POST:
+// VARIABLE URL BODY FIELD.
+func cmdFetch(ts *testscript.TestScript, _ bool, args []string) {
+	_, body, _ := strings.Cut(request(http.MethodPost, args[1], args[2]), " ")
+	var values map[string]any
+	ts.Check(json.Unmarshal([]byte(body), &values))
+	ts.Setenv(args[0], fmt.Sprint(values[args[3]]))
+}
+
 // cmdSignal sends SIGTERM, SIGSTOP or SIGCONT to the background program that
 // has the given argument.
 func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
--- a/cli/service.go
+++ b/cli/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -246,7 +245,7 @@
 	if path != "-" {
 		f, err := os.Open(path)
 		if err != nil {
-			return nil, usageError("give the path of a JSON file, or - for standard input", "%w", errors.Unwrap(err))
+			return nil, usageError("give the path of a JSON file, or - for standard input", "%w", err)
 		}
 		defer f.Close()
 		in = f
