--- a/query/engine_test.go
+++ b/query/engine_test.go
@@ -63,6 +63,21 @@
 	})
 }
 
+// Guards against a hedge that is left uncancelled when the first sub-request
+// answers while the query ends. The fake never answers the hedge on its own, so
+// settle finds it in flight.
+func TestAnswerAtDeadline(t *testing.T) {
+	bubble(t, testService(1, 2, 1), func(h *harness) {
+		h.transport.behave = func(id string, _ *backend.Request) script {
+			return script{status: backend.OK, delay: 90 * time.Millisecond, silent: id == "b0-1"}
+		}
+		for range 200 {
+			h.runReq(&briarstandv1.QueryRequest{Service: "desk", TimeoutMs: 100})
+			h.run("earn tokens")
+		}
+	})
+}
+
 // Guards against extra load above the budget when every replica is slow or
 // refuses.
 func TestExtraLoadBound(t *testing.T) {
@@ -185,6 +200,25 @@
 	})
 }
 
+// Guards against state of deleted services that is kept for ever, or dropped
+// while a query runs.
+func TestDeletedService(t *testing.T) {
+	bubble(t, testService(2, 2, 1), func(h *harness) {
+		var wg sync.WaitGroup
+		wg.Go(func() { h.c.Check(h.run("running").Outcome, qt.Equals, complete) })
+		synctest.Wait()
+		h.apply(func(svc *config.Service) { svc.Deleted = true })
+		h.Update(h.registry.Snapshot())
+		_, kept := h.services.Load("desk")
+		h.c.Assert(kept, qt.IsTrue)
+		wg.Wait()
+		h.Update(h.registry.Snapshot())
+		h.c.Assert(h.cfg.Metrics.ListMetricNames(), qt.HasLen, 0)
+		h.apply(func(svc *config.Service) { svc.Deleted = false })
+		h.c.Assert(h.run("again").Outcome, qt.Equals, complete)
+	})
+}
+
 // Guards against a version that no preference asks for.
 func TestPreference(t *testing.T) {
 	for preference, want := range map[config.Preference]string{
