--- a/config/command/machine_test.go
+++ b/config/command/machine_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -24,22 +23,12 @@
 
 // TestMain fixes the seed of the property tests, unless one is given by flag.
 func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "20260101"); err != nil {
-		panic(err)
-	}
-	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
-		panic(err)
-	}
-	flag.Parse()
-	if err := goleak.Find(); err != nil {
-		panic(err)
-	}
-	code := m.Run()
-	if err := goleak.Find(); err != nil && code == 0 {
-		fmt.Fprintln(os.Stderr, err)
-		code = 1
+	for name, value := range map[string]string{"rapid.seed": "20260101", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
 	}
-	os.Exit(code)
+	goleak.VerifyTestMain(m)
 }
 
 // storeCall is a call of the store that waits for the test to let it run.
@@ -112,6 +101,7 @@
 	late   []func()
 	serial int
 
+	started map[string]*operation // by change id
 	docs    []*config.Service
 	decoded int // writes already in docs
 	checked int // docs already checked against the one before
@@ -197,6 +187,7 @@
 	c := &call{op: op, store: &scheduledStore{Store: m.store}}
 	op.active++
 	op.refused = false
+	m.started[op.change.ID] = op
 	commands := command.New(c.store, func() time.Time { return time.Unix(1_700_000_000, 0) })
 	commands.SetMaxEmbedded(4)
 	m.calls = append(m.calls, c)
@@ -354,6 +345,9 @@
 		return
 	}
 	last := older[len(older)-1]
+	if expected := m.started[doc.ChangeID].change.ExpectedRevision; expected > 0 && record.Base != expected {
+		t.Fatalf("change %s expects revision %d, but was written on %d", doc.ChangeID, expected, record.Base)
+	}
 	if doc.Revision <= last.Revision || record.Base != last.Revision {
 		t.Fatalf("revision %d is based on %d after %d", doc.Revision, record.Base, last.Revision)
 	}
@@ -388,7 +382,7 @@
 func TestConcurrentChanges(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		rapid.SyncTest(rt, func(rt *rapid.T) {
-			m := &machine{fixture: newFixture(t)}
+			m := &machine{fixture: newFixture(t), started: map[string]*operation{}}
 			defer m.server.Close()
 			defer m.abandon()
 			rt.Repeat(rapid.StateMachineActions(m))
