--- a/cli/exit.go
+++ b/cli/exit.go
@@ -46,7 +46,9 @@
 type UnreachableError struct {
 	API       string
 	Addresses []string
-	Err       error
+	// Sent says that a request may have reached a VM before its answer was lost.
+	Sent bool
+	Err  error
 }
 
 func (e *UnreachableError) Error() string {
@@ -89,7 +91,7 @@
 	case connect.CodeNotFound:
 		e.Next = "\"briarstand service list\" shows the services that exist"
 	case connect.CodeUnavailable:
-		e.Code, e.Next = ExitUnavailable, "nothing was done; try again later or at another VM"
+		e.Code, e.Next = ExitUnavailable, "this call changed nothing; try again later or at another VM"
 	case connect.CodeResourceExhausted:
 		e.Code, e.Next = ExitUnavailable, "send less, or try again later or at another VM"
 	case connect.CodeDeadlineExceeded:
--- a/cli/operator.go
+++ b/cli/operator.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"time"
 
 	"connectrpc.com/connect"
@@ -79,7 +80,7 @@
 // callOperator sends a request to one address after the other until one
 // answers. Repeating a change is safe, because it carries its change id.
 func callOperator[Req, Resp any](ctx context.Context, c *operatorClient, call operatorCall[Req, Resp], req *Req) (*Resp, error) {
-	var last error
+	lost := &UnreachableError{API: "operator", Addresses: c.addresses}
 	for i, client := range c.clients {
 		try, cancel := attempt(ctx, len(c.clients)-i, 0)
 		resp, err := call(client, try, connect.NewRequest(req))
@@ -87,12 +88,26 @@
 		if err == nil {
 			return resp.Msg, nil
 		}
-		if answered(err) {
+		// That a VM could not do it proves nothing about an earlier VM whose
+		// answer was lost.
+		if answered(err) && !(lost.Sent && unavailable(err)) {
 			return nil, err
 		}
-		last = err
+		lost.Err = err
+		lost.Sent = lost.Sent || !neverSent(err)
 	}
-	return nil, &UnreachableError{API: "operator", Addresses: c.addresses, Err: last}
+	return nil, lost
+}
+
+func unavailable(err error) bool {
+	code := connect.CodeOf(err)
+	return code == connect.CodeUnavailable || code == connect.CodeResourceExhausted
+}
+
+// neverSent reports a connection that could not be opened.
+func neverSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
 }
 
 // answered tells an error that the daemon sent from a failure to reach it.
@@ -141,8 +156,14 @@
 
 // changeError says whether the change may have taken effect.
 func changeError(err error, ch *briarstandv1.Change) error {
+	var lost *UnreachableError
 	var rpc *connect.Error
-	if errors.As(err, &rpc) && answered(rpc) && rpc.Code() != connect.CodeUnknown && rpc.Code() != connect.CodeDeadlineExceeded {
+	switch {
+	case errors.As(err, &lost):
+		if !lost.Sent {
+			return err
+		}
+	case errors.As(err, &rpc) && answered(rpc) && rpc.Code() != connect.CodeUnknown && rpc.Code() != connect.CodeDeadlineExceeded:
 		return err
 	}
 	return &Error{Code: ExitUnknown, Err: fmt.Errorf("it is unknown whether the change took effect: %w", err),
--- /dev/null
+++ b/cli/operator_test.go
@@ -0,0 +1,101 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+
+	"connectrpc.com/connect"
+	qt "github.com/frankban/quicktest"
+
+	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+	"github.com/briarstand/briarstand/gen/briarstand/v1/briarstandv1connect"
+)
+
+// fakeOperator answers every change with an error, an accepted rollout, or by
+// breaking the connection.
+type fakeOperator struct {
+	briarstandv1connect.UnimplementedOperatorServiceHandler
+	err  error
+	lose bool
+
+	mu    sync.Mutex
+	calls []string // change ids
+}
+
+func (o *fakeOperator) DeleteService(_ context.Context, req *connect.Request[briarstandv1.DeleteServiceRequest]) (*connect.Response[briarstandv1.ChangeResponse], error) {
+	o.mu.Lock()
+	o.calls = append(o.calls, req.Msg.GetChange().GetChangeId())
+	o.mu.Unlock()
+	if o.lose {
+		panic(http.ErrAbortHandler) // breaks the connection without an answer
+	}
+	if o.err != nil {
+		return nil, o.err
+	}
+	return connect.NewResponse(&briarstandv1.ChangeResponse{Rollout: &briarstandv1.Rollout{
+		Service: "siteapp", Revision: 7, State: briarstandv1.RolloutState_ROLLOUT_STATE_ACCEPTED,
+	}}), nil
+}
+
+// Guards against a change that is reported as not made although a VM whose
+// answer was lost may have made it, against one reported as unknown although
+// it was never sent, and against a repeated change with another id.
+func TestOutcomeOfChanges(t *testing.T) {
+	busy := connect.NewError(connect.CodeUnavailable, errors.New("store down"))
+	conflict := connect.NewError(connect.CodeAborted, errors.New("conflict"))
+	unsure := connect.NewError(connect.CodeUnknown, errors.New("reply lost"))
+	for _, test := range []struct {
+		name string
+		vms  []*fakeOperator // nil is a VM that does not run
+		exit int
+	}{
+		{"made", []*fakeOperator{{}}, ExitOK},
+		{"first VM down", []*fakeOperator{nil, {}}, ExitOK},
+		{"answer lost, then made", []*fakeOperator{{lose: true}, {}}, ExitOK},
+		{"no VM runs", []*fakeOperator{nil, nil}, ExitUnavailable},
+		{"store down", []*fakeOperator{{err: busy}, {}}, ExitUnavailable},
+		{"first VM down, store down", []*fakeOperator{nil, {err: busy}}, ExitUnavailable},
+		{"answer lost", []*fakeOperator{{lose: true}}, ExitUnknown},
+		{"answer lost, then store down", []*fakeOperator{{lose: true}, {err: busy}}, ExitUnknown},
+		{"answer lost, then no VM", []*fakeOperator{{lose: true}, nil}, ExitUnknown},
+		{"answer lost, then conflict", []*fakeOperator{{lose: true}, {err: conflict}}, ExitConflict},
+		{"store's reply lost", []*fakeOperator{{err: unsure}}, ExitUnknown},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			args := []string{"briarstand", "service", "delete", "siteapp", "--revision", "6", "--operator", "eleni"}
+			for _, vm := range test.vms {
+				srv := httptest.NewUnstartedServer(nil)
+				if vm != nil {
+					_, srv.Config.Handler = briarstandv1connect.NewOperatorServiceHandler(vm)
+				}
+				srv.Start()
+				defer srv.Close()
+				if vm == nil {
+					srv.Close()
+				}
+				args = append(args, "--operator-address", srv.URL)
+			}
+			var out, errOut bytes.Buffer
+			exit := Run(context.Background(), args, Streams{Out: &out, Err: &errOut})
+			c.Assert(exit, qt.Equals, test.exit, qt.Commentf("stderr: %s", &errOut))
+			ids := map[string]bool{}
+			for _, vm := range test.vms {
+				if vm == nil {
+					continue
+				}
+				vm.mu.Lock()
+				for _, id := range vm.calls {
+					ids[id] = true
+				}
+				vm.mu.Unlock()
+			}
+			c.Assert(len(ids) <= 1, qt.IsTrue, qt.Commentf("change ids %v", ids))
+		})
+	}
+}
