Show dead VMs to operators; test a killed VM and the bound of the drain

Cause: the member view leaves dead members out, so an operator could not see which VM a change waits for, and the gauge of dead members was always 0. The server's keep-alive switch closes idle connections at once, and with them requests that are on their way. Excluded: other users of the view, which need the living members only. Before: the script kill waited in vain for a dead VM in vm list. After: vm list and briarstand_members include dead members; a refusing VM asks for the close of connections in its answers instead.

--- a/cli/script_test.go
+++ b/cli/script_test.go
@@ -318,10 +318,10 @@
 	ts.Setenv(args[0], fmt.Sprint(values[args[3]]))
 }
 
-// cmdSignal sends SIGTERM, SIGSTOP or SIGCONT to the background program that
+// cmdSignal sends SIGTERM, SIGSTOP, SIGCONT or SIGKILL to the background program that
 // has the given argument.
 func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
-	signals := map[string]syscall.Signal{"TERM": syscall.SIGTERM, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}
+	signals := map[string]syscall.Signal{"TERM": syscall.SIGTERM, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "KILL": syscall.SIGKILL}
 	for _, cmd := range ts.BackgroundCmds() {
 		if slices.Contains(cmd.Args, args[1]) {
 			ts.Check(cmd.Process.Signal(signals[args[0]]))
--- a/server/adapters.go
+++ b/server/adapters.go
@@ -1,8 +1,10 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 
 	"connectrpc.com/connect"
 
@@ -54,7 +56,7 @@
 
 func (v vms) ListVMs(context.Context) ([]*briarstandv1.VM, error) {
 	var list []*briarstandv1.VM
-	for _, m := range v.membership.View().Members {
+	for _, m := range knownMembers(v.membership) {
 		list = append(list, &briarstandv1.VM{
 			Id: m.ID, Zone: m.Zone, Region: m.Region, CallerAddress: m.CallerAddress,
 			State: string(m.State), ConfigIndex: m.ConfigIndex, Fresh: m.Fresh,
@@ -62,3 +64,16 @@
 	}
 	return list, nil
 }
+
+// knownMembers returns the member table with its dead members, which a View
+// leaves out, ordered by id. An operator has to see which VMs were lost.
+func knownMembers(m *membership.Membership) []membership.Member {
+	members := slices.Clone(m.View().Members)
+	for _, c := range m.Contacts() {
+		if c.State == membership.Dead {
+			members = append(members, c.Member)
+		}
+	}
+	slices.SortFunc(members, func(a, b membership.Member) int { return cmp.Compare(a.ID, b.ID) })
+	return members
+}
--- a/server/lifecycle.go
+++ b/server/lifecycle.go
@@ -189,7 +189,6 @@
 
 	s.enter(PhaseRefusing)
 	s.engine.Drain()
-	s.caller.http.SetKeepAlivesEnabled(false)
 	if wasReady {
 		pause(bound, refusalTime)
 	}
@@ -199,6 +198,18 @@
 	return s.leave(bound)
 }
 
+// closeWhileRefusing asks HTTP/1 callers to close their connections while the VM
+// refuses queries. The server's own switch would close idle connections at
+// once, and with them requests that are on their way.
+func (s *Server) closeWhileRefusing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ProtoMajor == 1 && s.phase.get() == PhaseRefusing {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // leave deregisters and closes the APIs, the peer API last, as other VMs may
 // still relay a ticket or ask for a confirmation.
 func (s *Server) leave(ctx context.Context) error {
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -26,7 +26,7 @@
 
 func (s *Server) countMembers(state membership.State) float64 {
 	n := 0
-	for _, m := range s.membership.View().Members {
+	for _, m := range knownMembers(s.membership) {
 		if m.State == state {
 			n++
 		}
--- a/server/server.go
+++ b/server/server.go
@@ -188,6 +188,7 @@
 func (s *Server) callerHandler() http.Handler {
 	set := s.cfg.Settings
 	r := newRouter(s.cfg.bounds("caller", "", set.MaxCallerBodyBytes))
+	r.Use(s.closeWhileRefusing)
 	path, h := callerapi.New(callerapi.Config{
 		Engine: s.engine, Address: set.CallerAdvertise, MaxMessageBytes: set.MaxCallerBodyBytes, Metrics: s.cfg.Metrics,
 		Resolve: func(req *briarstandv1.ResolveRequest) *briarstandv1.ResolveResponse {
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -17,6 +17,7 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
 
+	backendstandin "github.com/briarstand/briarstand/backend/standin"
 	"github.com/briarstand/briarstand/config"
 	platformstandin "github.com/briarstand/briarstand/platform/standin"
 	"github.com/briarstand/briarstand/settings"
@@ -139,6 +140,41 @@
 	}
 }
 
+// Guards against a drain without an upper bound, and against one that reports
+// success although it cut a query off.
+func TestDrainTimeout(t *testing.T) {
+	c := qt.New(t)
+	searcher := backendstandin.New(1, backendstandin.Settings{Slots: 1, ServiceBase: backendstandin.Duration(time.Minute)})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	go func() { _ = searcher.Serve(l) }()
+	t.Cleanup(searcher.Close)
+	srv, _ := newTestServer(t, "drain-timeout", "2500ms")
+	stop, result := runServer(t, srv)
+	waitFor(c, "ready", func() bool { return srv.Ready() == nil })
+	policy := config.DefaultPolicy()
+	policy.DeadlineMS, policy.HedgePermille = 60_000, 0
+	srv.registry.Apply(&config.Service{
+		Name: "s", Revision: 1, Policy: policy,
+		Backends: []config.Backend{{ID: "b", Address: l.Addr().String(), Zone: "z", Slots: 1, MaxConnections: 2}},
+		Versions: []config.IndexVersion{{Name: "v1", Sequence: 1, Shards: [][]string{{"b"}}}},
+	})
+	cut := make(chan error, 1)
+	go func() {
+		resp, err := http.Post("http://"+srv.Addresses().Caller+"/briarstand.v1.CallerService/Query", "application/json", strings.NewReader(`{"service":"s"}`))
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		cut <- err
+	}()
+	waitFor(c, "the sub-request runs", func() bool { return searcher.Summary().Started == 1 })
+	stop()
+	var drain *DrainError
+	c.Assert(errors.As(<-result, &drain), qt.IsTrue)
+	c.Assert(drain.InFlight, qt.Equals, 1)
+	<-cut
+}
+
 // Guards against a taken address that is only noticed after the VM became a
 // member, and against an error that does not say which API it is.
 func TestTakenAddress(t *testing.T) {
