--- a/cli/script_test.go
+++ b/cli/script_test.go
@@ -84,9 +84,26 @@
 		env.Setenv("BRIARSTAND_"+name, value)
 	}
 	env.Values[sessionKey{}] = &session{network: network, revisions: map[string]string{}}
+	if err := writeSpec(env, network); err != nil {
+		return err
+	}
 	return os.WriteFile(filepath.Join(env.WorkDir, "transcript"), nil, 0o644)
 }
 
+// writeSpec gives a script the spec of a service on two backend servers, unless
+// it has a siteapp.json of its own.
+func writeSpec(env *testscript.Env, network string) error {
+	path := filepath.Join(env.WorkDir, "siteapp.json")
+	if _, err := os.Stat(path); err == nil {
+		return nil
+	}
+	spec, err := os.ReadFile(filepath.Join("testdata", "siteapp.json"))
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, bytes.ReplaceAll(spec, []byte("$NET"), []byte(network)), 0o644)
+}
+
 func reserveNetwork() (string, net.Listener, error) {
 	for i := range 200 * 250 {
 		network := fmt.Sprintf("127.%d.%d", 16+(os.Getpid()+i/250)%200, 1+i%250)
