--- a/backend/standin/exchange.go
+++ b/backend/standin/exchange.go
@@ -30,8 +30,14 @@
 	m := &briarstandv1.SubResponse{
 		Id: req.GetId(), Status: r.status, IndexVersion: req.GetIndexVersion(), Shard: req.GetShard(),
 	}
+	if r.wrongVersion {
+		m.IndexVersion += "-other"
+	}
+	if r.wrongShard {
+		m.Shard++
+	}
 	if r.status == briarstandv1.SubStatus_SUB_STATUS_OK {
-		key := shardKey{req.GetService(), req.GetIndexVersion(), req.GetShard()}
+		key := shardKey{req.GetService(), m.IndexVersion, m.Shard}
 		if known[key] == nil {
 			known[key] = newDocuments(key)
 		}
@@ -39,12 +45,6 @@
 	} else {
 		m.Error = r.status.String()
 	}
-	if r.wrongVersion {
-		m.IndexVersion += "-other"
-	}
-	if r.wrongShard {
-		m.Shard++
-	}
 	if r.invented {
 		m.Id += inventedIDs
 	}
--- a/proof/booking_test.go
+++ b/proof/booking_test.go
@@ -37,6 +37,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	var chaos sync.WaitGroup
 	chaos.Go(func() { fleet.disturb(ctx, rand.New(rand.NewPCG(bookingSeed, 1))) })
+	chaos.Go(func() { fleet.cutBackends(ctx) })
 	var left atomic.Int64
 	left.Store(bookings)
 	results := make([][]booking, 16)
@@ -54,7 +55,8 @@
 	stop()
 	chaos.Wait()
 	time.Sleep(2 * time.Second) // offers that are still under way end within their deadline
-	t.Logf("VMs killed %d, frozen %d, store outages %d", fleet.killed, fleet.frozen, fleet.outages)
+	t.Logf("VMs killed %d, frozen %d, store outages %d, connections to backend servers cut %d",
+		fleet.killed, fleet.frozen, fleet.outages, fleet.breaks)
 	checkBookings(t, c, results)
 }
 
@@ -65,6 +67,7 @@
 	vms []*vm
 	// killed, frozen and outages count the faults that were injected.
 	killed, frozen, outages int
+	breaks                  int
 }
 
 func (f *bookingFleet) pick(rng *rand.Rand) *vm {
@@ -95,6 +98,18 @@
 	}
 }
 
+// cutBackends breaks the connections to a backend server, and lets some of its
+// sub-requests run and then fail, until the context ends.
+func (f *bookingFleet) cutBackends(ctx context.Context) {
+	for i := 0; ctx.Err() == nil; i++ {
+		backend := "http://" + f.c.backends[i%len(f.c.backends)]
+		f.c.must(f.c.post(backend+"/standin/faults", map[string]any{"fail_probability": 0.02}))
+		sleep(ctx, 150*time.Millisecond)
+		f.c.must(f.c.post(backend+"/standin/break", nil))
+		f.breaks++
+	}
+}
+
 // replace kills a VM and starts another with the same id and addresses.
 func (f *bookingFleet) replace(ctx context.Context, v *vm) {
 	v.kill()
--- a/proof/shutdown_test.go
+++ b/proof/shutdown_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -21,7 +23,10 @@
 // addresses for its time to live, as they are told.
 func TestRollingReplacementCutsNothing(t *testing.T) {
 	t.Parallel()
-	const callers = 120
+	const (
+		callers       = 120
+		stickyCallers = 40
+	)
 	c := newCluster(t, 2, map[string]any{"slots": 512, "service_base": "300ms", "queue_limit": 4096})
 	var fleet []*vm
 	for i := range 4 {
@@ -35,6 +40,9 @@
 	for i := range callers {
 		wg.Go(func() { load.run(ctx, fmt.Sprintf("caller-%d", i)) })
 	}
+	for i := range stickyCallers {
+		wg.Go(func() { load.stick(ctx, i) })
+	}
 	time.Sleep(2 * time.Second)
 	inFlight := 0
 	for round := range 2 {
@@ -83,6 +91,19 @@
 
 func (l *rollingLoad) inFlightAt(v *vm) int { return int(l.counter(v.address(callerPort)).Load()) }
 
+// stick queries one VM until it refuses, so that queries are in flight when
+// the VM begins to refuse, and goes on with another.
+func (l *rollingLoad) stick(ctx context.Context, n int) {
+	for ctx.Err() == nil {
+		entry := *l.entry.Load()
+		address := entry[n%len(entry)]
+		for ctx.Err() == nil && l.send(address, fmt.Sprintf("sticky-%d-%d", n, time.Now().UnixNano())) {
+		}
+		n++ // another VM
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 // run queries until the context ends. It asks for addresses again when their
 // time to live is over.
 func (l *rollingLoad) run(ctx context.Context, id string) {
@@ -114,6 +135,13 @@
 }
 
 func (l *rollingLoad) query(address, id string) {
+	if !l.send(address, id) {
+		l.refused.Add(1)
+	}
+}
+
+// send counts a query by its outcome, and returns false if it was refused.
+func (l *rollingLoad) send(address, id string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	v := &vm{caller: briarstandv1connect.NewCallerServiceClient(l.c.client, "http://"+address)}
@@ -122,15 +150,24 @@
 	defer l.counter(address).Add(-1)
 	resp, err := v.query(ctx, &briarstandv1.QueryRequest{Service: "siteapp", RequestId: id, Body: []byte("x")})
 	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return false // nothing was sent
 	case err != nil:
-		text := address + ": " + err.Error()
-		l.firstError.CompareAndSwap(nil, &text)
+		l.note(address, err.Error())
 		l.cut.Add(1)
 	case resp.Outcome == briarstandv1.Outcome_OUTCOME_NOT_RUN:
-		text := address + ": not run: " + resp.Reason
-		l.firstError.CompareAndSwap(nil, &text)
-		l.refused.Add(1)
+		if !strings.HasPrefix(id, "sticky") {
+			l.note(address, "not run: "+resp.Reason)
+		}
+		return false
 	case resp.Outcome != briarstandv1.Outcome_OUTCOME_COMPLETE:
+		l.note(address, resp.Outcome.String()+": "+resp.Reason)
 		l.incomplete.Add(1)
 	}
+	return true
+}
+
+func (l *rollingLoad) note(address, text string) {
+	text = address + ": " + text
+	l.firstError.CompareAndSwap(nil, &text)
 }
--- a/proof/snapshot_test.go
+++ b/proof/snapshot_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	backendstandin "github.com/briarstand/briarstand/backend/standin"
 	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
 )
 
@@ -18,8 +20,8 @@
 	id, version     string
 	answered, total int32
 	missing         map[int32]bool
-	mixed           bool
-	foreign         bool
+	mixed           bool // a hit of another index version
+	foreign         bool // hits of another query or shard, or not all of them
 }
 
 // TestAnswersComeFromOneSnapshot guards against answers that mix index
@@ -37,8 +39,9 @@
 	svc := c.create(fleet[0], "siteapp", c.spec(shards, policy(300*time.Millisecond, 50), "v1"))
 	c.must(c.post("http://"+c.backends[0]+"/standin/faults", map[string]any{
 		"duplicate_probability": 0.1, "wrong_version_probability": 0.05, "wrong_shard_probability": 0.02,
-		"delay_probability": 0.05, "reply_delay": "400ms", "invent_probability": 0.05,
+		"delay_probability": 0.05, "reply_delay": "400ms", "invent_probability": 0.05, "shed_probability": 0.2,
 	}))
+	c.must(c.post("http://"+c.backends[1]+"/standin/faults", map[string]any{"shed_probability": 0.3}))
 	total := scaled(10000)
 	answers := make([][]answer, 12)
 	ctx, stop := context.WithCancel(context.Background())
@@ -83,10 +86,15 @@
 	checkAnswers(t, c, answers, published)
 }
 
+// hitLimit is above the number of documents of all shards.
+const hitLimit = 1000
+
 func ask(v *vm, id string) (answer, bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	resp, err := v.query(ctx, &briarstandv1.QueryRequest{Service: "siteapp", RequestId: id, Body: []byte("x"), Limit: 100})
+	// Each query has a body of its own, so that its hits differ from all others.
+	body := []byte("body of " + id)
+	resp, err := v.query(ctx, &briarstandv1.QueryRequest{Service: "siteapp", RequestId: id, Body: body, Limit: hitLimit})
 	if err != nil {
 		return answer{}, false
 	}
@@ -96,9 +104,16 @@
 	}
 	for _, h := range resp.Hits {
 		a.mixed = a.mixed || versionOf(h) != resp.IndexVersion
-		a.foreign = a.foreign || a.missing[h.Shard]
 	}
-	a.foreign = a.foreign || resp.RequestId != id
+	var shards []int
+	for s := range a.total {
+		if !a.missing[s] {
+			shards = append(shards, int(s))
+		}
+	}
+	want := backendstandin.Expected("siteapp", a.version, shards, body, hitLimit)
+	same := func(x, y *briarstandv1.Hit) bool { return x.Id == y.Id && x.Score == y.Score && x.Shard == y.Shard }
+	a.foreign = resp.RequestId != id || !slices.EqualFunc(resp.Hits, want, same)
 	return a, true
 }
 
