Do not send on the table that a joining VM was given

Cause: a VM that joins learns all members from a peer and then sent each of them 3 log2(n+1) times, although nobody needs it. Excluded: the same after a partition, where each side's table is news. Conclusion: a start costs less; entries that change still spread.

--- a/membership/handle.go
+++ b/membership/handle.go
@@ -100,6 +100,9 @@
 		return err
 	}
 	m.mu.Lock()
+	if m.table.entries[m.table.self].State == Joining {
+		m.table.settle(reply.Members)
+	}
 	missing := m.table.missing(&reply.Digests, reply.Members)
 	push := &SyncRequest{From: m.table.entries[m.table.self].Member, Digests: m.table.digests, Members: missing, Push: true}
 	m.mu.Unlock()
--- a/membership/table.go
+++ b/membership/table.go
@@ -207,6 +207,17 @@
 	return out
 }
 
+// settle takes entries out of the updates to send. A VM that joins learns the
+// whole table from a peer, and sending all of it on would cost it minutes of
+// full probes without telling anyone anything new.
+func (t *table) settle(members []Member) {
+	for _, m := range members {
+		if e := t.entries[m.ID]; e != nil && m.ID != t.self && Compare(e.Member, m) == 0 {
+			e.pending = false
+		}
+	}
+}
+
 // dead returns the addresses of dead members, ordered by id.
 func (t *table) dead() []string {
 	var out []Member
