Refuse new connections before open ones are closed at shutdown

Cause: http.Server.Shutdown closes connections that are open but have not sent a request yet. A caller that was refused by a leaving VM and connects again at that moment loses its request with an unexpected EOF. Conclusion: the caller API stops accepting first and serves open connections for another 0.5 s; later callers are refused before they send.

--- a/server/config.go
+++ b/server/config.go
@@ -113,4 +113,7 @@
 	// before it closes its caller API, so that a caller that is about to send
 	// on an open connection gets an answer instead of a reset.
 	refusalTime = time.Second
+	// lingerTime is how long open connections of the caller API are still
+	// served after new ones are refused.
+	lingerTime = 500 * time.Millisecond
 )
--- a/server/lifecycle.go
+++ b/server/lifecycle.go
@@ -191,6 +191,10 @@
 	s.engine.Drain()
 	if wasReady {
 		pause(bound, refusalTime)
+		// A connection that opens while the server closes could be reset with
+		// its first request. From here on it is refused instead.
+		s.caller.stopAccepting()
+		pause(bound, lingerTime)
 	}
 	if err := s.engine.Wait(bound); err != nil {
 		return &DrainError{Limit: set.DrainTimeout, InFlight: s.engine.InFlight(), Err: err}
--- a/server/listener.go
+++ b/server/listener.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -33,6 +34,8 @@
 	api  string
 	net  net.Listener
 	http *http.Server
+	// stopped says that the listener was closed on purpose.
+	stopped atomic.Bool
 }
 
 // listenerConfig holds the bounds of one API.
@@ -77,12 +80,18 @@
 // serve runs until the listener is closed or shut down.
 func (l *listener) serve(handler http.Handler) error {
 	l.http.Handler = handler
-	if err := l.http.Serve(l.net); !errors.Is(err, http.ErrServerClosed) {
+	if err := l.http.Serve(l.net); !errors.Is(err, http.ErrServerClosed) && !l.stopped.Load() {
 		return fmt.Errorf("%s API: serve: %w", l.api, err)
 	}
 	return nil
 }
 
+// stopAccepting refuses new connections and keeps serving those that are open.
+func (l *listener) stopAccepting() {
+	l.stopped.Store(true)
+	_ = l.net.Close()
+}
+
 // shutdown waits for running requests until the context ends and then closes
 // their connections.
 func (l *listener) shutdown(ctx context.Context) error {
