Add seeds for starting in a platform outage; mend operator API edges

Cause: a VM that starts while key-value service and VM list are both down knew no peer. A rollout's progress was read for 1 s although a round takes up to 3 s, so a reply could say "0 of 0 VMs". A negative audit limit was taken for no limit. Excluded: writing peers to disk (VMs keep nothing). Before: no way to start in an outage of both.

--- a/server/operatorapi/operatorapi.go
+++ b/server/operatorapi/operatorapi.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"runtime/debug"
+	"strconv"
 	"time"
 
 	"connectrpc.com/connect"
@@ -29,8 +30,9 @@
 	DefaultMaxRequestBytes  = 2 << 20
 	DefaultMaxResponseBytes = 64 << 20
 	DefaultMaxConcurrent    = 64
-	// statusTime bounds the reading of a rollout's progress after a change.
-	statusTime = time.Second
+	// statusTime bounds the reading of a rollout's progress after a change. A
+	// round of confirmations takes up to 3 s when a VM does not answer.
+	statusTime = 4 * time.Second
 )
 
 // Rollouts drives changes from recorded to accepted.
@@ -279,6 +281,9 @@
 
 // ListAudit returns the audit records of a service, the newest first.
 func (h *handler) ListAudit(ctx context.Context, req *connect.Request[briarstandv1.ListAuditRequest]) (*connect.Response[briarstandv1.ListAuditResponse], error) {
+	if limit := req.Msg.GetLimit(); limit < 0 {
+		return nil, &config.FieldError{Field: "limit", Value: strconv.Itoa(int(limit)), Allowed: "0 for all records, or more"}
+	}
 	records, err := h.cfg.Queries.Audit(ctx, req.Msg.GetService(), int(req.Msg.GetLimit()))
 	if err != nil {
 		return nil, err
--- a/server/server.go
+++ b/server/server.go
@@ -121,7 +121,7 @@
 			ID: set.VMID, Zone: set.Zone, Region: set.Region, CallerAddress: set.CallerAdvertise,
 			PeerAddress: set.PeerAdvertise, Incarnation: incarnation, State: membership.Joining,
 		},
-		Transport: s.peers, VMLister: s.cfg.Platform, Rand: s.cfg.fork(), Logger: s.cfg.slog(),
+		Transport: s.peers, VMLister: s.cfg.Platform, Seeds: set.Seeds, Rand: s.cfg.fork(), Logger: s.cfg.slog(),
 		ProbeInterval: set.ProbeInterval, ProbeTimeout: set.ProbeTimeout, SuspicionTime: set.SuspicionTime,
 	})
 	if err != nil {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"net/url"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -32,6 +33,8 @@
 	// CallerAdvertise and PeerAdvertise are the addresses that others are told.
 	CallerAdvertise string
 	PeerAdvertise   string
+	// Seeds are peer API addresses tried besides the platform's list.
+	Seeds []string
 
 	PlatformURL     string
 	PlatformTimeout time.Duration
@@ -125,6 +128,8 @@
 			advertiseRule, emptyOr(isReachable), func(s *Settings) *string { return &s.CallerAdvertise }),
 		text("peer-advertise", "", "Address that other VMs are given; the peer API's address when empty.",
 			advertiseRule, emptyOr(isReachable), func(s *Settings) *string { return &s.PeerAdvertise }),
+		{Name: "seeds", Usage: "Peer API addresses of other VMs, tried while the platform's list cannot be read.",
+			Allowed: fmt.Sprintf("up to %d addresses IP:port, separated by commas, or empty", maxSeeds), parse: parseSeeds},
 	}
 }
 
@@ -224,6 +229,18 @@
 	}}
 }
 
+// maxSeeds is enough to find one live VM after a large part of a fleet is gone.
+const maxSeeds = 64
+
+func parseSeeds(s *Settings, v string) bool {
+	s.Seeds = nil
+	if v == "" {
+		return true
+	}
+	s.Seeds = strings.Split(v, ",")
+	return len(s.Seeds) <= maxSeeds && !slices.ContainsFunc(s.Seeds, func(a string) bool { return !isReachable(a) })
+}
+
 func parseLevel(s *Settings, v string) bool {
 	levels := map[string]log.Level{
 		"debug": log.DebugLevel, "info": log.InfoLevel, "warn": log.WarnLevel, "error": log.ErrorLevel,
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -42,7 +42,7 @@
 		{"platform-url", "127.0.0.1:8500"}, {"platform-url", "ftp://h/"}, {"platform-url", "http://h/?a=b"},
 		{"log-level", "loud"}, {"address-ttl", "0"}, {"address-ttl", "30"}, {"drain-serve", "30s"}, {"drain-timeout", "35s"},
 		{"probe-interval", "5s"}, {"probe-interval", "-1s"}, {"max-header-bytes", "0"}, {"max-caller-body-bytes", "1e6"},
-		{"max-concurrent-requests", "0"}, {"ticket-capacity", "99999999999999999999"},
+		{"max-concurrent-requests", "0"}, {"seeds", "vm-2:7403"}, {"seeds", "10.0.0.1:0"}, {"seeds", "10.0.0.1:1,"}, {"ticket-capacity", "99999999999999999999"},
 	} {
 		t.Run(test.setting+"="+test.value, func(t *testing.T) {
 			c := qt.New(t)
