Add the policy measurement; read costs of daemons in the load tool

Cause: the load tool knew only the records of stand-ins, so an installation without them showed no extra load and no CPU time, it kept its first addresses forever, and nothing compared the query policy with its targets.

Package measure starts a deployment of real processes and runs eight scenarios for the adaptive policy and for random choice without hedges.

Excluded: one service for both policies, because what the first run learned would count in the second; each run has a service and backend ids of its own. Excluded: stand-ins in the process of the test, whose CPU time would mix with that of the load generator.

--- /dev/null
+++ b/load/addresses.go
@@ -0,0 +1,76 @@
+package load
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/briarstand/briarstand/gen/briarstand/v1/briarstandv1connect"
+)
+
+const (
+	// minRefresh bounds how often addresses are asked for, whatever the time to
+	// live says.
+	minRefresh = 100 * time.Millisecond
+	// refreshRetry is the time after which a failed refresh is repeated. The old
+	// addresses stay in use meanwhile.
+	refreshRetry = 500 * time.Millisecond
+)
+
+// Refresher returns the addresses to use from now on and how long they may be
+// kept.
+type Refresher func(ctx context.Context) (addresses []string, ttl time.Duration, err error)
+
+// ResolveWith returns a Refresher that asks the configured addresses.
+func ResolveWith(cfg Config, callerID, zone string) Refresher {
+	return func(ctx context.Context) ([]string, time.Duration, error) {
+		return Resolve(ctx, cfg, callerID, zone)
+	}
+}
+
+type client = briarstandv1connect.CallerServiceClient
+
+// directory holds the clients of the addresses in use. It is replaced as a
+// whole, so that a query sees one list.
+type directory struct {
+	transport http.RoundTripper
+	clients   atomic.Pointer[[]client]
+	current   []string // only used by the goroutine that sets it
+}
+
+func newDirectory(transport http.RoundTripper, addresses []string) *directory {
+	d := &directory{transport: transport}
+	d.set(addresses)
+	return d
+}
+
+func (d *directory) set(addresses []string) {
+	if slices.Equal(addresses, d.current) {
+		return
+	}
+	var clients []client
+	for _, address := range addresses {
+		clients = append(clients, briarstandv1connect.NewCallerServiceClient(
+			&http.Client{Transport: d.transport}, "http://"+address, connect.WithGRPC()))
+	}
+	d.current = addresses
+	d.clients.Store(&clients)
+}
+
+// keepFresh asks for addresses again whenever their time to live ends, until
+// ctx ends.
+func (d *directory) keepFresh(ctx context.Context, refresh Refresher) {
+	for wait := time.Duration(0); sleepUntil(ctx, time.Now().Add(wait)); {
+		addresses, ttl, err := refresh(ctx)
+		if err != nil || len(addresses) == 0 {
+			wait = refreshRetry
+			continue
+		}
+		d.set(addresses)
+		wait = max(ttl, minRefresh)
+	}
+}
--- a/load/load.go
+++ b/load/load.go
@@ -15,7 +15,6 @@
 	"connectrpc.com/connect"
 
 	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
-	"github.com/briarstand/briarstand/gen/briarstand/v1/briarstandv1connect"
 )
 
 // Defaults of Config.
@@ -56,6 +55,12 @@
 	// reached.
 	Attempts int
 	Seed     uint64
+	// Refresh replaces the addresses whenever their time to live ends. Without it
+	// Addresses stay in use.
+	Refresh Refresher
+	// Daemons are read before and after the measurement to compute what it cost
+	// the daemons. Without them it is not reported.
+	Daemons []CounterSource
 	// Records are read before and after the measurement to compute the extra
 	// load. Without them it is not reported.
 	Records []RecordSource
@@ -107,11 +112,11 @@
 
 // runner is one run.
 type runner struct {
-	cfg     Config
-	clients []briarstandv1connect.CallerServiceClient
-	slots   chan struct{} // holds a token for each outstanding query
-	wg      sync.WaitGroup
-	begin   time.Time // of the measurement
+	cfg       Config
+	directory *directory
+	slots     chan struct{} // holds a token for each outstanding query
+	wg        sync.WaitGroup
+	begin     time.Time // of the measurement
 }
 
 // Run sends the configured load and returns what was measured. It returns early
@@ -123,11 +128,13 @@
 	}
 	transport := newTransport(cfg)
 	defer transport.CloseIdleConnections()
-	r := &runner{cfg: cfg, slots: make(chan struct{}, cfg.MaxOutstanding)}
-	for _, address := range cfg.Addresses {
-		client := briarstandv1connect.NewCallerServiceClient(
-			&http.Client{Transport: transport}, "http://"+address, connect.WithGRPC())
-		r.clients = append(r.clients, client)
+	r := &runner{cfg: cfg, directory: newDirectory(transport, cfg.Addresses), slots: make(chan struct{}, cfg.MaxOutstanding)}
+	if cfg.Refresh != nil {
+		refreshing, stop := context.WithCancel(ctx)
+		var refresher sync.WaitGroup
+		refresher.Go(func() { r.directory.keepFresh(refreshing, cfg.Refresh) })
+		defer refresher.Wait()
+		defer stop()
 	}
 	return r.run(ctx)
 }
@@ -142,7 +149,7 @@
 	if r.cfg.Warmup > 0 {
 		r.generateAll(ctx, r.cfg.Warmup, nil)
 	}
-	before, err := readRecords(ctx, r.cfg.Records)
+	before, err := r.read(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -155,13 +162,32 @@
 	if err := ctx.Err(); err != nil {
 		return nil, fmt.Errorf("load: %w", err)
 	}
-	after, err := readRecords(ctx, r.cfg.Records)
+	after, err := r.read(ctx)
 	if err != nil {
 		return nil, err
 	}
 	return summarize(meters, r.cfg.Duration, before, after), nil
 }
 
+// reading is what the backend servers and the daemons had done at one time.
+type reading struct {
+	records  totals
+	counters []DaemonCounters
+}
+
+func (r *runner) read(ctx context.Context) (reading, error) {
+	var services []string
+	for _, s := range r.cfg.Streams {
+		services = append(services, s.Service)
+	}
+	records, err := readRecords(ctx, r.cfg.Records)
+	if err != nil {
+		return reading{}, err
+	}
+	counters, err := readCounters(ctx, r.cfg.Daemons, services)
+	return reading{records: records, counters: counters}, err
+}
+
 // generateAll runs all streams and returns when the last query has ended.
 func (r *runner) generateAll(ctx context.Context, d time.Duration, meters []*meter) {
 	var generators sync.WaitGroup
@@ -242,8 +268,9 @@
 // attempt arrived.
 func (r *runner) call(ctx context.Context, n int, req *briarstandv1.QueryRequest) (*briarstandv1.QueryResponse, error) {
 	var last error
+	clients := *r.directory.clients.Load()
 	for attempt := range r.cfg.Attempts {
-		client := r.clients[(n+attempt)%len(r.clients)]
+		client := clients[(n+attempt)%len(clients)]
 		resp, err := client.Query(ctx, connect.NewRequest(req))
 		if err == nil {
 			return resp.Msg, nil
--- a/load/result.go
+++ b/load/result.go
@@ -84,6 +84,8 @@
 	Services []ServiceResult `json:"services"`
 	// Extra is nil when no records were read.
 	Extra *ExtraLoad `json:"extra_load,omitempty"`
+	// Daemons is nil when no metrics were read.
+	Daemons *DaemonLoad `json:"daemons,omitempty"`
 }
 
 // meter collects the answers of one stream.
@@ -186,17 +188,19 @@
 	}
 }
 
-func summarize(meters []*meter, d time.Duration, before, after totals) *Result {
+func summarize(meters []*meter, d time.Duration, before, after reading) *Result {
 	r := &Result{Seconds: d.Seconds()}
-	var needed int64
+	var needed, queries int64
 	for _, m := range meters {
 		s := m.summary(d)
 		needed += s.Shards
+		queries += s.Queries
 		r.Services = append(r.Services, s)
 	}
-	if after.valid {
-		r.Extra = extraLoad(needed, before, after)
+	if after.records.valid {
+		r.Extra = extraLoad(needed, before.records, after.records)
 	}
+	r.Daemons = daemonLoad(queries, needed, before.counters, after.counters)
 	return r
 }
 
@@ -247,6 +251,10 @@
 		fmt.Fprintf(&b, "extra load: %+.2f%% received, %+.2f%% started, of %d sub-requests needed\n",
 			100*e.ReceivedPart, 100*e.StartedPart, e.Needed)
 	}
+	if d := r.Daemons; d != nil {
+		fmt.Fprintf(&b, "daemons: %.0f us of CPU per query, %.1f per sub-request; %.4f sub-requests sent per one needed (%d hedges, %d retries, %d denied); %.1f in a message\n",
+			d.CPUPerQuery, d.CPUPerSubRequest, d.SentPerNeeded, d.Hedges, d.Retries, d.Denied, d.PerMessage)
+	}
 	if _, err := io.WriteString(w, b.String()); err != nil {
 		return fmt.Errorf("load: write result: %w", err)
 	}
--- /dev/null
+++ b/measure/fleet_test.go
@@ -0,0 +1,289 @@
+package measure
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+
+	"github.com/briarstand/briarstand/backend/standin"
+	"github.com/briarstand/briarstand/cli"
+	"github.com/briarstand/briarstand/config"
+	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+	"github.com/briarstand/briarstand/gen/briarstand/v1/briarstandv1connect"
+	"github.com/briarstand/briarstand/load"
+)
+
+// programVariable makes the test binary run as one of the product's programs.
+const programVariable = "BRIARSTAND_MEASURE_PROGRAM"
+
+func TestMain(m *testing.M) {
+	streams := cli.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}
+	switch os.Getenv(programVariable) {
+	case "briarstandd":
+		os.Exit(cli.RunDaemon(context.Background(), os.Args, streams))
+	case "briarstand":
+		os.Exit(cli.Run(context.Background(), os.Args, streams))
+	}
+	os.Exit(m.Run())
+}
+
+// process is a running program.
+type process struct {
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+func start(t testing.TB, program string, args ...string) *process {
+	p := &process{cmd: exec.Command(os.Args[0], args...), done: make(chan struct{})}
+	p.cmd.Env = append(os.Environ(), programVariable+"="+program)
+	p.cmd.Stderr = os.Stderr
+	qt.Assert(t, p.cmd.Start(), qt.IsNil)
+	go func() {
+		_ = p.cmd.Wait()
+		close(p.done)
+	}()
+	t.Cleanup(p.kill)
+	return p
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// vm is a daemon.
+type vm struct {
+	*process
+	host string
+}
+
+func (v *vm) caller() string   { return v.host + ":7401" }
+func (v *vm) admin() string    { return "http://" + v.host + ":7404" }
+func (v *vm) operator() string { return "http://" + v.host + ":7402" }
+
+// searcher is a stand-in of a backend server. While it is lost, last is its
+// record.
+type searcher struct {
+	*process
+	address string
+	lost    bool
+	last    standin.Record
+}
+
+// fleet is a deployment of real processes on a loopback network of its own.
+type fleet struct {
+	t         testing.TB
+	network   string
+	profile   load.Profile
+	service   load.ServiceProfile
+	searchers []*searcher
+	vms       []*vm
+	started   int
+	client    *http.Client
+}
+
+// reserveNetwork returns a loopback network that no other test uses.
+func reserveNetwork(t testing.TB) string {
+	for i := range 200 * 250 {
+		network := fmt.Sprintf("127.%d.%d", 16+(os.Getpid()+i/250)%200, 1+i%250)
+		if l, err := net.Listen("tcp", network+".254:7400"); err == nil {
+			t.Cleanup(func() { _ = l.Close() })
+			return network
+		}
+	}
+	t.Fatal("no free loopback network")
+	return ""
+}
+
+func newFleet(t testing.TB, p load.Profile, s load.ServiceProfile, vms int) *fleet {
+	f := &fleet{t: t, network: reserveNetwork(t), profile: p, service: s, client: &http.Client{Timeout: 10 * time.Second}}
+	start(t, "briarstand", "dev", "platform", "--listen", f.network+".1:8500", "--log-level", "error")
+	f.until("platform stand-in", func() bool { return f.call(http.MethodGet, f.platform("/standin/faults"), nil, nil) == nil })
+	for i := range s.Searchers {
+		f.searchers = append(f.searchers, &searcher{address: fmt.Sprintf("%s.%d:9001", f.network, 101+i)})
+		f.startSearcher(i)
+	}
+	for i := range s.Searchers {
+		f.resetSearcher(i)
+	}
+	for range vms {
+		f.startVM()
+	}
+	return f
+}
+
+func (f *fleet) platform(path string) string { return "http://" + f.network + ".1:8500" + path }
+
+func (f *fleet) startSearcher(i int) {
+	s := f.searchers[i]
+	s.process = start(f.t, "briarstand", "dev", "backend", "--listen", s.address, "--seed", strconv.Itoa(i+1))
+	s.lost = false
+}
+
+// resetSearcher starts a lost searcher again, ends its faults and gives it the
+// settings of the profile, with the service time of this measurement.
+func (f *fleet) resetSearcher(i int) {
+	if f.searchers[i].lost {
+		f.startSearcher(i)
+	}
+	f.until("backend stand-in", func() bool { return f.control(i, "settings", nil) == nil })
+	settings := f.profile.Settings(f.service, i, f.profile.Zones[0])
+	settings.ServiceBase, settings.ServiceJitter = standin.Duration(serviceBase), standin.Duration(serviceJitter)
+	settings.ServiceTail, settings.TailProbability = standin.Duration(serviceTail), tailProbability
+	settings.Holdings = []standin.Holding{{Version: load.ProfileVersion, Shards: settings.Holdings[0].Shards}}
+	f.must(f.control(i, "settings", settings))
+	f.must(f.control(i, "faults", standin.Faults{}))
+}
+
+// control reads a control path of a stand-in, or posts a body to it.
+func (f *fleet) control(i int, path string, body any) error {
+	method := http.MethodPost
+	if body == nil {
+		method = http.MethodGet
+	}
+	return f.call(method, "http://"+f.searchers[i].address+"/standin/"+path, body, nil)
+}
+
+// lose kills a searcher. Its record so far is kept.
+func (f *fleet) lose(i int) {
+	s := f.searchers[i]
+	f.must(f.call(http.MethodGet, "http://"+s.address+"/standin/record?summary", nil, &s.last))
+	s.lost = true
+	s.kill()
+}
+
+// records returns the record of each searcher, the last one of those lost.
+func (f *fleet) records() []load.RecordSource {
+	var sources []load.RecordSource
+	for _, s := range f.searchers {
+		read := load.HTTPRecord(f.client, s.address)
+		sources = append(sources, func(ctx context.Context) (standin.Record, error) {
+			if s.lost {
+				return s.last, nil
+			}
+			return read(ctx)
+		})
+	}
+	return sources
+}
+
+// counters returns the metrics of each VM that runs from start to end.
+func (f *fleet) counters() []load.CounterSource {
+	var sources []load.CounterSource
+	for _, v := range f.vms {
+		sources = append(sources, load.HTTPCounters(f.client, v.admin()))
+	}
+	return sources
+}
+
+func (f *fleet) startVM() *vm {
+	f.started++
+	v := &vm{host: fmt.Sprintf("%s.%d", f.network, 10+f.started)}
+	v.process = start(f.t, "briarstandd", "--vm-id", fmt.Sprintf("vm-%d", f.started), "--zone", f.profile.Zones[0],
+		"--platform-url", f.platform(""), "--caller-listen", v.caller(), "--operator-listen", v.host+":7402",
+		"--peer-listen", v.host+":7403", "--admin-listen", v.host+":7404", "--probe-interval", "200ms",
+		"--address-ttl", "1s", "--drain-serve", "1500ms", "--drain-timeout", "10s", "--log-level", "error")
+	f.until("VM ready", func() bool { return f.call(http.MethodGet, v.admin()+"/readyz", nil, nil) == nil })
+	f.vms = append(f.vms, v)
+	return v
+}
+
+func (f *fleet) addresses() []string {
+	var all []string
+	for _, v := range f.vms {
+		all = append(all, v.caller())
+	}
+	return all
+}
+
+func (f *fleet) until(what string, condition func() bool) {
+	f.t.Helper()
+	for deadline := time.Now().Add(30 * time.Second); !condition(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("%s: not within 30 s", what)
+		}
+	}
+}
+
+func (f *fleet) must(err error) {
+	f.t.Helper()
+	qt.Assert(f.t, err, qt.IsNil)
+}
+
+func (f *fleet) call(method, url string, body, v any) error {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequest(method, url, bytes.NewReader(raw))
+	if err != nil {
+		return err
+	}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode >= 300 {
+		return fmt.Errorf("%s %s: %s %s %w", method, url, resp.Status, answer, err)
+	}
+	if v == nil {
+		return nil
+	}
+	return json.Unmarshal(answer, v)
+}
+
+func (f *fleet) operator() briarstandv1connect.OperatorServiceClient {
+	return briarstandv1connect.NewOperatorServiceClient(f.client, f.vms[0].operator())
+}
+
+func change(revision int64) *briarstandv1.Change {
+	return &briarstandv1.Change{ChangeId: uuid.NewString(), Operator: "eleni", Reason: "measurement", ExpectedRevision: revision}
+}
+
+// create creates a service, waits for its acceptance and returns its revision.
+func (f *fleet) create(doc *config.Service) int64 {
+	f.t.Helper()
+	resp, err := f.operator().CreateService(context.Background(), connect.NewRequest(&briarstandv1.CreateServiceRequest{
+		Name: doc.Name, Spec: config.SpecToProto(doc), Change: change(0),
+	}))
+	f.must(err)
+	qt.Assert(f.t, resp.Msg.Rollout.State, qt.Equals, briarstandv1.RolloutState_ROLLOUT_STATE_ACCEPTED)
+	return resp.Msg.Service.Revision
+}
+
+func (f *fleet) update(doc *config.Service, revision int64) int64 {
+	f.t.Helper()
+	resp, err := f.operator().UpdateService(context.Background(), connect.NewRequest(&briarstandv1.UpdateServiceRequest{
+		Name: doc.Name, Spec: config.SpecToProto(doc), Change: change(revision),
+	}))
+	f.must(err)
+	return resp.Msg.Service.Revision
+}
+
+func (f *fleet) remove(name string) {
+	f.t.Helper()
+	got, err := f.operator().GetService(context.Background(), connect.NewRequest(&briarstandv1.GetServiceRequest{Name: name}))
+	f.must(err)
+	_, err = f.operator().DeleteService(context.Background(), connect.NewRequest(&briarstandv1.DeleteServiceRequest{
+		Name: name, Change: change(got.Msg.Service.Revision),
+	}))
+	f.must(err)
+}
--- /dev/null
+++ b/measure/policy_test.go
@@ -0,0 +1,254 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/briarstand/briarstand/backend/standin"
+	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/load"
+)
+
+// Service times of the stand-ins. They are long enough that the scheduling of
+// some fifty processes on one machine does not hide the policy.
+const (
+	serviceBase     = 16 * time.Millisecond
+	serviceJitter   = 8 * time.Millisecond
+	serviceTail     = 40 * time.Millisecond
+	tailProbability = 0.001
+	meanServiceTime = serviceBase + serviceJitter/2 + serviceTail/1000
+)
+
+const (
+	usualPart       = 0.4 // of the capacity, in all scenarios but overload
+	shardsPerQuery  = 40
+	stragglerFactor = 10
+	daemons         = 3
+	nextVersion     = "v2"
+)
+
+// lengths are the times of one run.
+type lengths struct{ warmup, measured time.Duration }
+
+// round is one run of a scenario.
+type round struct {
+	*fleet
+	doc      *config.Service
+	revision int64
+	length   lengths
+	begin    time.Time
+}
+
+// at waits until the given part of the measured time is over.
+func (r *round) at(part float64) {
+	time.Sleep(time.Until(r.begin.Add(r.length.warmup + time.Duration(part*float64(r.length.measured)))))
+}
+
+// scenario prepares a fleet before the load starts and acts on it under load.
+type scenario struct {
+	part           float64
+	before, during func(r *round)
+}
+
+var scenarios = map[string]scenario{
+	Steady:        {part: usualPart},
+	Straggler:     {part: usualPart, before: slowSearcher},
+	ReplicaLost:   {part: usualPart, during: loseReplicas},
+	Misleading:    {part: usualPart, before: misleadingLoad},
+	VersionChange: {part: usualPart, during: changeVersion},
+	Overload:      {part: 2},
+	VMReplaced:    {part: usualPart, during: replaceVM},
+	StoreOutage:   {part: usualPart, during: storeOutage},
+}
+
+func slowSearcher(r *round) {
+	r.must(r.control(0, "faults", standin.Faults{StragglerFactor: stragglerFactor}))
+}
+
+// loseReplicas kills the first replica of each shard. Replicas are neighbours.
+func loseReplicas(r *round) {
+	r.at(0.25)
+	for i := 0; i < len(r.searchers); i += 2 {
+		r.lose(i)
+	}
+}
+
+// misleadingLoad makes the searchers of each pair report the opposite of an
+// even load.
+func misleadingLoad(r *round) {
+	for i := range r.searchers {
+		reported, healthy := float64(i%2), i%2 == 0
+		r.must(r.control(i, "faults", standin.Faults{ReportLoad: &reported, ReportHealthy: &healthy}))
+	}
+}
+
+// changeVersion declares a version that half of the searchers lack for a
+// second, and later withdraws the old one.
+func changeVersion(r *round) {
+	load2 := func(parity int) {
+		for i := parity; i < len(r.searchers); i += 2 {
+			held := r.profile.Settings(r.service, i, r.profile.Zones[0]).Holdings[0].Shards
+			r.must(r.control(i, "settings", map[string]any{"holdings": []standin.Holding{{Shards: held}}}))
+		}
+	}
+	r.at(0.2)
+	load2(0)
+	next := *r.doc
+	second := config.IndexVersion{Name: nextVersion, Sequence: 2, Shards: r.doc.Versions[0].Shards}
+	next.Versions = []config.IndexVersion{r.doc.Versions[0], second}
+	revision := r.update(&next, r.revision)
+	time.Sleep(min(time.Second, r.length.measured/5))
+	load2(1)
+	r.at(0.7)
+	next.Versions = []config.IndexVersion{second}
+	r.update(&next, revision)
+}
+
+// replaceVM starts a VM and shuts another one down.
+func replaceVM(r *round) {
+	r.at(0.2)
+	r.startVM()
+	old := r.vms[daemons-1]
+	old.signal(syscall.SIGTERM)
+	r.vms = append(r.vms[:daemons-1], r.vms[daemons:]...)
+}
+
+func storeOutage(r *round) {
+	r.at(0.25)
+	r.must(r.call("PUT", r.platform("/standin/faults"), map[string]any{"down": true}, nil))
+	r.at(0.75)
+	r.must(r.call("PUT", r.platform("/standin/faults"), map[string]any{}, nil))
+}
+
+// run runs a scenario under one policy, on a service of its own, so that
+// nothing learned in an earlier run counts.
+func (f *fleet) run(name, policy string, length lengths) Run {
+	f.t.Helper()
+	for i := range f.searchers {
+		f.resetSearcher(i)
+	}
+	s := scenarios[name]
+	doc := f.document(strings.NewReplacer(" ", "-").Replace(name)+"-"+policy, policy)
+	r := &round{fleet: f, doc: doc, revision: f.create(doc), length: length}
+	if s.before != nil {
+		s.before(r)
+	}
+	capacity := f.service.Capacity(meanServiceTime)
+	cfg := load.Config{
+		Addresses: f.addresses(), Warmup: length.warmup, Duration: length.measured, Seed: 1, Verify: true,
+		Streams: []load.Stream{{Service: doc.Name, Rate: s.part * capacity}},
+		Records: f.records(), Daemons: f.counters(),
+	}
+	if name == VMReplaced {
+		// The counters of a VM that ends during the run cannot be read after it.
+		cfg.Refresh, cfg.Daemons = load.ResolveWith(cfg, "measure", f.profile.Zones[0]), nil
+	}
+	type answer struct {
+		result *load.Result
+		err    error
+	}
+	done := make(chan answer, 1)
+	r.begin = time.Now()
+	go func() {
+		result, err := load.Run(context.Background(), cfg)
+		done <- answer{result, err}
+	}()
+	if s.during != nil {
+		s.during(r)
+	}
+	a := <-done
+	f.must(a.err)
+	f.remove(doc.Name)
+	qt.Check(f.t, a.result.Services[0].Wrong, qt.Equals, int64(0), qt.Commentf("%s: %v", doc.Name, a.result.Services[0].WrongExamples))
+	return Run{Profile: f.profile.Name, Scenario: name, Policy: policy, Capacity: capacity, LoadAverage: loadAverage(), Result: a.result}
+}
+
+// document declares the service with backend server ids of its own.
+func (f *fleet) document(name, policy string) *config.Service {
+	s := f.service
+	s.Name = name
+	index := map[string]int{}
+	for i := range s.Searchers {
+		index[s.BackendID(i)] = i
+	}
+	doc := f.profile.Document(s, func(id string) string { return f.searchers[index[id]].address })
+	if policy == Baseline {
+		doc.Policy.ReplicaChoice, doc.Policy.HedgePermille = config.ChoiceRandom, 0
+	}
+	return doc
+}
+
+// loadAverage returns that of the machine over one minute, 0 if unknown.
+func loadAverage() float64 {
+	raw, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return 0
+	}
+	first, _, _ := strings.Cut(string(raw), " ")
+	value, err := strconv.ParseFloat(first, 64)
+	if err != nil {
+		return 0
+	}
+	return value
+}
+
+// selected returns the names of a list that an environment variable names, all
+// of them without it.
+func selected(variable string, all []string) []string {
+	names := os.Getenv(variable)
+	if names == "" {
+		return all
+	}
+	return strings.Split(names, ",")
+}
+
+// TestPolicy measures the query policy and prints a table. Without
+// BRIARSTAND_MEASURE it runs one short scenario, which guards against a
+// measurement that no longer runs and against answers that are wrong.
+func TestPolicy(t *testing.T) {
+	if os.Getenv("BRIARSTAND_MEASURE") == "" {
+		smoke(t)
+		return
+	}
+	length := lengths{warmup: 2 * time.Second, measured: 8 * time.Second}
+	if d, err := time.ParseDuration(os.Getenv("BRIARSTAND_MEASURE_DURATION")); err == nil {
+		length.measured = d
+	}
+	var report Report
+	for _, name := range selected("BRIARSTAND_MEASURE_PROFILES", load.ProfileNames()) {
+		t.Run(name, func(t *testing.T) {
+			p, err := load.ProfileByName(name)
+			qt.Assert(t, err, qt.IsNil)
+			s := p.Services[0]
+			s.Shards = shardsPerQuery
+			f := newFleet(t, p, s, daemons)
+			for _, scenario := range selected("BRIARSTAND_MEASURE_SCENARIOS", Scenarios()) {
+				report.Runs = append(report.Runs, f.run(scenario, Adaptive, length), f.run(scenario, Baseline, length))
+			}
+		})
+	}
+	if !t.Failed() && os.Getenv("BRIARSTAND_MEASURE_SCENARIOS") == "" {
+		t.Run("costs", func(t *testing.T) { report.Costs = costs(t, length) })
+	}
+	fmt.Println()
+	qt.Assert(t, report.WriteTable(os.Stdout), qt.IsNil)
+}
+
+func smoke(t *testing.T) {
+	p := load.Kykloskopos()
+	s := p.Services[0]
+	s.Shards, s.Searchers = 4, 4
+	f := newFleet(t, p, s, daemons)
+	run := f.run(Straggler, Adaptive, lengths{warmup: 300 * time.Millisecond, measured: 1500 * time.Millisecond})
+	qt.Assert(t, run.service().Queries > 50, qt.IsTrue)
+	qt.Assert(t, run.service().Outcomes["complete"] > 0, qt.IsTrue)
+	qt.Assert(t, run.Result.Extra.Needed > 0 && run.Result.Daemons.Sent > 0, qt.IsTrue)
+}
--- /dev/null
+++ b/measure/targets.go
@@ -0,0 +1,160 @@
+package measure
+
+import (
+	"fmt"
+
+	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/load"
+)
+
+// Names of the costs that have a target.
+const (
+	FigureAddedTime = "time added by a daemon to a sub-request, p99"
+	FigureCPU       = "CPU in the daemon per sub-request, 40 shards, batched"
+)
+
+// Targets of docs/design.md, section 12.
+const (
+	maxStragglerRatio  = 1.5
+	minBaselineRatio   = 3
+	maxExtraSteady     = 0.05
+	maxExtraAny        = 0.10
+	minCompletePart    = 0.999
+	minGoodputPart     = 0.9
+	maxRefusalMS       = 50
+	maxMisleadingRatio = 1.2
+	maxAddedMS         = 1
+	maxCPUMicroseconds = 10
+	percent            = "%"
+	hundred            = 100
+	milliseconds       = "ms"
+	microseconds       = "us"
+	ofAllProfiles      = "-"
+)
+
+// Verdict compares a figure with its target.
+type Verdict struct {
+	Target, Profile string
+	Limit, Value    float64
+	Unit            string
+	// AtLeast says that the figure must not be below the limit; otherwise it
+	// must not be above it.
+	AtLeast bool
+	// Measured is false when the runs that the figure needs are missing.
+	Measured bool
+}
+
+// Met reports whether the figure was measured and meets the target.
+func (v Verdict) Met() bool {
+	if v.AtLeast {
+		return v.Measured && v.Value >= v.Limit
+	}
+	return v.Measured && v.Value <= v.Limit
+}
+
+func (v Verdict) limit() string {
+	sign := "<="
+	if v.AtLeast {
+		sign = ">="
+	}
+	return fmt.Sprintf("%s %g%s", sign, v.Limit, v.Unit)
+}
+
+func (v Verdict) measured() string {
+	if !v.Measured {
+		return "not measured"
+	}
+	return fmt.Sprintf("%.4g%s", v.Value, v.Unit)
+}
+
+func (v Verdict) text() string {
+	switch {
+	case !v.Measured:
+		return "-"
+	case v.Met():
+		return "met"
+	}
+	return "MISSED"
+}
+
+// Verdicts compares the runs with all targets.
+func (r *Report) Verdicts() []Verdict {
+	var all []Verdict
+	for _, name := range load.ProfileNames() {
+		if r.Find(name, Steady, Adaptive) == nil {
+			continue
+		}
+		all = append(all, r.latencyVerdicts(name)...)
+		all = append(all, r.extraVerdicts(name)...)
+		all = append(all, r.outcomeVerdicts(name)...)
+	}
+	return append(all, r.cost(FigureAddedTime, maxAddedMS), r.cost(FigureCPU, maxCPUMicroseconds))
+}
+
+func (r *Report) cost(name string, limit float64) Verdict {
+	for _, c := range r.Costs {
+		if c.Name == name {
+			return Verdict{Target: name, Profile: ofAllProfiles, Limit: limit, Value: c.Value, Unit: c.Unit, Measured: true}
+		}
+	}
+	return Verdict{Target: name, Profile: ofAllProfiles, Limit: limit}
+}
+
+// ratio divides the p99 of two runs.
+func ratio(a, b *Run) (float64, bool) {
+	if a == nil || b == nil || b.service().Latency.P99 == 0 {
+		return 0, false
+	}
+	return a.service().Latency.P99 / b.service().Latency.P99, true
+}
+
+func (r *Report) latencyVerdicts(profile string) []Verdict {
+	steady := r.Find(profile, Steady, Adaptive)
+	slow := r.Find(profile, Straggler, Adaptive)
+	straggler := Verdict{Target: "p99 with a straggler / p99 without", Profile: profile, Limit: maxStragglerRatio}
+	straggler.Value, straggler.Measured = ratio(slow, steady)
+	gain := Verdict{Target: "baseline's p99 with a straggler / p99", Profile: profile, Limit: minBaselineRatio, AtLeast: true}
+	gain.Value, gain.Measured = ratio(r.Find(profile, Straggler, Baseline), slow)
+	misleading := Verdict{Target: "p99 with misleading load / p99 with honest", Profile: profile, Limit: maxMisleadingRatio}
+	misleading.Value, misleading.Measured = ratio(r.Find(profile, Misleading, Adaptive), steady)
+	return []Verdict{straggler, gain, misleading}
+}
+
+func (r *Report) extraVerdicts(profile string) []Verdict {
+	steady := Verdict{Target: "extra load, steady", Profile: profile, Limit: hundred * maxExtraSteady, Unit: percent}
+	worst := Verdict{Target: "extra load, worst scenario", Profile: profile, Limit: hundred * maxExtraAny, Unit: percent}
+	for i := range r.Runs {
+		run := &r.Runs[i]
+		if run.Profile != profile || run.Policy != Adaptive || run.Result.Extra == nil {
+			continue
+		}
+		part := hundred * run.Result.Extra.ReceivedPart
+		if run.Scenario == Steady {
+			steady.Value, steady.Measured = part, true
+		}
+		if !worst.Measured || part > worst.Value {
+			worst.Value, worst.Measured = part, true
+			worst.Target = "extra load, worst scenario (" + run.Scenario + ")"
+		}
+	}
+	return []Verdict{steady, worst}
+}
+
+func (r *Report) outcomeVerdicts(profile string) []Verdict {
+	var all []Verdict
+	if p, err := load.ProfileByName(profile); err == nil && p.Services[0].Preference == config.PreferCoverage {
+		v := Verdict{Target: "complete answers, one replica of each shard lost", Profile: profile, Limit: hundred * minCompletePart, Unit: percent, AtLeast: true}
+		if run := r.Find(profile, ReplicaLost, Adaptive); run != nil {
+			v.Value, v.Measured = hundred*run.service().CompletePart, true
+		}
+		all = append(all, v)
+	}
+	goodput := Verdict{Target: "goodput at 2x overload / capacity", Profile: profile, Limit: hundred * minGoodputPart, Unit: percent, AtLeast: true}
+	refusal := Verdict{Target: "p99 of refusals at 2x overload", Profile: profile, Limit: maxRefusalMS, Unit: milliseconds}
+	if run := r.Find(profile, Overload, Adaptive); run != nil {
+		goodput.Value, goodput.Measured = hundred*run.service().Goodput/run.Capacity, true
+		// Without a refusal there is nothing to judge.
+		refusal.Value, refusal.Measured = run.service().Refusal.P99, run.service().Outcomes["not_run"] > 0
+	}
+	return append(all, goodput, refusal)
+}
