Do not count withdrawn sub-requests as failures of a backend server

Cause: a backend server answers "failed" to a running sub-request that it was told to stop. The picker took that for a failure, so each hedge that won gave the replica that lost a penalty (factor 5 and more, for 2 s), and at 5% hedges replicas were avoided. The query still sees the status as it is, so that nothing that ran is reported as not run.

--- a/query/collector.go
+++ b/query/collector.go
@@ -16,10 +16,12 @@
 	position int32 // of the shard among the query's shards
 	previous int32 // earlier attempt for the same shard, or none
 	round    int32 // binding of the query that the attempt belongs to
-	replied  bool  // guarded by the collector's lock
-	backend  *config.Backend
-	start    time.Time
-	call     backend.Call // only used by the query's goroutine
+	// replied and cancelled are guarded by the collector's lock.
+	replied   bool
+	cancelled bool // withdrawn by the query
+	backend   *config.Backend
+	start     time.Time
+	call      backend.Call // only used by the query's goroutine
 }
 
 // delivery is a reply on its way to the query's goroutine.
@@ -62,14 +64,20 @@
 	}
 	a := &c.attempts[tag]
 	a.replied = true
-	id, latency := a.backend.ID, now.Sub(a.start)
+	id, latency, status := a.backend.ID, now.Sub(a.start), r.Status
+	if a.cancelled && status == backend.Failed {
+		// A backend server fails what it had begun when it was told to stop. That
+		// says nothing about it, so the picker must not avoid it. The query still
+		// sees that the sub-request ran.
+		status = backend.Cancelled
+	}
 	wake := false
 	if !c.closed {
 		wake = len(c.inbox) == 0
 		c.inbox = append(c.inbox, delivery{tag: tag, latency: latency, reply: r})
 	}
 	c.mu.Unlock()
-	c.picker.Finished(id, latency, r.Status)
+	c.picker.Finished(id, latency, status)
 	if wake {
 		select {
 		case c.signal <- struct{}{}:
@@ -104,9 +112,15 @@
 	return c.inbox
 }
 
-// hasReplied reports whether the reply of an attempt arrived.
-func (c *collector) hasReplied(tag int) bool {
+// withdraw marks an attempt as cancelled by the query. It returns false if its
+// reply arrived before.
+func (c *collector) withdraw(tag int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.attempts[tag].replied
+	a := &c.attempts[tag]
+	if a.replied {
+		return false
+	}
+	a.cancelled = true
+	return true
 }
--- a/query/run.go
+++ b/query/run.go
@@ -298,7 +298,7 @@
 func (r *run) cancel(s *shardRun, now time.Time) {
 	for tag := s.last; tag != none; {
 		a := &r.collector.attempts[tag]
-		if !r.collector.hasReplied(int(tag)) {
+		if r.collector.withdraw(int(tag)) {
 			r.engine.latency.Observe(r.svc.name, now.Sub(a.start))
 			a.call.Cancel()
 		}
