Run fewer queries at once while backend servers are congested

Cause: max_concurrent (256 at a VM by default) is far above what the searchers finish within the deadline, 7 to 10 queries at a VM in the measured deployment. At twice their capacity all queries were admitted, waited at the searchers and missed the deadline; nothing was refused.

The admission now has a ceiling below max_concurrent. A query in which half of the shards have not answered within 30% of its time is a sign of congestion; while most are, the ceiling shrinks by a tenth, otherwise it grows. The longest wait for admission falls from 45 to 30 ms, so that a refusal reaches the caller within 50 ms.

Excluded as signs: the slowest shard (stragglers and lost replicas would refuse queries that the other searchers can serve) and reported load (it may mislead).

--- a/limit/admission.go
+++ b/limit/admission.go
@@ -22,7 +22,7 @@
 	maxRetryAfter = 2 * time.Second
 	// maxWait is the longest time in the queue. A request that is refused after
 	// it can still be tried at another VM within the usual deadlines.
-	maxWait = 45 * time.Millisecond
+	maxWait = 30 * time.Millisecond
 
 	lowest  = int(config.PriorityLow)
 	highest = int(config.PriorityHigh)
@@ -56,6 +56,7 @@
 	queued      int
 	queues      [highest + 1]list.List // of *waiter, first in first out, by priority
 	serviceTime time.Duration          // moving average, 0 before the first sample
+	ceiling     ceiling
 }
 
 // waiter is a queued request. The one who removes it from its queue sends to
@@ -94,6 +95,32 @@
 	}
 }
 
+// Observe tells whether a running request met congested backend servers. While
+// most requests do, fewer than MaxConcurrent run at once; the rest wait or are
+// refused here, where a refusal is quick and costs the backend servers nothing.
+func (a *Admission) Observe(congested bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	mostly := a.ceiling.observe(congested)
+	switch now := time.Now(); {
+	case mostly && congested:
+		a.ceiling.cut(now, a.running, a.limits.MaxConcurrent, a.serviceTime)
+	case !mostly && a.running >= a.bound():
+		a.ceiling.grow(now, a.limits.MaxConcurrent)
+		a.grant()
+	}
+}
+
+// Limit returns how many requests may run at once now.
+func (a *Admission) Limit() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.bound()
+}
+
+// bound is Limit with the lock held.
+func (a *Admission) bound() int { return a.ceiling.bound(a.limits.MaxConcurrent) }
+
 // Running returns how many requests run.
 func (a *Admission) Running() int {
 	a.mu.Lock()
@@ -111,7 +138,7 @@
 // Acquire waits until the request may run and returns the function that ends
 // it, which is idempotent. It fails with an *OverloadError when the queue is
 // full, when the request cannot finish before the deadline of ctx or would
-// wait longer than 45 ms, judged by recent service time, or when ctx ends.
+// wait longer than 30 ms, judged by recent service time, or when ctx ends.
 func (a *Admission) Acquire(ctx context.Context, priority config.Priority) (release func(), err error) {
 	w, err := a.enter(ctx, priority)
 	if err != nil {
@@ -133,7 +160,7 @@
 	if ctx.Err() != nil {
 		return nil, a.overload("the deadline passed before admission", 0)
 	}
-	if a.running < a.limits.MaxConcurrent && a.queued == 0 {
+	if a.running < a.bound() && a.queued == 0 {
 		a.running++
 		return nil, nil
 	}
@@ -218,7 +245,7 @@
 // no longer meet their deadline are refused instead of started.
 func (a *Admission) grant() {
 	now := time.Now()
-	for a.running < a.limits.MaxConcurrent {
+	for a.running < a.bound() {
 		w := a.first()
 		if w == nil {
 			return
@@ -274,7 +301,7 @@
 
 // waitFor estimates how long a request waits behind others in the queue.
 func (a *Admission) waitFor(ahead int) time.Duration {
-	return a.serviceTime * time.Duration(ahead+1) / time.Duration(a.limits.MaxConcurrent)
+	return a.serviceTime * time.Duration(ahead+1) / time.Duration(a.bound())
 }
 
 func (a *Admission) overload(reason string, ahead int) *OverloadError {
--- a/query/run.go
+++ b/query/run.go
@@ -19,6 +19,11 @@
 	// parkDelay is how long a shard waits for a token or for a backend server
 	// that sheds load before it tries again.
 	parkDelay = 5 * time.Millisecond
+	// congestedPermille is the part of a query's time, in parts per thousand,
+	// within which half of its shards answer unless backend servers are
+	// congested. The slowest shard of a large query takes two to three times as
+	// long as the median one.
+	congestedPermille = 300
 )
 
 // shardState says how far a shard of a query is.
@@ -60,6 +65,8 @@
 	id       string
 	limit    int
 	answerBy time.Time
+	start    time.Time
+	halfAt   time.Time // when half of the shards had answered; zero before
 
 	collector  *collector
 	spare      []delivery
@@ -67,6 +74,7 @@
 	requests   []backend.Request
 	shards     []shardRun
 	open       int
+	answers    int // shards answered in this round
 	round      int32
 	hedgeDelay time.Duration
 	nextHedge  time.Time // zero when no hedge is due
@@ -86,6 +94,7 @@
 		id:        id,
 		limit:     int(req.GetLimit()),
 		answerBy:  answerBy,
+		start:     time.Now(),
 		collector: newCollector(e.cfg.Picker, n),
 		spare:     make([]delivery, 0, n),
 	}
@@ -106,7 +115,7 @@
 	r.plan, r.binding = p, b
 	r.shards = make([]shardRun, n)
 	r.requests = make([]backend.Request, n)
-	r.open = n
+	r.open, r.answers = n, 0
 	shards := r.req.GetShards()
 	for i := range r.shards {
 		shard := int32(i)
@@ -143,9 +152,23 @@
 	r.planHedge()
 	r.loop(ctx)
 	r.finish()
+	r.reportCongestion()
 	return r.answer()
 }
 
+// reportCongestion tells the admission whether the backend servers as a whole
+// are late. Half of the shards decide, so that neither stragglers nor lost
+// replicas count as congestion.
+func (r *run) reportCongestion() {
+	late := r.start.Add(r.answerBy.Sub(r.start) * congestedPermille / 1000)
+	switch {
+	case !r.halfAt.IsZero():
+		r.svc.admission.Observe(r.halfAt.After(late))
+	case r.timedOut:
+		r.svc.admission.Observe(true)
+	}
+}
+
 // sendAll sends the first sub-request of every shard that has a candidate.
 func (r *run) sendAll() int {
 	now, sent := time.Now(), 0
@@ -287,6 +310,10 @@
 	s.state = shardAnswered
 	s.hits = reply.Hits
 	r.open--
+	r.answers++
+	if r.answers == (len(r.shards)+1)/2 {
+		r.halfAt = now
+	}
 	if s.outstanding > 0 {
 		r.cancel(s, now)
 	}
--- a/query/service.go
+++ b/query/service.go
@@ -49,6 +49,7 @@
 	s.plan.Store(newPlan(svc))
 	s.metrics.gauge("briarstand_admission_running", svc.Name, s.admission.Running)
 	s.metrics.gauge("briarstand_admission_queued", svc.Name, s.admission.Queued)
+	s.metrics.gauge("briarstand_admission_limit", svc.Name, s.admission.Limit)
 	return s
 }
 
