Keep the last tokens for hedges for the latest sub-requests

Cause: the hedge delay is the 95th percentile, so 5% of all sub-requests become due, which is the whole budget of 50 permille. A sub-request at a straggler found the budget spent by ones that were hardly late and waited a full hedge delay for the next try. Now a hedge needs a bucket that is three quarters full until its sub-request is half a hedge delay later, and a denied hedge is tried again after half a delay.

Excluded: a larger budget (the targets bound it).

--- a/limit/budget.go
+++ b/limit/budget.go
@@ -69,6 +69,10 @@
 // hedge only saves time, while a retry without a token loses a shard.
 func (b *Budget) TakeSpare() bool { return b.take(2) }
 
+// TakeAmple is Take while the bucket is more than three quarters full, for
+// hedges of sub-requests that are hardly late.
+func (b *Budget) TakeAmple() bool { return b.take(4) }
+
 // take removes a token if that leaves the bucket at (part-1)/part of its
 // highest level or above.
 func (b *Budget) take(part int64) bool {
--- a/query/retry.go
+++ b/query/retry.go
@@ -148,8 +148,7 @@
 			continue
 		}
 		if !r.hedgeShard(i, now) {
-			r.hedgeAt(now.Add(r.hedgeDelay))
-			return
+			r.hedgeAt(now.Add(r.hedgeDelay / hedgeRetryPart))
 		}
 	}
 }
@@ -163,7 +162,7 @@
 		s.hedged = true
 		return true
 	}
-	if !r.svc.budget.TakeSpare() {
+	if !r.takeHedge(now.Sub(r.collector.attempts[s.last].start)) {
 		r.svc.metrics.denied.Inc()
 		return false
 	}
@@ -173,6 +172,17 @@
 	return true
 }
 
+// takeHedge takes a token for the hedge of a sub-request of the given age. By
+// the definition of the hedge delay a fixed part of all sub-requests becomes
+// due, which alone may use up the budget. The last tokens for hedges are kept
+// for those that are much later than that.
+func (r *run) takeHedge(age time.Duration) bool {
+	if age < r.hedgeDelay+r.hedgeDelay/hedgeRetryPart {
+		return r.svc.budget.TakeAmple()
+	}
+	return r.svc.budget.TakeSpare()
+}
+
 func (r *run) hedgeAt(t time.Time) {
 	if r.nextHedge.IsZero() || t.Before(r.nextHedge) {
 		r.nextHedge = t
--- a/query/run.go
+++ b/query/run.go
@@ -16,6 +16,9 @@
 	// coldHedgePart is the part of the query's time, as one in this number,
 	// after which a hedge is sent while too few latencies are known.
 	coldHedgePart = 4
+	// hedgeRetryPart is the part of the hedge delay, as one in this number, after
+	// which a hedge that the budget denied is tried again.
+	hedgeRetryPart = 2
 	// parkDelay is how long a shard waits for a token or for a backend server
 	// that sheds load before it tries again.
 	parkDelay = 5 * time.Millisecond
