Count requests that were withdrawn late against a replica

Cause: a hedge withdraws the request at a straggler soon after the usual latency, so the average latency there shows 90 ms where it is 200. The picker now keeps the part of recent requests that were withdrawn late, and above a quarter it counts against the replica.

--- a/balance/picker.go
+++ b/balance/picker.go
@@ -31,6 +31,14 @@
 	// maxPenalty bounds the penalty, so that a replica that failed for long
 	// returns as soon as one that failed for a short time.
 	maxPenalty = 16
+	// withdrawnStep is the weight of one request in the part of recent requests
+	// that were withdrawn because another replica was faster. From usualWithdrawn
+	// on the part counts against a replica, by withdrawnWeight. Latency alone
+	// shows a straggler badly, since a request is withdrawn there as soon as its
+	// hedge was answered.
+	withdrawnStep   = 0.2
+	usualWithdrawn  = 0.25
+	withdrawnWeight = 16
 	// leastShare is the share of a replica right after it was connected.
 	leastShare = 0.1
 	// tieMargin is the relative difference of scores that counts as a tie.
@@ -85,6 +93,7 @@
 	inFlight  atomic.Int64
 	latency   decayed // average in microseconds; 0 before the first observation
 	penalty   decayed
+	withdrawn decayed      // part of recent requests that were withdrawn
 	connected atomic.Int64 // nanoseconds since the picker's epoch; 0 if unknown
 }
 
@@ -238,7 +247,12 @@
 	if penalty > 0 {
 		penalty *= remaining(age(tickAt(now), tick), p.cfg.Penalty)
 	}
-	return float64(max(0, s.inFlight.Load())+1) * (1 + penaltyWeight*penalty)
+	withdrawn, tick := s.withdrawn.load()
+	if withdrawn > 0 {
+		withdrawn *= remaining(age(tickAt(now), tick), p.cfg.Forget)
+	}
+	late := max(0, withdrawn-usualWithdrawn)
+	return float64(max(0, s.inFlight.Load())+1) * (1 + penaltyWeight*penalty) * (1 + withdrawnWeight*late)
 }
 
 // yields decides whether the winner leaves the work to the loser because it was
@@ -304,6 +318,7 @@
 	}
 	s.inFlight.Add(-1)
 	now := tickAt(p.now())
+	p.countWithdrawn(s, now, latency, status)
 	switch status {
 	case backend.OK:
 		p.observe(s, now, latency, false)
@@ -319,6 +334,30 @@
 	}
 }
 
+// countWithdrawn updates the part of requests that were withdrawn late. One
+// that was withdrawn in less than half of the usual time was itself a hedge
+// whose original answered, which says nothing about the replica.
+func (p *Picker) countWithdrawn(s *state, now uint32, latency time.Duration, status backend.Status) {
+	sign := 0.0
+	switch status {
+	case backend.Cancelled:
+		if average, _ := s.latency.load(); float64(latency.Microseconds()) < average/2 {
+			return
+		}
+		sign = 1
+	case backend.OK:
+		if part, _ := s.withdrawn.load(); part == 0 {
+			return
+		}
+	default:
+		return
+	}
+	s.withdrawn.update(now, func(old float64, age time.Duration) float64 {
+		old *= remaining(age, p.cfg.Forget)
+		return old + withdrawnStep*(sign-old)
+	})
+}
+
 // observe adds a latency to the average. The weight grows with the time since
 // the last one. A lower bound only counts if it is above the average.
 func (p *Picker) observe(s *state, now uint32, latency time.Duration, lowerBound bool) {
