Let at least three queries run under the congestion ceiling

Cause: three daemons share about 10 queries that fit into the deadline. With a least ceiling of 2 a daemon, two arrivals close to each other were refused as not run although the searchers had room.

--- a/limit/ceiling.go
+++ b/limit/ceiling.go
@@ -5,7 +5,7 @@
 const (
 	// leastCeiling keeps some work running, so that there are signs from which
 	// the ceiling can grow again.
-	leastCeiling = 2
+	leastCeiling = 3
 	// cutFactor is applied to the ceiling for each sign of congestion.
 	cutFactor = 0.9
 	// calmTime is the time without a cut after which the ceiling doubles with
