Say why the least ceiling is above two

Cause: the constant was raised for bursts of arrivals, its comment gave the older reason only. Excluded: any change of behaviour. Conclusion: comment and value agree.

--- a/limit/ceiling.go
+++ b/limit/ceiling.go
@@ -4,7 +4,8 @@
 
 const (
 	// leastCeiling keeps some work running, so that there are signs from which
-	// the ceiling can grow again.
+	// the ceiling can grow again, and lets a few requests that arrive close
+	// together start at once.
 	leastCeiling = 3
 	// cutFactor is applied to the ceiling for each sign of congestion.
 	cutFactor = 0.9
