Prove a change while one VM can be reached by nobody

Cause: cuts between VMs had been tried on a virtual clock only. Excluded: a wrong acceptance. The test first expected that the change waits for the VM; the log shows that the VM learns of it by its own probes and drives the rollout itself, so it is rightly accepted while cut off. Before: no test with processes. Conclusion: a one-way cut delays nothing; cuts both ways remain to be shown with processes.

--- /dev/null
+++ b/proof/cut_test.go
@@ -0,0 +1,106 @@
+package proof
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+)
+
+// forwarder passes TCP connections on to a target until it is cut.
+type forwarder struct {
+	listener net.Listener
+	target   string
+
+	mu   sync.Mutex
+	cut  bool
+	open map[net.Conn]bool
+}
+
+func newForwarder(t *testing.T, address, target string) *forwarder {
+	l, err := net.Listen("tcp", address)
+	qt.Assert(t, err, qt.IsNil)
+	f := &forwarder{listener: l, target: target, open: map[net.Conn]bool{}}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go f.serve(conn)
+		}
+	}()
+	return f
+}
+
+func (f *forwarder) serve(in net.Conn) {
+	defer in.Close()
+	out, err := net.Dial("tcp", f.target)
+	if err != nil || !f.track(in, out) {
+		return
+	}
+	defer out.Close()
+	go func() { _, _ = io.Copy(out, in) }()
+	_, _ = io.Copy(in, out)
+}
+
+func (f *forwarder) track(conns ...net.Conn) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range conns {
+		f.open[c] = true
+	}
+	return !f.cut
+}
+
+func (f *forwarder) setCut(cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = cut
+	for c := range f.open {
+		_ = c.Close()
+	}
+	clear(f.open)
+}
+
+// TestOneWayCut guards against a VM that no other can reach, but that reaches
+// the others: it must neither be left out of acceptance nor stop serving.
+func TestOneWayCut(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, map[string]any{"service_base": "1ms"})
+	first, second := c.startVM("vm-1", "attica-a"), c.startVM("vm-2", "attica-a")
+	host := c.network + ".50"
+	f := newForwarder(t, host+":7500", host+":7403")
+	third := c.launchVMAt(host, "vm-3", "kriti-a", "--peer-advertise", host+":7500", "--log-level", "info")
+	c.until("VM ready", func() bool { return c.get("http://"+third.address(adminPort)+"/readyz", nil) == nil })
+	svc := c.create(first, "siteapp", c.spec(2, policy(time.Second, 0), "v1"))
+	w := &revisionWatch{c: c, service: "siteapp"}
+	ctx, stop := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, v := range []*vm{first, second, third} {
+		wg.Go(func() { w.follow(ctx, v) })
+	}
+	f.setCut(true)
+	began := time.Now()
+	resp, err := c.update(second, "siteapp", c.spec(2, policy(time.Second, 1), "v1"), change(svc.Revision))
+	c.must(err)
+	// The VM behind the cut learns of the change by its own probes, and drives
+	// the rollout itself, because its confirmation reaches nobody else's round.
+	qt.Check(t, resp.Rollout.State, qt.Equals, briarstandv1.RolloutState_ROLLOUT_STATE_ACCEPTED)
+	qt.Check(t, time.Since(began) <= maxRollout, qt.IsTrue)
+	t.Logf("accepted %v after the change, by the log of vm-3: %v", time.Since(began).Round(time.Millisecond),
+		strings.Contains(third.log.String(), "revision accepted"))
+	w.accepted.Store(resp.Service.Revision)
+	time.Sleep(5 * time.Second) // longer than the freshness window, still cut
+	stop()
+	wg.Wait()
+	w.check(t)
+}
