Start programs in tests through one package

Excluded: the rest of the two harnesses, which differ in what they declare; the golden scripts, whose programs testscript itself starts. Before: two copies of about 100 lines. Conclusion: one place to mend.

--- a/measure/fleet_test.go
+++ b/measure/fleet_test.go
@@ -6,12 +6,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"os"
-	"os/exec"
 	"strconv"
-	"syscall"
 	"testing"
 	"time"
 
@@ -20,56 +16,18 @@
 	"github.com/google/uuid"
 
 	"github.com/briarstand/briarstand/backend/standin"
-	"github.com/briarstand/briarstand/cli"
 	"github.com/briarstand/briarstand/config"
 	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
 	"github.com/briarstand/briarstand/gen/briarstand/v1/briarstandv1connect"
+	"github.com/briarstand/briarstand/internal/proctest"
 	"github.com/briarstand/briarstand/load"
 )
 
-// programVariable makes the test binary run as one of the product's programs.
-const programVariable = "BRIARSTAND_MEASURE_PROGRAM"
-
-func TestMain(m *testing.M) {
-	streams := cli.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}
-	switch os.Getenv(programVariable) {
-	case "briarstandd":
-		os.Exit(cli.RunDaemon(context.Background(), os.Args, streams))
-	case "briarstand":
-		os.Exit(cli.Run(context.Background(), os.Args, streams))
-	}
-	os.Exit(m.Run())
-}
-
-// process is a running program.
-type process struct {
-	cmd  *exec.Cmd
-	done chan struct{}
-}
-
-func start(t testing.TB, program string, args ...string) *process {
-	p := &process{cmd: exec.Command(os.Args[0], args...), done: make(chan struct{})}
-	p.cmd.Env = append(os.Environ(), programVariable+"="+program)
-	p.cmd.Stderr = os.Stderr
-	qt.Assert(t, p.cmd.Start(), qt.IsNil)
-	go func() {
-		_ = p.cmd.Wait()
-		close(p.done)
-	}()
-	t.Cleanup(p.kill)
-	return p
-}
-
-func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
-
-func (p *process) kill() {
-	p.signal(syscall.SIGKILL)
-	<-p.done
-}
+func TestMain(m *testing.M) { proctest.Main(m) }
 
 // vm is a daemon.
 type vm struct {
-	*process
+	*proctest.Process
 	host string
 }
 
@@ -80,7 +38,7 @@
 // searcher is a stand-in of a backend server. While it is lost, last is its
 // record.
 type searcher struct {
-	*process
+	*proctest.Process
 	address string
 	lost    bool
 	last    standin.Record
@@ -98,22 +56,9 @@
 	client    *http.Client
 }
 
-// reserveNetwork returns a loopback network that no other test uses.
-func reserveNetwork(t testing.TB) string {
-	for i := range 200 * 250 {
-		network := fmt.Sprintf("127.%d.%d", 16+(os.Getpid()+i/250)%200, 1+i%250)
-		if l, err := net.Listen("tcp", network+".254:7400"); err == nil {
-			t.Cleanup(func() { _ = l.Close() })
-			return network
-		}
-	}
-	t.Fatal("no free loopback network")
-	return ""
-}
-
 func newFleet(t testing.TB, p load.Profile, s load.ServiceProfile, vms int) *fleet {
-	f := &fleet{t: t, network: reserveNetwork(t), profile: p, service: s, client: &http.Client{Timeout: 10 * time.Second}}
-	start(t, "briarstand", "dev", "platform", "--listen", f.network+".1:8500", "--log-level", "error")
+	f := &fleet{t: t, network: proctest.ReserveNetwork(t), profile: p, service: s, client: &http.Client{Timeout: 10 * time.Second}}
+	proctest.Start(t, "briarstand", "dev", "platform", "--listen", f.network+".1:8500", "--log-level", "error")
 	f.until("platform stand-in", func() bool { return f.call(http.MethodGet, f.platform("/standin/faults"), nil, nil) == nil })
 	for i := range s.Searchers {
 		f.searchers = append(f.searchers, &searcher{address: fmt.Sprintf("%s.%d:9001", f.network, 101+i)})
@@ -132,7 +77,7 @@
 
 func (f *fleet) startSearcher(i int) {
 	s := f.searchers[i]
-	s.process = start(f.t, "briarstand", "dev", "backend", "--listen", s.address, "--seed", strconv.Itoa(i+1))
+	s.Process = proctest.Start(f.t, "briarstand", "dev", "backend", "--listen", s.address, "--seed", strconv.Itoa(i+1))
 	s.lost = false
 }
 
@@ -165,7 +110,7 @@
 	s := f.searchers[i]
 	f.must(f.call(http.MethodGet, "http://"+s.address+"/standin/record?summary", nil, &s.last))
 	s.lost = true
-	s.kill()
+	s.Kill()
 }
 
 // records returns the record of each searcher, the last one of those lost.
@@ -195,7 +140,7 @@
 func (f *fleet) startVM() *vm {
 	f.started++
 	v := &vm{host: fmt.Sprintf("%s.%d", f.network, 10+f.started)}
-	v.process = start(f.t, "briarstandd", "--vm-id", fmt.Sprintf("vm-%d", f.started), "--zone", f.profile.Zones[0],
+	v.Process = proctest.Start(f.t, "briarstandd", "--vm-id", fmt.Sprintf("vm-%d", f.started), "--zone", f.profile.Zones[0],
 		"--platform-url", f.platform(""), "--caller-listen", v.caller(), "--operator-listen", v.host+":7402",
 		"--peer-listen", v.host+":7403", "--admin-listen", v.host+":7404", "--probe-interval", "200ms",
 		"--address-ttl", "1s", "--drain-serve", "1500ms", "--drain-timeout", "10s", "--log-level", "error")
--- a/measure/policy_test.go
+++ b/measure/policy_test.go
@@ -124,7 +124,7 @@
 	r.at(0.2)
 	r.startVM()
 	old := r.vms[daemons-1]
-	old.signal(syscall.SIGTERM)
+	old.Signal(syscall.SIGTERM)
 	r.vms = append(r.vms[:daemons-1], r.vms[daemons:]...)
 }
 
--- a/proof/booking_test.go
+++ b/proof/booking_test.go
@@ -88,9 +88,9 @@
 		v := f.pick(rng)
 		if rng.IntN(2) == 0 {
 			f.frozen++
-			v.signal(syscall.SIGSTOP)
+			v.Signal(syscall.SIGSTOP)
 			sleep(ctx, time.Duration(500+rng.IntN(2500))*time.Millisecond)
-			v.signal(syscall.SIGCONT)
+			v.Signal(syscall.SIGCONT)
 			sleep(ctx, time.Second)
 			continue
 		}
@@ -112,7 +112,7 @@
 
 // replace kills a VM and starts another with the same id and addresses.
 func (f *bookingFleet) replace(ctx context.Context, v *vm) {
-	v.kill()
+	v.Kill()
 	sleep(ctx, 300*time.Millisecond)
 	f.c.storeFaults(map[string]any{})
 	n := f.c.launchVMAt(v.host, v.id, v.zone)
--- a/proof/capacity_test.go
+++ b/proof/capacity_test.go
@@ -95,7 +95,7 @@
 		c.create(v, fmt.Sprintf("streams-%d", n), c.spec(n, policy(time.Second, 0), "v1"))
 		c.hammer(v, fmt.Sprintf("streams-%d", n), 8, 2*time.Second)
 		t.Logf("backend servers %d: resident %.1f MiB before, %.1f MiB after", n, base/(1<<20), c.metric(v, "process_resident_memory_bytes")/(1<<20))
-		v.kill()
+		v.Kill()
 		c.must(c.call(http.MethodPut, c.platformURL("/v1/agent/service/deregister/"+v.id), nil, nil))
 	}
 	c.backends = all
@@ -104,13 +104,13 @@
 			v := c.startVM("writer", "attica-a")
 			name := fmt.Sprintf("large-%d-%d", services, i)
 			c.create(v, name, c.spec(990, policy(time.Second, 0), "v1", "v2"))
-			v.kill()
+			v.Kill()
 			c.must(c.call(http.MethodPut, c.platformURL("/v1/agent/service/deregister/writer"), nil, nil))
 		}
 		v := c.startVM(fmt.Sprintf("reader-%d", services), "attica-a")
 		time.Sleep(2 * time.Second)
 		t.Logf("services of 990 shards and 2 versions %d more: resident %.1f MiB", services, c.metric(v, "process_resident_memory_bytes")/(1<<20))
-		v.kill()
+		v.Kill()
 		c.must(c.call(http.MethodPut, c.platformURL("/v1/agent/service/deregister/"+v.id), nil, nil))
 	}
 }
--- a/proof/cut_test.go
+++ b/proof/cut_test.go
@@ -97,7 +97,7 @@
 	qt.Check(t, resp.Rollout.State, qt.Equals, briarstandv1.RolloutState_ROLLOUT_STATE_ACCEPTED)
 	qt.Check(t, time.Since(began) <= maxRollout, qt.IsTrue)
 	t.Logf("accepted %v after the change, by the log of vm-3: %v", time.Since(began).Round(time.Millisecond),
-		strings.Contains(third.log.String(), "revision accepted"))
+		strings.Contains(third.Log(), "revision accepted"))
 	w.accepted.Store(resp.Service.Revision)
 	time.Sleep(5 * time.Second) // longer than the freshness window, still cut
 	stop()
--- a/proof/harness_test.go
+++ b/proof/harness_test.go
@@ -7,14 +7,10 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"strconv"
 	"strings"
-	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -23,24 +19,12 @@
 	"github.com/google/uuid"
 
 	backendstandin "github.com/briarstand/briarstand/backend/standin"
-	"github.com/briarstand/briarstand/cli"
 	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
 	"github.com/briarstand/briarstand/gen/briarstand/v1/briarstandv1connect"
+	"github.com/briarstand/briarstand/internal/proctest"
 )
 
-// programVariable makes the test binary run as one of the product's programs.
-const programVariable = "BRIARSTAND_PROOF_PROGRAM"
-
-func TestMain(m *testing.M) {
-	streams := cli.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}
-	switch os.Getenv(programVariable) {
-	case "briarstandd":
-		os.Exit(cli.RunDaemon(context.Background(), os.Args, streams))
-	case "briarstand":
-		os.Exit(cli.Run(context.Background(), os.Args, streams))
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { proctest.Main(m) }
 
 // scaled returns the count of a proof: a tenth of the full one, unless
 // BRIARSTAND_PROOF=full.
@@ -51,65 +35,9 @@
 	return full / 10
 }
 
-// process is a running program.
-type process struct {
-	cmd  *exec.Cmd
-	done chan struct{}
-	log  *lockedBuffer
-}
-
-type lockedBuffer struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-func (b *lockedBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.Write(p)
-}
-
-func (b *lockedBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.String()
-}
-
-// start runs a program of the product with arguments.
-func start(t testing.TB, program string, args ...string) *process {
-	t.Helper()
-	p := &process{cmd: exec.Command(os.Args[0], args...), done: make(chan struct{}), log: &lockedBuffer{}}
-	p.cmd.Env = append(os.Environ(), programVariable+"="+program)
-	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
-	qt.Assert(t, p.cmd.Start(), qt.IsNil)
-	go func() {
-		_ = p.cmd.Wait()
-		close(p.done)
-	}()
-	t.Cleanup(func() { p.kill() })
-	return p
-}
-
-func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
-
-func (p *process) kill() {
-	p.signal(syscall.SIGKILL)
-	<-p.done
-}
-
-// wait returns the exit code, or -1 if the program still runs after the time.
-func (p *process) wait(limit time.Duration) int {
-	select {
-	case <-p.done:
-		return p.cmd.ProcessState.ExitCode()
-	case <-time.After(limit):
-		return -1
-	}
-}
-
 // vm is a daemon with its addresses.
 type vm struct {
-	*process
+	*proctest.Process
 	id, zone string
 	host     string
 	caller   briarstandv1connect.CallerServiceClient
@@ -129,35 +57,22 @@
 type cluster struct {
 	t        testing.TB
 	network  string
-	platform *process
+	platform *proctest.Process
 	backends []string // addresses
 	client   *http.Client
 	nextHost int
 }
 
-// reserveNetwork returns a loopback network that no other test uses.
-func reserveNetwork(t testing.TB) string {
-	for i := range 200 * 250 {
-		network := fmt.Sprintf("127.%d.%d", 16+(os.Getpid()+i/250)%200, 1+i%250)
-		if l, err := net.Listen("tcp", network+".254:7400"); err == nil {
-			t.Cleanup(func() { _ = l.Close() })
-			return network
-		}
-	}
-	t.Fatal("no free loopback network")
-	return ""
-}
-
 // newCluster starts a platform stand-in and backend stand-ins.
 func newCluster(t testing.TB, backends int, settings map[string]any) *cluster {
 	c := &cluster{
-		t: t, network: reserveNetwork(t), nextHost: 10,
+		t: t, network: proctest.ReserveNetwork(t), nextHost: 10,
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
 	}
-	c.platform = start(t, "briarstand", "dev", "platform", "--listen", c.network+".1:8500", "--log-level", "error")
+	c.platform = proctest.Start(t, "briarstand", "dev", "platform", "--listen", c.network+".1:8500", "--log-level", "error")
 	for i := range backends {
 		address := fmt.Sprintf("%s.%d:9001", c.network, 101+i)
-		start(t, "briarstand", "dev", "backend", "--listen", address, "--seed", strconv.Itoa(i+1))
+		proctest.Start(t, "briarstand", "dev", "backend", "--listen", address, "--seed", strconv.Itoa(i+1))
 		c.backends = append(c.backends, address)
 		c.until("backend stand-in", func() bool { return c.get("http://"+address+"/standin/settings", nil) == nil })
 		c.must(c.post("http://"+address+"/standin/settings", settings))
@@ -191,7 +106,7 @@
 		"--probe-interval", "100ms", "--probe-timeout", "300ms", "--suspicion-time", "1s", "--freshness-window", "2s",
 		"--poll-interval", "2s", "--address-ttl", "1s", "--drain-serve", "3s", "--drain-timeout", "30s", "--log-level", "warn",
 	}
-	v.process = start(c.t, "briarstandd", append(args, settings...)...)
+	v.Process = proctest.Start(c.t, "briarstandd", append(args, settings...)...)
 	v.caller = briarstandv1connect.NewCallerServiceClient(c.client, "http://"+v.address(callerPort))
 	v.operator = briarstandv1connect.NewOperatorServiceClient(c.client, "http://"+v.address(operatorPort))
 	return v
--- a/proof/outage_test.go
+++ b/proof/outage_test.go
@@ -44,8 +44,8 @@
 	first := c.startVM("vm-1", "attica-a", "--poll-interval", "1m")
 	second := c.startVM("vm-2", "kriti-a", "--poll-interval", "1m")
 	c.create(first, "siteapp", c.spec(2, policy(time.Second, 0), "v1"))
-	second.signal(syscall.SIGSTOP)
-	defer second.signal(syscall.SIGCONT)
+	second.Signal(syscall.SIGSTOP)
+	defer second.Signal(syscall.SIGCONT)
 	refused, answers := 0, 0
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		resp, err := first.query(context.Background(), &briarstandv1.QueryRequest{Service: "siteapp", Body: []byte("x")})
--- a/proof/rollout_test.go
+++ b/proof/rollout_test.go
@@ -164,7 +164,7 @@
 	revision := svc.Revision
 	for round := range 3 {
 		frozen := c.startVM(fmt.Sprintf("frozen-%d", round+1), "attica-a")
-		frozen.signal(syscall.SIGSTOP)
+		frozen.Signal(syscall.SIGSTOP)
 		resp, err := c.update(fleet[round%3], "siteapp", c.spec(2, policy(time.Second, int32(round+1)), "v1"), change(revision))
 		c.must(err)
 		revision = resp.Service.Revision
@@ -183,7 +183,7 @@
 			wg.Go(func() { w.follow(ctx, frozen) })
 		}
 		time.Sleep(50 * time.Millisecond) // queries wait in the frozen VM's sockets
-		frozen.signal(syscall.SIGCONT)
+		frozen.Signal(syscall.SIGCONT)
 		time.Sleep(2 * time.Second)
 		stop()
 		wg.Wait()
--- a/proof/shutdown_test.go
+++ b/proof/shutdown_test.go
@@ -49,9 +49,9 @@
 	for round := range rounds {
 		for i, old := range fleet {
 			n := c.startVM(fmt.Sprintf("vm-%d-%d", round+2, i+1), "attica-a")
-			old.signal(syscall.SIGTERM)
+			old.Signal(syscall.SIGTERM)
 			inFlight += load.inFlightAt(old)
-			qt.Check(t, old.wait(40*time.Second), qt.Equals, 0, qt.Commentf("%s: %s", old.id, old.log))
+			qt.Check(t, old.Wait(40*time.Second), qt.Equals, 0, qt.Commentf("%s: %s", old.id, old.Log()))
 			fleet[i] = n
 			entry := []string{}
 			for _, v := range fleet {
