--- a/config/registry.go
+++ b/config/registry.go
@@ -21,6 +21,9 @@
 	return svc, true
 }
 
+// Document returns the document of a name, tombstones included, or nil.
+func (s *Snapshot) Document(name string) *Service { return s.services[name] }
+
 // Revision returns the revision in force for a name, tombstones included; 0
 // means that none is known.
 func (s *Snapshot) Revision(name string) int64 {
--- a/rollout/decide_test.go
+++ b/rollout/decide_test.go
@@ -189,7 +189,7 @@
 		for _, mark := range marks.Entries {
 			fmt.Fprintf(&out, "%s %s\n", mark.Key, mark.Value)
 			for _, v := range vms {
-				doc, _ := json.Marshal(newest(v.registry.Snapshot(), mark.Key[len(config.AcceptedPrefix):]))
+				doc, _ := json.Marshal(v.registry.Snapshot().Document(mark.Key[len(config.AcceptedPrefix):]))
 				fmt.Fprintf(&out, "  %s %s\n", v.id, doc)
 			}
 		}
--- a/rollout/drive.go
+++ b/rollout/drive.go
@@ -75,7 +75,7 @@
 
 // target returns the document to bring into force, or done.
 func (c *Controller) target(t *task, machine *acceptance) (*config.Service, bool) {
-	svc := newest(c.cfg.Registry.Snapshot(), t.service)
+	svc := c.cfg.Registry.Snapshot().Document(t.service)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if svc == nil || t.accepted >= svc.Revision {
@@ -94,20 +94,6 @@
 	return membership.Score(key, a) > membership.Score(key, b)
 }
 
-// newest returns the document in force, tombstones included.
-func newest(snap *config.Snapshot, service string) *config.Service {
-	i := slices.IndexFunc(snap.All(), func(s *config.Service) bool { return s.Name == service })
-	if i < 0 {
-		return nil
-	}
-	for _, svc := range snap.Since(snap.Revision(service) - 1) {
-		if svc.Name == service {
-			return svc
-		}
-	}
-	return nil
-}
-
 // round is what one round of confirmations has found.
 type round struct {
 	began, ended time.Time
--- a/rollout/keep.go
+++ b/rollout/keep.go
@@ -345,12 +345,12 @@
 
 // resolveRevision finds the document for a question about a revision.
 func (c *Controller) resolveRevision(ctx context.Context, service string, revision int64) (*config.Service, int64, error) {
-	svc := newest(c.cfg.Registry.Snapshot(), service)
+	svc := c.cfg.Registry.Snapshot().Document(service)
 	if svc == nil || revision > svc.Revision {
 		if err := c.fetch(ctx, service); err != nil && !errors.Is(err, platform.ErrNotFound) {
 			return nil, 0, err
 		}
-		svc = newest(c.cfg.Registry.Snapshot(), service)
+		svc = c.cfg.Registry.Snapshot().Document(service)
 	}
 	switch {
 	case svc == nil:
