--- a/cli/dev.go
+++ b/cli/dev.go
@@ -14,7 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	backendstandin "github.com/briarstand/briarstand/backend/standin"
-	platformstandin "github.com/briarstand/briarstand/platform/standin"
+	platformstandin "github.com/briarstand/briarstand/kvstore/standin"
 	"github.com/briarstand/briarstand/telemetry"
 )
 
--- a/cli/service.go
+++ b/cli/service.go
@@ -15,7 +15,7 @@
 	"github.com/briarstand/briarstand/config"
 	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
 	"github.com/briarstand/briarstand/gen/briarstand/v1/briarstandv1connect"
-	"github.com/briarstand/briarstand/platform"
+	"github.com/briarstand/briarstand/kvstore"
 )
 
 type operatorAPI = briarstandv1connect.OperatorServiceClient
@@ -250,11 +250,11 @@
 		defer f.Close()
 		in = f
 	}
-	raw, err := io.ReadAll(io.LimitReader(in, platform.MaxValueBytes+1))
+	raw, err := io.ReadAll(io.LimitReader(in, kvstore.MaxValueBytes+1))
 	if err != nil {
 		return nil, fmt.Errorf("read %s: %w", path, err)
 	}
-	if len(raw) > platform.MaxValueBytes {
+	if len(raw) > kvstore.MaxValueBytes {
 		return nil, &Error{Code: ExitUsage, Err: &config.FieldError{Field: "spec", Value: "more than 1 MB", Allowed: "at most 1048576 bytes"}}
 	}
 	return raw, nil
--- a/config/codec.go
+++ b/config/codec.go
@@ -10,11 +10,11 @@
 	"strings"
 	"time"
 
-	"github.com/briarstand/briarstand/platform"
+	"github.com/briarstand/briarstand/kvstore"
 )
 
 // MaxDocumentBytes is the largest encoded document.
-const MaxDocumentBytes = platform.MaxValueBytes
+const MaxDocumentBytes = kvstore.MaxValueBytes
 
 // ServiceKey returns the key of a service's document.
 func ServiceKey(name string) string { return ServicesPrefix + name }
@@ -156,7 +156,7 @@
 // Decode returns the document of an entry below ServicesPrefix, with its
 // revision filled in. Anything that is not a valid document gives a
 // *DocumentError.
-func Decode(e platform.Entry) (*Service, error) {
+func Decode(e kvstore.Entry) (*Service, error) {
 	svc, err := decodeService(e)
 	if err != nil {
 		return nil, &DocumentError{Key: e.Key, Index: e.Index, Err: err}
@@ -164,7 +164,7 @@
 	return svc, nil
 }
 
-func decodeService(e platform.Entry) (*Service, error) {
+func decodeService(e kvstore.Entry) (*Service, error) {
 	if err := checkSize(len(e.Value)); err != nil {
 		return nil, err
 	}
@@ -235,7 +235,7 @@
 
 // DecodeListing returns the documents of a listing below ServicesPrefix, and
 // an error for each that is corrupt. One corrupt document hides no other.
-func DecodeListing(l platform.Listing) ([]*Service, []*DocumentError) {
+func DecodeListing(l kvstore.Listing) ([]*Service, []*DocumentError) {
 	services := make([]*Service, 0, len(l.Entries))
 	var corrupt []*DocumentError
 	for _, e := range l.Entries {
@@ -263,7 +263,7 @@
 }
 
 // DecodeChunk returns the audit chunk of an entry below AuditPrefix.
-func DecodeChunk(e platform.Entry) (*AuditChunk, error) {
+func DecodeChunk(e kvstore.Entry) (*AuditChunk, error) {
 	chunk := &AuditChunk{}
 	if err := decodeChunk(e, chunk); err != nil {
 		return nil, &DocumentError{Key: e.Key, Index: e.Index, Err: err}
@@ -271,7 +271,7 @@
 	return chunk, nil
 }
 
-func decodeChunk(e platform.Entry, chunk *AuditChunk) error {
+func decodeChunk(e kvstore.Entry, chunk *AuditChunk) error {
 	if err := checkSize(len(e.Value)); err != nil {
 		return err
 	}
--- a/config/command/command.go
+++ b/config/command/command.go
@@ -14,7 +14,7 @@
 	"unicode"
 
 	"github.com/briarstand/briarstand/config"
-	"github.com/briarstand/briarstand/platform"
+	"github.com/briarstand/briarstand/kvstore"
 )
 
 // Actions in audit records.
@@ -54,14 +54,14 @@
 
 // Commands changes the configuration. It is safe for concurrent use.
 type Commands struct {
-	store platform.Store
+	store kvstore.Store
 	clock func() time.Time
 	// maxEmbedded is how many audit records a document holds.
 	maxEmbedded int
 }
 
 // New returns the commands on a store. The clock stamps audit records.
-func New(store platform.Store, clock func() time.Time) *Commands {
+func New(store kvstore.Store, clock func() time.Time) *Commands {
 	return &Commands{store: store, clock: clock, maxEmbedded: maxEmbedded}
 }
 
@@ -193,7 +193,7 @@
 	}
 	// unknown is the lost reply of an earlier attempt. While it is set, the
 	// change may have taken effect and no error may claim that it did not.
-	var unknown *platform.UnknownResultError
+	var unknown *kvstore.UnknownResultError
 	for attempt := 1; ; attempt++ {
 		written, err := c.attempt(ctx, e)
 		if err == nil || !retried(err, e, attempt, &unknown) {
@@ -206,26 +206,26 @@
 }
 
 // retried tells whether another attempt can help, and notes a lost reply.
-func retried(err error, e edit, attempt int, unknown **platform.UnknownResultError) bool {
-	if lost := (*platform.UnknownResultError)(nil); errors.As(err, &lost) {
+func retried(err error, e edit, attempt int, unknown **kvstore.UnknownResultError) bool {
+	if lost := (*kvstore.UnknownResultError)(nil); errors.As(err, &lost) {
 		*unknown = lost
 		return attempt < maxAttempts
 	}
 	// A lost swap is read again: it shows whether an earlier attempt took
 	// effect, and gives the newest revision for the error.
-	var raced *platform.ConflictError
+	var raced *kvstore.ConflictError
 	return errors.As(err, &raced) && attempt < maxAttempts
 }
 
 // settle returns the error of a change. An error that does not decide whether
 // an earlier attempt took effect becomes the unknown result.
-func settle(e edit, err error, unknown *platform.UnknownResultError) error {
-	var raced *platform.ConflictError
+func settle(e edit, err error, unknown *kvstore.UnknownResultError) error {
+	var raced *kvstore.ConflictError
 	switch {
 	case err == nil:
 		return nil
 	case unknown != nil && !decisive(err):
-		return &platform.UnknownResultError{Key: unknown.Key, Err: err}
+		return &kvstore.UnknownResultError{Key: unknown.Key, Err: err}
 	case errors.As(err, &raced):
 		return &ConflictError{Service: e.service, Expected: e.change.ExpectedRevision, Actual: raced.Actual}
 	}
@@ -251,7 +251,7 @@
 	case <-timer.C:
 		return nil
 	case <-ctx.Done():
-		return &platform.UnavailableError{Op: "change", Err: ctx.Err()}
+		return &kvstore.UnavailableError{Op: "change", Err: ctx.Err()}
 	}
 }
 
@@ -281,7 +281,7 @@
 // read returns the newest document, or nil if there never was one.
 func (c *Commands) read(ctx context.Context, name string) (*config.Service, error) {
 	entry, err := c.store.Get(ctx, config.ServiceKey(name))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kvstore.ErrNotFound) {
 		return nil, nil
 	}
 	if err != nil {
--- a/config/command/command_test.go
+++ b/config/command/command_test.go
@@ -12,9 +12,9 @@
 	"github.com/briarstand/briarstand/config"
 	"github.com/briarstand/briarstand/config/command"
 	"github.com/briarstand/briarstand/config/query"
-	"github.com/briarstand/briarstand/platform"
-	"github.com/briarstand/briarstand/platform/httpkv"
-	"github.com/briarstand/briarstand/platform/standin"
+	"github.com/briarstand/briarstand/kvstore"
+	"github.com/briarstand/briarstand/kvstore/httpkv"
+	"github.com/briarstand/briarstand/kvstore/standin"
 )
 
 // fixture is a stand-in of the platform with the commands on it.
@@ -183,7 +183,7 @@
 	c.Assert(invalid.Fields, qt.HasLen, 3)
 	f.server.SetDown(true)
 	_, err = f.commands.Drain(ctx, "tickets", "b1", change("c6", 0))
-	c.Assert(err, qt.ErrorAs, new(*platform.UnavailableError))
+	c.Assert(err, qt.ErrorAs, new(*kvstore.UnavailableError))
 	f.server.SetDown(false)
 	_, err = f.store.CompareAndSwap(ctx, config.ServiceKey("tickets"), svc.Revision, []byte("{"))
 	c.Assert(err, qt.IsNil)
--- a/config/command/machine_test.go
+++ b/config/command/machine_test.go
@@ -18,7 +18,7 @@
 	"github.com/briarstand/briarstand/config"
 	"github.com/briarstand/briarstand/config/command"
 	"github.com/briarstand/briarstand/config/query"
-	"github.com/briarstand/briarstand/platform"
+	"github.com/briarstand/briarstand/kvstore"
 )
 
 // TestMain fixes the seed of the property tests, unless one is given by flag.
@@ -43,7 +43,7 @@
 // scheduledStore is one VM's view of the store. The test decides in which
 // order the calls of all VMs run, and with which fault.
 type scheduledStore struct {
-	platform.Store
+	kvstore.Store
 	pending atomic.Pointer[storeCall]
 }
 
@@ -53,19 +53,19 @@
 	<-call.done
 }
 
-func (s *scheduledStore) Get(ctx context.Context, key string) (entry platform.Entry, err error) {
+func (s *scheduledStore) Get(ctx context.Context, key string) (entry kvstore.Entry, err error) {
 	s.wait(&storeCall{
 		run:  func() { entry, err = s.Store.Get(ctx, key) },
-		fail: func(failure error) { err = &platform.UnavailableError{Op: "get", Err: failure} },
+		fail: func(failure error) { err = &kvstore.UnavailableError{Op: "get", Err: failure} },
 	})
 	return entry, err
 }
 
-func (s *scheduledStore) CompareAndSwap(ctx context.Context, key string, expected int64, value []byte) (entry platform.Entry, err error) {
+func (s *scheduledStore) CompareAndSwap(ctx context.Context, key string, expected int64, value []byte) (entry kvstore.Entry, err error) {
 	s.wait(&storeCall{
 		write: true,
 		run:   func() { entry, err = s.Store.CompareAndSwap(ctx, key, expected, value) },
-		fail:  func(failure error) { err = &platform.UnknownResultError{Key: key, Err: failure} },
+		fail:  func(failure error) { err = &kvstore.UnknownResultError{Key: key, Err: failure} },
 		land:  func() { _, _ = s.Store.CompareAndSwap(ctx, key, expected, value) },
 	})
 	return entry, err
@@ -116,7 +116,7 @@
 		if !strings.HasPrefix(w.Key, config.ServicesPrefix) {
 			continue
 		}
-		doc, err := config.Decode(platform.Entry{Key: w.Key, Value: w.Value, Index: w.Index})
+		doc, err := config.Decode(kvstore.Entry{Key: w.Key, Value: w.Value, Index: w.Index})
 		if err != nil {
 			t.Fatalf("a write is not a valid document: %v", err)
 		}
@@ -275,8 +275,8 @@
 	op := c.op
 	op.active--
 	m.ended = append(m.ended, op)
-	var unknown *platform.UnknownResultError
-	var unavailable *platform.UnavailableError
+	var unknown *kvstore.UnknownResultError
+	var unavailable *kvstore.UnavailableError
 	var reused *command.ReusedError
 	switch {
 	case c.err == nil:
--- a/config/command/trail.go
+++ b/config/command/trail.go
@@ -6,7 +6,7 @@
 	"fmt"
 
 	"github.com/briarstand/briarstand/config"
-	"github.com/briarstand/briarstand/platform"
+	"github.com/briarstand/briarstand/kvstore"
 )
 
 const (
@@ -102,7 +102,7 @@
 func (c *Commands) chunk(ctx context.Context, service string, oldest int64) (*config.AuditChunk, error) {
 	entry, err := c.store.Get(ctx, config.AuditKey(service, oldest))
 	if err != nil {
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, kvstore.ErrNotFound) {
 			return nil, &config.DocumentError{Key: config.AuditKey(service, oldest), Err: err}
 		}
 		return nil, err
@@ -161,14 +161,14 @@
 	stored, readErr := c.chunk(ctx, doc.Name, trail[0].Revision)
 	if readErr != nil {
 		// The change itself was not sent yet, so its result is known.
-		return 0, &platform.UnavailableError{Op: "archive " + key, Err: readErr}
+		return 0, &kvstore.UnavailableError{Op: "archive " + key, Err: readErr}
 	}
 	return checkArchived(key, stored, chunk, trail)
 }
 
 func maybeWritten(err error) bool {
-	var raced *platform.ConflictError
-	var lost *platform.UnknownResultError
+	var raced *kvstore.ConflictError
+	var lost *kvstore.UnknownResultError
 	return errors.As(err, &raced) || errors.As(err, &lost)
 }
 
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/briarstand/briarstand/config"
 	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
-	"github.com/briarstand/briarstand/platform"
+	"github.com/briarstand/briarstand/kvstore"
 )
 
 // TestMain fixes the seed of the property tests, unless one is given by flag.
@@ -201,12 +201,12 @@
 	c := qt.New(t)
 	key := config.ServiceKey("tickets")
 	text := string(document(t))
-	svc, err := config.Decode(platform.Entry{Key: key, Value: []byte(text), Index: 9})
+	svc, err := config.Decode(kvstore.Entry{Key: key, Value: []byte(text), Index: 9})
 	c.Assert(err, qt.IsNil)
 	c.Assert(svc.Revision, qt.Equals, int64(9))
 	c.Assert(svc.Audit[1].Revision, qt.Equals, int64(9))
 	c.Assert(svc.Audit[1].Before, qt.Equals, "text")
-	listing := platform.Listing{Entries: []platform.Entry{{Key: key, Value: []byte(text), Index: 9}}}
+	listing := kvstore.Listing{Entries: []kvstore.Entry{{Key: key, Value: []byte(text), Index: 9}}}
 	for _, bad := range []string{
 		"", "null", "{}", "[]", text + "x", text[:len(text)-1],
 		strings.Replace(text, `"name":"tickets"`, `"name":"other"`, 1),
@@ -218,7 +218,7 @@
 		strings.Replace(text, `"change_id":"c2"`, `"change_id":"c3"`, 1),
 		strings.Replace(text, `"policy"`, `"deleted":true,"policy"`, 1),
 	} {
-		entry := platform.Entry{Key: key, Value: []byte(bad), Index: 9}
+		entry := kvstore.Entry{Key: key, Value: []byte(bad), Index: 9}
 		_, err := config.Decode(entry)
 		c.Check(err, qt.ErrorAs, new(*config.DocumentError), qt.Commentf(bad))
 		listing.Entries = append(listing.Entries, entry)
@@ -240,9 +240,9 @@
 	f.Add([]byte(`{"name":"tickets","audit":[{"change_id":"","before":"x"}]}`), int64(1))
 	f.Add([]byte(`{"service":"tickets","records":[{"change_id":"c","revision":3}]}`), int64(3))
 	f.Fuzz(func(t *testing.T, data []byte, index int64) {
-		_, _ = config.DecodeChunk(platform.Entry{Key: config.AuditKey("tickets", index), Value: data, Index: index})
+		_, _ = config.DecodeChunk(kvstore.Entry{Key: config.AuditKey("tickets", index), Value: data, Index: index})
 		key := config.ServiceKey("tickets")
-		svc, err := config.Decode(platform.Entry{Key: key, Value: data, Index: index})
+		svc, err := config.Decode(kvstore.Entry{Key: key, Value: data, Index: index})
 		if err != nil {
 			if !errors.As(err, new(*config.DocumentError)) {
 				t.Fatalf("wrong type: %v", err)
@@ -256,7 +256,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		svc2, err := config.Decode(platform.Entry{Key: key, Value: again, Index: index})
+		svc2, err := config.Decode(kvstore.Entry{Key: key, Value: again, Index: index})
 		if err != nil {
 			t.Fatalf("not readable again: %v\n%s", err, again)
 		}
--- a/config/query/query.go
+++ b/config/query/query.go
@@ -8,7 +8,7 @@
 	"sort"
 
 	"github.com/briarstand/briarstand/config"
-	"github.com/briarstand/briarstand/platform"
+	"github.com/briarstand/briarstand/kvstore"
 )
 
 // NotFoundError reports a service that does not exist.
@@ -25,11 +25,11 @@
 
 // Queries reads the configuration. It is safe for concurrent use.
 type Queries struct {
-	store platform.Store
+	store kvstore.Store
 }
 
 // New returns the queries on a store.
-func New(store platform.Store) *Queries { return &Queries{store: store} }
+func New(store kvstore.Store) *Queries { return &Queries{store: store} }
 
 // Get returns the newest document of a service, or a *NotFoundError, which
 // carries the revision of the tombstone if the service was deleted.
@@ -50,7 +50,7 @@
 		return nil, err
 	}
 	entry, err := q.store.Get(ctx, config.ServiceKey(name))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kvstore.ErrNotFound) {
 		return nil, &NotFoundError{Service: name}
 	}
 	if err != nil {
@@ -121,7 +121,7 @@
 func (q *Queries) chunk(ctx context.Context, name string, oldest int64) (*config.AuditChunk, error) {
 	key := config.AuditKey(name, oldest)
 	entry, err := q.store.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kvstore.ErrNotFound) {
 		return nil, &config.DocumentError{Key: key, Err: err}
 	}
 	if err != nil {
--- a/config/query/query_test.go
+++ b/config/query/query_test.go
@@ -12,9 +12,9 @@
 	"github.com/briarstand/briarstand/config"
 	"github.com/briarstand/briarstand/config/command"
 	"github.com/briarstand/briarstand/config/query"
-	"github.com/briarstand/briarstand/platform"
-	"github.com/briarstand/briarstand/platform/httpkv"
-	"github.com/briarstand/briarstand/platform/standin"
+	"github.com/briarstand/briarstand/kvstore"
+	"github.com/briarstand/briarstand/kvstore/httpkv"
+	"github.com/briarstand/briarstand/kvstore/standin"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -67,5 +67,5 @@
 	c.Assert(err, qt.ErrorAs, new(*config.DocumentError))
 	server.SetDown(true)
 	_, _, err = queries.List(ctx)
-	c.Assert(err, qt.ErrorAs, new(*platform.UnavailableError))
+	c.Assert(err, qt.ErrorAs, new(*kvstore.UnavailableError))
 }
--- a/platform/httpkv/client.go
+++ b/kvstore/httpkv/client.go
@@ -19,7 +19,7 @@
 
 	"github.com/charmbracelet/log"
 
-	"github.com/briarstand/briarstand/platform"
+	"github.com/briarstand/briarstand/kvstore"
 )
 
 // Defaults of Config.
@@ -54,7 +54,7 @@
 	Logger *log.Logger
 }
 
-// Client implements platform.Store and platform.VMLister. It is safe for
+// Client implements kvstore.Store and kvstore.VMLister. It is safe for
 // concurrent use.
 type Client struct {
 	base         *url.URL
@@ -67,8 +67,8 @@
 }
 
 var (
-	_ platform.Store    = (*Client)(nil)
-	_ platform.VMLister = (*Client)(nil)
+	_ kvstore.Store    = (*Client)(nil)
+	_ kvstore.VMLister = (*Client)(nil)
 )
 
 // BaseURLError reports a platform address that cannot be used.
@@ -247,13 +247,13 @@
 		if errors.As(err, &protocol) {
 			return reply{}, protocol
 		}
-		return reply{}, &platform.UnavailableError{Op: cl.op, Err: err}
+		return reply{}, &kvstore.UnavailableError{Op: cl.op, Err: err}
 	}
 	if r.status == http.StatusOK || r.status == http.StatusNotFound {
 		return r, nil
 	}
 	if retryable(r.status) {
-		return reply{}, &platform.UnavailableError{Op: cl.op, Err: statusError(cl.op, r)}
+		return reply{}, &kvstore.UnavailableError{Op: cl.op, Err: statusError(cl.op, r)}
 	}
 	return reply{}, statusError(cl.op, r)
 }
@@ -265,20 +265,20 @@
 	var failed *callError
 	if errors.As(err, &failed) {
 		if failed.sent {
-			return reply{}, &platform.UnknownResultError{Key: key, Err: err}
+			return reply{}, &kvstore.UnknownResultError{Key: key, Err: err}
 		}
-		return reply{}, &platform.UnavailableError{Op: cl.op, Err: err}
+		return reply{}, &kvstore.UnavailableError{Op: cl.op, Err: err}
 	}
 	switch {
 	case r.status == http.StatusOK:
 		return r, nil
 	case r.status == http.StatusTooManyRequests:
-		return reply{}, &platform.UnavailableError{Op: cl.op, Err: statusError(cl.op, r)}
+		return reply{}, &kvstore.UnavailableError{Op: cl.op, Err: statusError(cl.op, r)}
 	case r.status >= http.StatusInternalServerError:
 		// A server error may come after the write was committed.
-		return reply{}, &platform.UnknownResultError{Key: key, Err: statusError(cl.op, r)}
+		return reply{}, &kvstore.UnknownResultError{Key: key, Err: statusError(cl.op, r)}
 	case r.status == http.StatusRequestEntityTooLarge:
-		return reply{}, &platform.TooLargeError{Key: key, Size: len(cl.body)}
+		return reply{}, &kvstore.TooLargeError{Key: key, Size: len(cl.body)}
 	}
 	return r, statusError(cl.op, r)
 }
--- a/platform/httpkv/client_test.go
+++ b/kvstore/httpkv/client_test.go
@@ -14,9 +14,9 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
 
-	"github.com/briarstand/briarstand/platform"
-	"github.com/briarstand/briarstand/platform/httpkv"
-	"github.com/briarstand/briarstand/platform/standin"
+	"github.com/briarstand/briarstand/kvstore"
+	"github.com/briarstand/briarstand/kvstore/httpkv"
+	"github.com/briarstand/briarstand/kvstore/standin"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -51,22 +51,22 @@
 	_, client, _ := overSockets(t)
 	ctx := context.Background()
 	_, err := client.Get(ctx, "a/b c")
-	c.Assert(err, qt.ErrorIs, platform.ErrNotFound)
+	c.Assert(err, qt.ErrorIs, kvstore.ErrNotFound)
 	value := []byte("\x00\xff<&>")
 	entry, err := client.CompareAndSwap(ctx, "a/b c", 0, value)
 	c.Assert(err, qt.IsNil)
 	read, err := client.Get(ctx, "a/b c")
 	c.Assert(err, qt.IsNil)
-	c.Assert(read, qt.DeepEquals, platform.Entry{Key: "a/b c", Value: value, Index: entry.Index})
+	c.Assert(read, qt.DeepEquals, kvstore.Entry{Key: "a/b c", Value: value, Index: entry.Index})
 	_, err = client.CompareAndSwap(ctx, "a/b c", 0, value)
-	var conflict *platform.ConflictError
+	var conflict *kvstore.ConflictError
 	c.Assert(errors.As(err, &conflict), qt.IsTrue)
 	c.Assert(conflict.Actual, qt.Equals, entry.Index)
-	large := []byte(strings.Repeat("x", platform.MaxValueBytes))
+	large := []byte(strings.Repeat("x", kvstore.MaxValueBytes))
 	_, err = client.CompareAndSwap(ctx, "a/large", 0, large)
 	c.Assert(err, qt.IsNil)
 	_, err = client.CompareAndSwap(ctx, "a/large", 0, append(large, 'x'))
-	c.Assert(err, qt.ErrorAs, new(*platform.TooLargeError))
+	c.Assert(err, qt.ErrorAs, new(*kvstore.TooLargeError))
 	listing, err := client.List(ctx, "a/")
 	c.Assert(err, qt.IsNil)
 	c.Assert(listing.Entries, qt.HasLen, 2)
@@ -81,20 +81,20 @@
 	ctx := context.Background()
 	server.SetDropReplies(1)
 	_, err := client.CompareAndSwap(ctx, "k", 0, []byte("1"))
-	c.Assert(err, qt.ErrorAs, new(*platform.UnknownResultError))
+	c.Assert(err, qt.ErrorAs, new(*kvstore.UnknownResultError))
 	c.Assert(server.Writes(), qt.HasLen, 1)
 	server.SetReject(1)
 	_, err = client.CompareAndSwap(ctx, "k", 2, []byte("2"))
-	c.Assert(err, qt.ErrorAs, new(*platform.UnavailableError))
+	c.Assert(err, qt.ErrorAs, new(*kvstore.UnavailableError))
 	server.SetDown(true)
 	_, err = client.CompareAndSwap(ctx, "k", 2, []byte("2"))
-	c.Assert(err, qt.ErrorAs, new(*platform.UnknownResultError))
+	c.Assert(err, qt.ErrorAs, new(*kvstore.UnknownResultError))
 	_, err = client.Get(ctx, "k")
-	c.Assert(err, qt.ErrorAs, new(*platform.UnavailableError))
+	c.Assert(err, qt.ErrorAs, new(*kvstore.UnavailableError))
 	server.SetDown(false)
 	listener.Close()
 	_, err = client.CompareAndSwap(ctx, "k", 2, []byte("2"))
-	c.Assert(err, qt.ErrorAs, new(*platform.UnavailableError))
+	c.Assert(err, qt.ErrorAs, new(*kvstore.UnavailableError))
 	c.Assert(server.Writes(), qt.HasLen, 1)
 }
 
@@ -143,13 +143,13 @@
 		status      int
 		read, write any
 	}{
-		{200, new(*httpkv.ProtocolError), new(*platform.UnknownResultError)},
+		{200, new(*httpkv.ProtocolError), new(*kvstore.UnknownResultError)},
 		{302, new(*httpkv.ProtocolError), new(*httpkv.ProtocolError)},
 		{403, new(*httpkv.ProtocolError), new(*httpkv.ProtocolError)},
-		{413, new(*httpkv.ProtocolError), new(*platform.TooLargeError)},
-		{429, new(*platform.UnavailableError), new(*platform.UnavailableError)},
-		{500, new(*platform.UnavailableError), new(*platform.UnknownResultError)},
-		{503, new(*platform.UnavailableError), new(*platform.UnknownResultError)},
+		{413, new(*httpkv.ProtocolError), new(*kvstore.TooLargeError)},
+		{429, new(*kvstore.UnavailableError), new(*kvstore.UnavailableError)},
+		{500, new(*kvstore.UnavailableError), new(*kvstore.UnknownResultError)},
+		{503, new(*kvstore.UnavailableError), new(*kvstore.UnknownResultError)},
 	} {
 		status = test.status
 		_, err := client.Get(context.Background(), "k")
@@ -175,10 +175,10 @@
 	client := newClient(t, httpkv.Config{BaseURL: silentListener(t), Timeout: 20 * time.Millisecond})
 	defer client.Close()
 	_, err := client.Get(context.Background(), "k")
-	c.Assert(err, qt.ErrorAs, new(*platform.UnavailableError))
+	c.Assert(err, qt.ErrorAs, new(*kvstore.UnavailableError))
 	c.Assert(err, qt.ErrorIs, context.DeadlineExceeded)
 	_, err = client.CompareAndSwap(context.Background(), "k", 0, nil)
-	c.Assert(err, qt.ErrorAs, new(*platform.UnknownResultError))
+	c.Assert(err, qt.ErrorAs, new(*kvstore.UnknownResultError))
 }
 
 // TestWatch guards against a watch that misses a change below its prefix,
@@ -213,7 +213,7 @@
 			server.SetDown(true)
 		}()
 		_, err = client.Watch(ctx, "a/", listing.Index, time.Minute)
-		c.Assert(err, qt.ErrorAs, new(*platform.UnavailableError))
+		c.Assert(err, qt.ErrorAs, new(*kvstore.UnavailableError))
 		synctest.Wait()
 	})
 }
@@ -241,10 +241,10 @@
 		c.Assert(err, qt.IsNil)
 		time.Sleep(2 * time.Second)
 		_, err = client.Get(ctx, "role")
-		c.Assert(err, qt.ErrorIs, platform.ErrNotFound)
-		c.Assert(client.RenewLease(ctx, id), qt.ErrorIs, platform.ErrLeaseLapsed)
+		c.Assert(err, qt.ErrorIs, kvstore.ErrNotFound)
+		c.Assert(client.RenewLease(ctx, id), qt.ErrorIs, kvstore.ErrLeaseLapsed)
 		c.Assert(server.LapseLeases(), qt.Equals, 1)
-		c.Assert(client.RenewLease(ctx, other), qt.ErrorIs, platform.ErrLeaseLapsed)
+		c.Assert(client.RenewLease(ctx, other), qt.ErrorIs, kvstore.ErrLeaseLapsed)
 		c.Assert(client.RevokeLease(ctx, other), qt.IsNil)
 	})
 }
@@ -258,32 +258,32 @@
 		defer server.Close()
 		client := newClient(t, httpkv.Config{BaseURL: "http://standin", Transport: server.Transport()})
 		ctx := context.Background()
-		vm := platform.VM{ID: "vm1", Zone: "z", Region: "r", PeerAddress: "127.0.0.1:7001", State: platform.VMLive}
+		vm := kvstore.VM{ID: "vm1", Zone: "z", Region: "r", PeerAddress: "127.0.0.1:7001", State: kvstore.VMLive}
 		c.Assert(client.RegisterVM(ctx, vm), qt.IsNil)
 		bad := strings.NewReader(`{"ID":"vm2","Name":"briarstand"}`)
 		req := httptest.NewRequest(http.MethodPut, "/v1/agent/service/register", bad)
 		server.ServeHTTP(httptest.NewRecorder(), req)
 		vms, err := client.ListVMs(ctx)
 		c.Assert(err, qt.IsNil)
-		c.Assert(vms, qt.DeepEquals, []platform.VM{vm})
+		c.Assert(vms, qt.DeepEquals, []kvstore.VM{vm})
 		server.SetListLag(30 * time.Second)
 		time.Sleep(time.Minute)
 		leaving := vm
-		leaving.State = platform.VMLeaving
+		leaving.State = kvstore.VMLeaving
 		c.Assert(client.RegisterVM(ctx, leaving), qt.IsNil)
 		vms, err = client.ListVMs(ctx)
 		c.Assert(err, qt.IsNil)
-		c.Assert(vms, qt.DeepEquals, []platform.VM{vm})
+		c.Assert(vms, qt.DeepEquals, []kvstore.VM{vm})
 		time.Sleep(30 * time.Second)
 		vms, err = client.ListVMs(ctx)
 		c.Assert(err, qt.IsNil)
-		c.Assert(vms, qt.DeepEquals, []platform.VM{leaving})
+		c.Assert(vms, qt.DeepEquals, []kvstore.VM{leaving})
 		server.SetListLag(0)
 		c.Assert(client.DeregisterVM(ctx, "vm1"), qt.IsNil)
 		vms, err = client.ListVMs(ctx)
 		c.Assert(err, qt.IsNil)
 		c.Assert(vms, qt.HasLen, 0)
-		c.Assert(client.RegisterVM(ctx, platform.VM{ID: "x", PeerAddress: "y"}), qt.ErrorAs, new(*httpkv.AddressError))
+		c.Assert(client.RegisterVM(ctx, kvstore.VM{ID: "x", PeerAddress: "y"}), qt.ErrorAs, new(*httpkv.AddressError))
 	})
 }
 
@@ -297,7 +297,7 @@
 		client := newClient(t, httpkv.Config{BaseURL: "http://standin", Transport: server.Transport(), Timeout: time.Second})
 		server.SetSlow(3 * time.Second)
 		_, err := client.CompareAndSwap(context.Background(), "k", 0, []byte("1"))
-		c.Assert(err, qt.ErrorAs, new(*platform.UnknownResultError))
+		c.Assert(err, qt.ErrorAs, new(*kvstore.UnknownResultError))
 		c.Assert(server.Writes(), qt.HasLen, 0)
 		time.Sleep(5 * time.Second)
 		synctest.Wait()
--- a/platform/httpkv/store.go
+++ b/kvstore/httpkv/store.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"github.com/briarstand/briarstand/platform"
+	"github.com/briarstand/briarstand/kvstore"
 )
 
 // row is a key of the key-value service as the protocol carries it.
@@ -22,8 +22,8 @@
 	ModifyIndex int64
 }
 
-func (r row) entry() platform.Entry {
-	return platform.Entry{Key: r.Key, Value: r.Value, Index: r.ModifyIndex}
+func (r row) entry() kvstore.Entry {
+	return kvstore.Entry{Key: r.Key, Value: r.Value, Index: r.ModifyIndex}
 }
 
 func kvPath(key string) string { return "/v1/kv/" + escapePath(key) }
@@ -36,43 +36,43 @@
 	return strings.Join(parts, "/")
 }
 
-// Get returns the entry of a key, or platform.ErrNotFound. The read is
+// Get returns the entry of a key, or kvstore.ErrNotFound. The read is
 // consistent: it sees every write that took effect before it.
-func (c *Client) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (c *Client) Get(ctx context.Context, key string) (kvstore.Entry, error) {
 	op := "get " + key
 	r, err := c.read(ctx, call{
 		op: op, method: http.MethodGet, path: kvPath(key),
 		query: url.Values{"consistent": {""}}, limit: maxEntryBytes,
 	})
 	if err != nil {
-		return platform.Entry{}, err
+		return kvstore.Entry{}, err
 	}
 	if r.index <= 0 {
 		// The 404 of a proxy or of a wrong address must not look like a key
 		// that does not exist.
-		return platform.Entry{}, &ProtocolError{Op: op, Reason: "the reply has no index"}
+		return kvstore.Entry{}, &ProtocolError{Op: op, Reason: "the reply has no index"}
 	}
 	if r.status == http.StatusNotFound {
-		return platform.Entry{}, fmt.Errorf("%s: %w", op, platform.ErrNotFound)
+		return kvstore.Entry{}, fmt.Errorf("%s: %w", op, kvstore.ErrNotFound)
 	}
 	var rows []row
 	if err := decode(op, r, &rows); err != nil {
-		return platform.Entry{}, err
+		return kvstore.Entry{}, err
 	}
 	if len(rows) != 1 || rows[0].Key != key || rows[0].ModifyIndex <= 0 {
-		return platform.Entry{}, &ProtocolError{Op: op, Reason: "the reply is not one row of the key"}
+		return kvstore.Entry{}, &ProtocolError{Op: op, Reason: "the reply is not one row of the key"}
 	}
 	return rows[0].entry(), nil
 }
 
 // List returns all entries below a prefix.
-func (c *Client) List(ctx context.Context, prefix string) (platform.Listing, error) {
+func (c *Client) List(ctx context.Context, prefix string) (kvstore.Listing, error) {
 	return c.list(ctx, call{op: "list " + prefix, path: kvPath(prefix), query: url.Values{"recurse": {""}}})
 }
 
 // Watch returns the listing of a prefix once its index is greater than after,
 // or when wait has passed. With after 0 it returns at once.
-func (c *Client) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (platform.Listing, error) {
+func (c *Client) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (kvstore.Listing, error) {
 	// The store adds up to a sixteenth of the waiting time, to spread calls.
 	return c.list(ctx, call{
 		op: "watch " + prefix, path: kvPath(prefix), wait: wait + wait/16,
@@ -84,22 +84,22 @@
 	})
 }
 
-func (c *Client) list(ctx context.Context, cl call) (platform.Listing, error) {
+func (c *Client) list(ctx context.Context, cl call) (kvstore.Listing, error) {
 	cl.method, cl.limit = http.MethodGet, c.maxListBytes
 	r, err := c.read(ctx, cl)
 	if err != nil {
-		return platform.Listing{}, err
+		return kvstore.Listing{}, err
 	}
 	if r.index <= 0 {
-		return platform.Listing{}, &ProtocolError{Op: cl.op, Reason: "the reply has no index"}
+		return kvstore.Listing{}, &ProtocolError{Op: cl.op, Reason: "the reply has no index"}
 	}
-	listing := platform.Listing{Index: r.index}
+	listing := kvstore.Listing{Index: r.index}
 	if r.status == http.StatusNotFound {
 		return listing, nil
 	}
 	var rows []row
 	if err := decode(cl.op, r, &rows); err != nil {
-		return platform.Listing{}, err
+		return kvstore.Listing{}, err
 	}
 	for _, row := range rows {
 		listing.Entries = append(listing.Entries, row.entry())
@@ -113,37 +113,37 @@
 // The protocol confirms a write without its index, so the key is read once
 // more. If that read fails or another write came in between, the write took
 // effect but its index is not known, which is an *UnknownResultError too.
-func (c *Client) CompareAndSwap(ctx context.Context, key string, expected int64, value []byte) (platform.Entry, error) {
+func (c *Client) CompareAndSwap(ctx context.Context, key string, expected int64, value []byte) (kvstore.Entry, error) {
 	written, err := c.swap(ctx, key, value, url.Values{"cas": {strconv.FormatInt(expected, 10)}})
 	if err != nil {
-		return platform.Entry{}, err
+		return kvstore.Entry{}, err
 	}
 	entry, err := c.Get(ctx, key)
 	if !written {
-		return platform.Entry{}, conflict(key, expected, entry, err)
+		return kvstore.Entry{}, conflict(key, expected, entry, err)
 	}
 	if err != nil {
-		return platform.Entry{}, &platform.UnknownResultError{Key: key, Err: fmt.Errorf("written, index not read: %w", err)}
+		return kvstore.Entry{}, &kvstore.UnknownResultError{Key: key, Err: fmt.Errorf("written, index not read: %w", err)}
 	}
 	if !bytes.Equal(entry.Value, value) {
-		return platform.Entry{}, &platform.UnknownResultError{Key: key, Err: errors.New("written, and overwritten by a later change")}
+		return kvstore.Entry{}, &kvstore.UnknownResultError{Key: key, Err: errors.New("written, and overwritten by a later change")}
 	}
 	return entry, nil
 }
 
 // conflict names the index that the key has now. When that cannot be read, the
 // actual index is reported as 0.
-func conflict(key string, expected int64, now platform.Entry, err error) error {
+func conflict(key string, expected int64, now kvstore.Entry, err error) error {
 	if err != nil {
 		now.Index = 0
 	}
-	return &platform.ConflictError{Key: key, Expected: expected, Actual: now.Index}
+	return &kvstore.ConflictError{Key: key, Expected: expected, Actual: now.Index}
 }
 
 // swap performs a conditional write and tells whether the condition held.
 func (c *Client) swap(ctx context.Context, key string, value []byte, query url.Values) (bool, error) {
-	if len(value) > platform.MaxValueBytes {
-		return false, &platform.TooLargeError{Key: key, Size: len(value)}
+	if len(value) > kvstore.MaxValueBytes {
+		return false, &kvstore.TooLargeError{Key: key, Size: len(value)}
 	}
 	r, err := c.write(ctx, key, call{
 		op: "put " + key, method: http.MethodPut, path: kvPath(key), query: query, body: value, limit: maxReplyBytes,
@@ -153,14 +153,14 @@
 	}
 	var written bool
 	if err := decode("put "+key, r, &written); err != nil {
-		return false, &platform.UnknownResultError{Key: key, Err: err}
+		return false, &kvstore.UnknownResultError{Key: key, Err: err}
 	}
 	return written, nil
 }
 
 // GrantLease creates a lease that lapses unless it is renewed within ttl. Keys
 // that it holds are deleted when it ends.
-func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (kvstore.LeaseID, error) {
 	body, err := json.Marshal(map[string]string{
 		"TTL":      strconv.FormatInt(ttl.Milliseconds(), 10) + "ms",
 		"Behavior": "delete", "LockDelay": "0s",
@@ -181,25 +181,25 @@
 	if created.ID == "" {
 		return "", &ProtocolError{Op: "grant lease", Reason: "the reply has no id"}
 	}
-	return platform.LeaseID(created.ID), nil
+	return kvstore.LeaseID(created.ID), nil
 }
 
-// RenewLease extends a lease, or fails with platform.ErrLeaseLapsed.
-func (c *Client) RenewLease(ctx context.Context, id platform.LeaseID) error {
+// RenewLease extends a lease, or fails with kvstore.ErrLeaseLapsed.
+func (c *Client) RenewLease(ctx context.Context, id kvstore.LeaseID) error {
 	r, err := c.write(ctx, "session", c.sessionCall("renew", id))
 	if err != nil && r.status == http.StatusNotFound {
-		return fmt.Errorf("renew lease %s: %w", id, platform.ErrLeaseLapsed)
+		return fmt.Errorf("renew lease %s: %w", id, kvstore.ErrLeaseLapsed)
 	}
 	return err
 }
 
 // RevokeLease ends a lease and deletes the keys that it holds.
-func (c *Client) RevokeLease(ctx context.Context, id platform.LeaseID) error {
+func (c *Client) RevokeLease(ctx context.Context, id kvstore.LeaseID) error {
 	_, err := c.write(ctx, "session", c.sessionCall("destroy", id))
 	return err
 }
 
-func (c *Client) sessionCall(verb string, id platform.LeaseID) call {
+func (c *Client) sessionCall(verb string, id kvstore.LeaseID) call {
 	return call{
 		op: verb + " lease", method: http.MethodPut,
 		path: "/v1/session/" + verb + "/" + url.PathEscape(string(id)), limit: maxReplyBytes,
@@ -208,6 +208,6 @@
 
 // Acquire writes the value if no other lease holds the key, and lets the lease
 // hold it. It returns false when another lease does.
-func (c *Client) Acquire(ctx context.Context, key string, value []byte, id platform.LeaseID) (bool, error) {
+func (c *Client) Acquire(ctx context.Context, key string, value []byte, id kvstore.LeaseID) (bool, error) {
 	return c.swap(ctx, key, value, url.Values{"acquire": {string(id)}})
 }
--- a/platform/httpkv/vms.go
+++ b/kvstore/httpkv/vms.go
@@ -9,7 +9,7 @@
 	"net/url"
 	"strconv"
 
-	"github.com/briarstand/briarstand/platform"
+	"github.com/briarstand/briarstand/kvstore"
 )
 
 // Keys of a VM's service metadata.
@@ -37,7 +37,7 @@
 
 // ListVMs returns the platform's list of VMs. Rows that cannot be used are
 // logged and left out, so that one bad row hides no other VM.
-func (c *Client) ListVMs(ctx context.Context) ([]platform.VM, error) {
+func (c *Client) ListVMs(ctx context.Context) ([]kvstore.VM, error) {
 	op := "list VMs"
 	r, err := c.read(ctx, call{
 		op: op, method: http.MethodGet, path: "/v1/catalog/service/" + url.PathEscape(c.serviceName), limit: c.maxListBytes,
@@ -52,7 +52,7 @@
 	if err := decode(op, r, &rows); err != nil {
 		return nil, err
 	}
-	vms := make([]platform.VM, 0, len(rows))
+	vms := make([]kvstore.VM, 0, len(rows))
 	for _, row := range rows {
 		vm, err := row.vm()
 		if err != nil {
@@ -64,10 +64,10 @@
 	return vms, nil
 }
 
-func (r catalogRow) vm() (platform.VM, error) {
-	vm := platform.VM{
+func (r catalogRow) vm() (kvstore.VM, error) {
+	vm := kvstore.VM{
 		ID: r.ServiceID, Zone: r.ServiceMeta[MetaZone], Region: r.ServiceMeta[MetaRegion],
-		PeerAddress: r.ServiceMeta[MetaPeerAddress], State: platform.VMState(r.ServiceMeta[MetaState]),
+		PeerAddress: r.ServiceMeta[MetaPeerAddress], State: kvstore.VMState(r.ServiceMeta[MetaState]),
 	}
 	if vm.ID == "" {
 		return vm, &ProtocolError{Op: "list VMs", Reason: "row without an id"}
@@ -75,21 +75,21 @@
 	if _, _, err := splitAddress(vm.PeerAddress); err != nil {
 		return vm, err
 	}
-	if vm.State != platform.VMLeaving {
+	if vm.State != kvstore.VMLeaving {
 		// A VM with an unknown state must be waited for like a live one.
-		vm.State = platform.VMLive
+		vm.State = kvstore.VMLive
 	}
 	return vm, nil
 }
 
 // RegisterVM puts a VM on the platform's list, or replaces its row.
-func (c *Client) RegisterVM(ctx context.Context, vm platform.VM) error {
+func (c *Client) RegisterVM(ctx context.Context, vm kvstore.VM) error {
 	host, port, err := splitAddress(vm.PeerAddress)
 	if err != nil {
 		return err
 	}
 	if vm.State == "" {
-		vm.State = platform.VMLive
+		vm.State = kvstore.VMLive
 	}
 	body, err := json.Marshal(registration{
 		ID: vm.ID, Name: c.serviceName, Address: host, Port: port,
--- a/platform/platform.go
+++ b/kvstore/kvstore.go
@@ -1,9 +1,9 @@
-// Package platform defines what the daemons need from the platform they run
+// Package kvstore defines what the daemons need from the platform they run
 // on: a small key-value service and a list of VMs.
 //
 // Both are outside systems with outages and lag. Every implementation reports
 // failures with the error types of this package.
-package platform
+package kvstore
 
 import (
 	"context"
--- a/platform/standin/server.go
+++ b/kvstore/standin/server.go
@@ -14,7 +14,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/go-chi/chi/v5"
 
-	"github.com/briarstand/briarstand/platform"
+	"github.com/briarstand/briarstand/kvstore"
 )
 
 // Defaults of Config.
@@ -205,6 +205,6 @@
 }
 
 const (
-	maxValueBytes   = platform.MaxValueBytes
+	maxValueBytes   = kvstore.MaxValueBytes
 	maxControlBytes = 64 << 10
 )
--- a/membership/fake_test.go
+++ b/membership/fake_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"github.com/briarstand/briarstand/platform"
+	"github.com/briarstand/briarstand/kvstore"
 	"go.uber.org/goleak"
 )
 
@@ -24,7 +24,7 @@
 	vms    map[string]*Membership // by peer address
 	cut    map[[2]string]bool     // from, to
 	frozen map[string]chan struct{}
-	list   []platform.VM
+	list   []kvstore.VM
 	err    error // of reading the list
 	bytes  int   // of all messages
 	stops  map[string]func()
@@ -37,7 +37,7 @@
 	}
 }
 
-func (n *network) ListVMs(context.Context) ([]platform.VM, error) {
+func (n *network) ListVMs(context.Context) ([]kvstore.VM, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return slices.Clone(n.list), n.err
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/briarstand/briarstand/platform"
+	"github.com/briarstand/briarstand/kvstore"
 )
 
 // Defaults of Config.
@@ -31,7 +31,7 @@
 	Self      Member
 	Transport Transport
 	// VMLister may be nil: then only Seeds seed the table.
-	VMLister platform.VMLister
+	VMLister kvstore.VMLister
 	// Seeds are peer addresses that are tried until they answer.
 	Seeds    []string
 	Delegate Delegate
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -7,7 +7,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/briarstand/briarstand/platform"
+	"github.com/briarstand/briarstand/kvstore"
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 )
@@ -149,7 +149,7 @@
 		n := newNetwork()
 		defer n.stop()
 		for i := range 12 {
-			n.list = append(n.list, platform.VM{ID: fmt.Sprintf("vm%03d", i), PeerAddress: fmt.Sprintf("m%03d:1", i)})
+			n.list = append(n.list, kvstore.VM{ID: fmt.Sprintf("vm%03d", i), PeerAddress: fmt.Sprintf("m%03d:1", i)})
 		}
 		vms := n.fleet(t, 12)
 		until(t, 20*time.Second, "converged", func() bool { return converged(vms, 12) })
@@ -194,10 +194,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork()
 		defer n.stop()
-		n.list = []platform.VM{{ID: "gone", PeerAddress: "gone:1"}}
+		n.list = []kvstore.VM{{ID: "gone", PeerAddress: "gone:1"}}
 		for i := range 6 {
 			address := fmt.Sprintf("m%03d:1", i)
-			n.list = append(n.list, platform.VM{ID: fmt.Sprintf("vm%03d", i), PeerAddress: address})
+			n.list = append(n.list, kvstore.VM{ID: fmt.Sprintf("vm%03d", i), PeerAddress: address})
 		}
 		var vms []*Membership
 		for i := range 7 { // the list lacks the last one
--- a/membership/seed.go
+++ b/membership/seed.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/briarstand/briarstand/platform"
+	"github.com/briarstand/briarstand/kvstore"
 )
 
 const (
@@ -23,7 +23,7 @@
 type seedList struct {
 	static []string
 	listed bool // there is a platform's list
-	rows   []platform.VM
+	rows   []kvstore.VM
 	read   time.Time // when the last successful read began
 	next   int
 }
@@ -41,7 +41,7 @@
 	if !s.read.After(died) {
 		return true
 	}
-	_, ok := slices.BinarySearchFunc(s.rows, id, func(vm platform.VM, id string) int { return cmp.Compare(vm.ID, id) })
+	_, ok := slices.BinarySearchFunc(s.rows, id, func(vm kvstore.VM, id string) int { return cmp.Compare(vm.ID, id) })
 	return ok
 }
 
@@ -113,9 +113,9 @@
 
 // TakeList takes a reading of the platform's list that began at the given
 // time.
-func (m *Membership) TakeList(rows []platform.VM, began time.Time) {
+func (m *Membership) TakeList(rows []kvstore.VM, began time.Time) {
 	rows = slices.Clone(rows[:min(len(rows), listRows)])
-	slices.SortFunc(rows, func(a, b platform.VM) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(rows, func(a, b kvstore.VM) int { return cmp.Compare(a.ID, b.ID) })
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if began.Before(m.seeds.read) {
@@ -140,7 +140,7 @@
 
 // List returns the last reading of the platform's list and when it began; the
 // time is zero if the list was never read.
-func (m *Membership) List() ([]platform.VM, time.Time) {
+func (m *Membership) List() ([]kvstore.VM, time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.seeds.rows, m.seeds.read
--- a/peer/fake_test.go
+++ b/peer/fake_test.go
@@ -14,8 +14,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/briarstand/briarstand/config"
 	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+	"github.com/briarstand/briarstand/kvstore"
 	"github.com/briarstand/briarstand/membership"
-	"github.com/briarstand/briarstand/platform"
 	"github.com/briarstand/briarstand/rollout"
 	"go.uber.org/goleak"
 )
@@ -24,32 +24,32 @@
 
 // memory is a platform without failures: those are tested in package rollout.
 type memory struct {
-	platform.Store
+	kvstore.Store
 	mu      sync.Mutex
-	entries map[string]platform.Entry
+	entries map[string]kvstore.Entry
 	index   int64
-	rows    []platform.VM
+	rows    []kvstore.VM
 }
 
-func (s *memory) ListVMs(context.Context) ([]platform.VM, error) {
+func (s *memory) ListVMs(context.Context) ([]kvstore.VM, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]platform.VM(nil), s.rows...), nil
+	return append([]kvstore.VM(nil), s.rows...), nil
 }
 
-func (s *memory) Get(_ context.Context, key string) (platform.Entry, error) {
+func (s *memory) Get(_ context.Context, key string) (kvstore.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e, ok := s.entries[key]; ok {
 		return e, nil
 	}
-	return platform.Entry{}, platform.ErrNotFound
+	return kvstore.Entry{}, kvstore.ErrNotFound
 }
 
-func (s *memory) List(_ context.Context, prefix string) (platform.Listing, error) {
+func (s *memory) List(_ context.Context, prefix string) (kvstore.Listing, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := platform.Listing{Index: s.index}
+	l := kvstore.Listing{Index: s.index}
 	for key, e := range s.entries {
 		if strings.HasPrefix(key, prefix) {
 			l.Entries = append(l.Entries, e)
@@ -58,24 +58,24 @@
 	return l, nil
 }
 
-func (s *memory) Watch(ctx context.Context, prefix string, _ int64, wait time.Duration) (platform.Listing, error) {
+func (s *memory) Watch(ctx context.Context, prefix string, _ int64, wait time.Duration) (kvstore.Listing, error) {
 	select {
 	case <-ctx.Done():
-		return platform.Listing{}, ctx.Err()
+		return kvstore.Listing{}, ctx.Err()
 	case <-time.After(wait):
 		return s.List(ctx, prefix)
 	}
 }
 
-func (s *memory) CompareAndSwap(_ context.Context, key string, _ int64, value []byte) (platform.Entry, error) {
+func (s *memory) CompareAndSwap(_ context.Context, key string, _ int64, value []byte) (kvstore.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.index++
-	s.entries[key] = platform.Entry{Key: key, Value: value, Index: s.index}
+	s.entries[key] = kvstore.Entry{Key: key, Value: value, Index: s.index}
 	return s.entries[key], nil
 }
 
-func decode(e platform.Entry) (*config.Service, error) {
+func decode(e kvstore.Entry) (*config.Service, error) {
 	svc := &config.Service{}
 	err := json.Unmarshal(e.Value, svc)
 	svc.Revision = e.Index
@@ -92,7 +92,7 @@
 	stop    func()
 }
 
-func newMemory() *memory { return &memory{entries: map[string]platform.Entry{}} }
+func newMemory() *memory { return &memory{entries: map[string]kvstore.Entry{}} }
 
 // start runs a daemon; edit changes its server's settings.
 func start(t testing.TB, p *memory, i int, edit func(*ServerConfig)) *daemon {
@@ -107,7 +107,7 @@
 		PeerAddress: d.address, CallerAddress: d.address,
 	}
 	p.mu.Lock()
-	p.rows = append(p.rows, platform.VM{ID: self.ID, Zone: self.Zone, PeerAddress: d.address, State: platform.VMLive})
+	p.rows = append(p.rows, kvstore.VM{ID: self.ID, Zone: self.Zone, PeerAddress: d.address, State: kvstore.VMLive})
 	p.mu.Unlock()
 	// The longer timeout keeps a busy machine from looking like failed VMs when
 	// hundreds of them share it. It changes no message of a healthy fleet.
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/kvstore"
 	"github.com/briarstand/briarstand/membership"
-	"github.com/briarstand/briarstand/platform"
 )
 
 // Defaults of Config.
@@ -49,13 +49,13 @@
 // defaults.
 type Config struct {
 	Registry   *config.Registry
-	Store      platform.Store
-	VMLister   platform.VMLister // may be nil
+	Store      kvstore.Store
+	VMLister   kvstore.VMLister // may be nil
 	Membership *membership.Membership
 	Transport  Transport
 	// Decode turns an entry of the store below config.ServicesPrefix into a
 	// service with its revision.
-	Decode func(platform.Entry) (*config.Service, error)
+	Decode func(kvstore.Entry) (*config.Service, error)
 	Rand   *rand.Rand
 	Logger *slog.Logger
 
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/briarstand/briarstand/kvstore"
 	"github.com/briarstand/briarstand/membership"
-	"github.com/briarstand/briarstand/platform"
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -109,7 +109,7 @@
 
 // listReading is a reading of the platform's list.
 type listReading struct {
-	rows []platform.VM
+	rows []kvstore.VM
 	// current says that the reading was made in this round. Otherwise it is
 	// an older one, which cannot show that a VM is gone.
 	current bool
--- a/rollout/decide_test.go
+++ b/rollout/decide_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/kvstore"
 	"github.com/briarstand/briarstand/membership"
-	"github.com/briarstand/briarstand/platform"
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 )
@@ -26,7 +26,7 @@
 // Guards against a VM that is left out of the responsible set although it may
 // admit queries, and against one that is waited for forever.
 func TestResponsibleSet(t *testing.T) {
-	rows := []platform.VM{{ID: "listed", PeerAddress: "listed:1"}, {ID: "leaving", PeerAddress: "leaving:1", State: platform.VMLeaving}}
+	rows := []kvstore.VM{{ID: "listed", PeerAddress: "listed:1"}, {ID: "leaving", PeerAddress: "leaving:1", State: kvstore.VMLeaving}}
 	all := map[string]Known{}
 	mergeKnown(all, known("listed", 3, false), known("alive", 1, true), known("gone", 1, false))
 	ids := func(list listReading) (out []string) {
--- a/rollout/fake_test.go
+++ b/rollout/fake_test.go
@@ -15,8 +15,8 @@
 	"time"
 
 	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/kvstore"
 	"github.com/briarstand/briarstand/membership"
-	"github.com/briarstand/briarstand/platform"
 )
 
 // fleet is a set of VMs in one process with a network that can be cut, and a
@@ -30,7 +30,7 @@
 	delay  time.Duration
 	frozen map[string]chan struct{}
 	store  fakeStore
-	list   []platform.VM
+	list   []kvstore.VM
 	// listDown makes reading the platform's list fail.
 	listDown bool
 	next     int64
@@ -53,7 +53,7 @@
 		t: t, seed: seed, vms: map[string]*vm{}, cut: map[[2]string]bool{},
 		frozen: map[string]chan struct{}{}, delay: time.Millisecond,
 	}
-	f.store.entries = map[string]platform.Entry{}
+	f.store.entries = map[string]kvstore.Entry{}
 	f.store.changed = make(chan struct{})
 	return f
 }
@@ -91,7 +91,7 @@
 	f.mu.Lock()
 	f.vms[v.address] = v
 	if listed {
-		f.list = append(f.list, platform.VM{ID: id, Zone: zone, Region: region, PeerAddress: v.address, State: platform.VMLive})
+		f.list = append(f.list, kvstore.VM{ID: id, Zone: zone, Region: region, PeerAddress: v.address, State: kvstore.VMLive})
 	}
 	f.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -287,22 +287,22 @@
 	from string
 }
 
-func (l *lister) ListVMs(ctx context.Context) ([]platform.VM, error) {
+func (l *lister) ListVMs(ctx context.Context) ([]kvstore.VM, error) {
 	if err := l.f.pass(ctx, l.from, "platform"); err != nil {
-		return nil, &platform.UnavailableError{Op: "list", Err: err}
+		return nil, &kvstore.UnavailableError{Op: "list", Err: err}
 	}
 	l.f.mu.Lock()
 	defer l.f.mu.Unlock()
 	if l.f.listDown {
-		return nil, &platform.UnavailableError{Op: "list", Err: errNetwork}
+		return nil, &kvstore.UnavailableError{Op: "list", Err: errNetwork}
 	}
-	return append([]platform.VM(nil), l.f.list...), nil
+	return append([]kvstore.VM(nil), l.f.list...), nil
 }
 
 // fakeStore is the state of the key-value service.
 type fakeStore struct {
 	mu      sync.Mutex
-	entries map[string]platform.Entry
+	entries map[string]kvstore.Entry
 	index   int64
 	down    bool
 	changed chan struct{}
@@ -317,42 +317,42 @@
 
 func (s *storeLink) reach(ctx context.Context) error {
 	if err := s.f.pass(ctx, s.from, "platform"); err != nil {
-		return &platform.UnavailableError{Op: "call", Err: err}
+		return &kvstore.UnavailableError{Op: "call", Err: err}
 	}
 	s.f.store.mu.Lock()
 	defer s.f.store.mu.Unlock()
 	s.f.store.calls++
 	if s.f.store.down {
-		return &platform.UnavailableError{Op: "call", Err: errNetwork}
+		return &kvstore.UnavailableError{Op: "call", Err: errNetwork}
 	}
 	return nil
 }
 
-func (s *storeLink) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (s *storeLink) Get(ctx context.Context, key string) (kvstore.Entry, error) {
 	if err := s.reach(ctx); err != nil {
-		return platform.Entry{}, err
+		return kvstore.Entry{}, err
 	}
 	s.f.store.mu.Lock()
 	defer s.f.store.mu.Unlock()
 	e, ok := s.f.store.entries[key]
 	if !ok {
-		return platform.Entry{}, platform.ErrNotFound
+		return kvstore.Entry{}, kvstore.ErrNotFound
 	}
 	return e, nil
 }
 
-func (s *storeLink) List(ctx context.Context, prefix string) (platform.Listing, error) {
+func (s *storeLink) List(ctx context.Context, prefix string) (kvstore.Listing, error) {
 	if err := s.reach(ctx); err != nil {
-		return platform.Listing{}, err
+		return kvstore.Listing{}, err
 	}
 	l, _ := s.f.store.listing(prefix)
 	return l, nil
 }
 
-func (s *fakeStore) listing(prefix string) (platform.Listing, chan struct{}) {
+func (s *fakeStore) listing(prefix string) (kvstore.Listing, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := platform.Listing{Index: s.index}
+	l := kvstore.Listing{Index: s.index}
 	for k, e := range s.entries {
 		if strings.HasPrefix(k, prefix) {
 			l.Entries = append(l.Entries, e)
@@ -362,9 +362,9 @@
 	return l, s.changed
 }
 
-func (s *storeLink) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (platform.Listing, error) {
+func (s *storeLink) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (kvstore.Listing, error) {
 	if err := s.reach(ctx); err != nil {
-		return platform.Listing{}, err
+		return kvstore.Listing{}, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -385,34 +385,34 @@
 	}
 }
 
-func (s *storeLink) CompareAndSwap(ctx context.Context, key string, expected int64, value []byte) (platform.Entry, error) {
+func (s *storeLink) CompareAndSwap(ctx context.Context, key string, expected int64, value []byte) (kvstore.Entry, error) {
 	if err := s.reach(ctx); err != nil {
-		return platform.Entry{}, err
+		return kvstore.Entry{}, err
 	}
 	return s.f.store.swap(key, expected, value)
 }
 
-func (s *fakeStore) swap(key string, expected int64, value []byte) (platform.Entry, error) {
+func (s *fakeStore) swap(key string, expected int64, value []byte) (kvstore.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if have := s.entries[key].Index; have != expected {
-		return platform.Entry{}, &platform.ConflictError{Key: key, Expected: expected, Actual: have}
+		return kvstore.Entry{}, &kvstore.ConflictError{Key: key, Expected: expected, Actual: have}
 	}
 	s.index++
-	e := platform.Entry{Key: key, Value: value, Index: s.index}
+	e := kvstore.Entry{Key: key, Value: value, Index: s.index}
 	s.entries[key] = e
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return e, nil
 }
 
-func (s *storeLink) GrantLease(context.Context, time.Duration) (platform.LeaseID, error) {
+func (s *storeLink) GrantLease(context.Context, time.Duration) (kvstore.LeaseID, error) {
 	return "", errNetwork
 }
-func (s *storeLink) RenewLease(context.Context, platform.LeaseID) error  { return errNetwork }
-func (s *storeLink) RevokeLease(context.Context, platform.LeaseID) error { return errNetwork }
+func (s *storeLink) RenewLease(context.Context, kvstore.LeaseID) error  { return errNetwork }
+func (s *storeLink) RevokeLease(context.Context, kvstore.LeaseID) error { return errNetwork }
 
-func decodeEntry(e platform.Entry) (*config.Service, error) {
+func decodeEntry(e kvstore.Entry) (*config.Service, error) {
 	svc := &config.Service{}
 	if err := json.Unmarshal(e.Value, svc); err != nil {
 		return nil, err
--- a/rollout/keep.go
+++ b/rollout/keep.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/kvstore"
 	"github.com/briarstand/briarstand/membership"
-	"github.com/briarstand/briarstand/platform"
 )
 
 // runWatch watches the store while this VM is one of the watchers.
@@ -251,7 +251,7 @@
 	return nil
 }
 
-func (c *Controller) reachAll(ctx context.Context, rows []platform.VM) error {
+func (c *Controller) reachAll(ctx context.Context, rows []kvstore.VM) error {
 	var wg sync.WaitGroup
 	limit := make(chan struct{}, repairs)
 	errs := make(chan error, len(rows))
@@ -262,7 +262,7 @@
 		limit <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-limit }()
-			if _, err := c.pull(ctx, vm.PeerAddress, vm.ID); err != nil && vm.State != platform.VMLeaving {
+			if _, err := c.pull(ctx, vm.PeerAddress, vm.ID); err != nil && vm.State != kvstore.VMLeaving {
 				errs <- &FleetError{vm.ID, err}
 			}
 		})
@@ -347,7 +347,7 @@
 func (c *Controller) resolveRevision(ctx context.Context, service string, revision int64) (*config.Service, int64, error) {
 	svc := c.cfg.Registry.Snapshot().Document(service)
 	if svc == nil || revision > svc.Revision {
-		if err := c.fetch(ctx, service); err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err := c.fetch(ctx, service); err != nil && !errors.Is(err, kvstore.ErrNotFound) {
 			return nil, 0, err
 		}
 		svc = c.cfg.Registry.Snapshot().Document(service)
--- a/rollout/mark.go
+++ b/rollout/mark.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/briarstand/briarstand/config"
-	"github.com/briarstand/briarstand/platform"
+	"github.com/briarstand/briarstand/kvstore"
 )
 
 // Mark is the value of an accepted mark in the store.
@@ -18,7 +18,7 @@
 }
 
 // DecodeMark reads the value of an accepted mark.
-func DecodeMark(e platform.Entry) (Mark, error) {
+func DecodeMark(e kvstore.Entry) (Mark, error) {
 	var m Mark
 	if err := json.Unmarshal(e.Value, &m); err != nil {
 		return Mark{}, &DecodeError{e.Key, err}
@@ -77,7 +77,7 @@
 	defer cancel()
 	key := config.AcceptedPrefix + service
 	entry, err := c.cfg.Store.Get(ctx, key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, kvstore.ErrNotFound) {
 		return fmt.Errorf("read mark of %s: %w", service, err)
 	}
 	if err == nil {
@@ -101,7 +101,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	entry, err := c.cfg.Store.Get(ctx, config.AcceptedPrefix+service)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kvstore.ErrNotFound) {
 		return 0, nil
 	}
 	if err != nil {
@@ -179,7 +179,7 @@
 }
 
 // takeListing puts all documents of a listing in force.
-func (c *Controller) takeListing(listing platform.Listing) error {
+func (c *Controller) takeListing(listing kvstore.Listing) error {
 	snap := c.cfg.Registry.Snapshot()
 	var services []*config.Service
 	var failed error
--- a/rollout/message.go
+++ b/rollout/message.go
@@ -9,8 +9,8 @@
 	"io"
 
 	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/kvstore"
 	"github.com/briarstand/briarstand/membership"
-	"github.com/briarstand/briarstand/platform"
 )
 
 // Transport sends messages to the peer API at an address.
@@ -111,7 +111,7 @@
 	maxNameSize = 128
 	// maxDocument is the largest document after decompression, in bytes. The
 	// peers' form adds the revisions of audit records to the stored form.
-	maxDocument = 2 * platform.MaxValueBytes
+	maxDocument = 2 * kvstore.MaxValueBytes
 )
 
 // Validate checks a push that came from a peer.
--- a/server/config.go
+++ b/server/config.go
@@ -11,18 +11,18 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 
-	"github.com/briarstand/briarstand/platform"
-	"github.com/briarstand/briarstand/platform/httpkv"
+	"github.com/briarstand/briarstand/kvstore"
+	"github.com/briarstand/briarstand/kvstore/httpkv"
 	"github.com/briarstand/briarstand/settings"
 	"github.com/briarstand/briarstand/telemetry"
 )
 
 // Platform is what a daemon needs of the platform.
 type Platform interface {
-	platform.Store
-	platform.VMLister
+	kvstore.Store
+	kvstore.VMLister
 	// RegisterVM puts a VM on the platform's list, or replaces its row.
-	RegisterVM(ctx context.Context, vm platform.VM) error
+	RegisterVM(ctx context.Context, vm kvstore.VM) error
 	// DeregisterVM removes a VM from the platform's list.
 	DeregisterVM(ctx context.Context, id string) error
 }
--- a/server/lifecycle.go
+++ b/server/lifecycle.go
@@ -9,8 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/briarstand/briarstand/kvstore"
 	"github.com/briarstand/briarstand/membership"
-	"github.com/briarstand/briarstand/platform"
 	"github.com/briarstand/briarstand/telemetry"
 )
 
@@ -134,7 +134,7 @@
 // start registers with the platform's list, so that other VMs that start now
 // find this one, and reads the configuration.
 func (s *Server) start(ctx context.Context, wg *sync.WaitGroup) error {
-	if err := s.register(ctx, platform.VMLive); err != nil {
+	if err := s.register(ctx, kvstore.VMLive); err != nil {
 		s.cfg.Logger.Warn("not yet registered with the platform's VM list", telemetry.FieldError, err)
 		wg.Go(func() { s.registerLater(ctx) })
 	}
@@ -149,11 +149,11 @@
 	return nil
 }
 
-func (s *Server) register(ctx context.Context, state platform.VMState) error {
+func (s *Server) register(ctx context.Context, state kvstore.VMState) error {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.Settings.PlatformTimeout)
 	defer cancel()
 	self := s.membership.Self()
-	return s.cfg.Platform.RegisterVM(ctx, platform.VM{
+	return s.cfg.Platform.RegisterVM(ctx, kvstore.VM{
 		ID: self.ID, Zone: self.Zone, Region: self.Region, PeerAddress: self.PeerAddress, State: state,
 	})
 }
@@ -164,7 +164,7 @@
 		if !pause(ctx, registerRetry) {
 			return
 		}
-		if err := s.register(ctx, platform.VMLive); err == nil {
+		if err := s.register(ctx, kvstore.VMLive); err == nil {
 			s.cfg.Logger.Info("registered with the platform's VM list")
 			return
 		}
@@ -180,7 +180,7 @@
 	wasReady := s.phase.get() == PhaseReady
 	s.enter(PhaseLeaving)
 	s.membership.SetState(membership.Leaving)
-	if err := s.register(bound, platform.VMLeaving); err != nil {
+	if err := s.register(bound, kvstore.VMLeaving); err != nil {
 		s.cfg.Logger.Warn("not marked leaving on the platform's VM list", telemetry.FieldError, err)
 	}
 	if wasReady {
--- a/server/operatorapi/errors.go
+++ b/server/operatorapi/errors.go
@@ -11,7 +11,7 @@
 	"github.com/briarstand/briarstand/config"
 	"github.com/briarstand/briarstand/config/command"
 	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
-	"github.com/briarstand/briarstand/platform"
+	"github.com/briarstand/briarstand/kvstore"
 )
 
 // MissingFieldError reports a request without a part that it needs.
@@ -49,7 +49,7 @@
 	}
 	// An unknown result comes first: its cause may be any of the other errors,
 	// which would tell the operator that the call changed nothing.
-	var unknown *platform.UnknownResultError
+	var unknown *kvstore.UnknownResultError
 	if errors.As(err, &unknown) {
 		return connect.NewError(connect.CodeUnknown,
 			fmt.Errorf("the change may or may not have taken effect; send it again with the same change id: %w", err))
@@ -105,8 +105,8 @@
 func platformError(err error) *connect.Error {
 	var (
 		document    *config.DocumentError
-		unavailable *platform.UnavailableError
-		tooLarge    *platform.TooLargeError
+		unavailable *kvstore.UnavailableError
+		tooLarge    *kvstore.TooLargeError
 	)
 	switch {
 	case errors.As(err, &document):
--- a/server/operatorapi/operatorapi_test.go
+++ b/server/operatorapi/operatorapi_test.go
@@ -21,8 +21,8 @@
 	"github.com/briarstand/briarstand/config/query"
 	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
 	"github.com/briarstand/briarstand/gen/briarstand/v1/briarstandv1connect"
-	"github.com/briarstand/briarstand/platform/httpkv"
-	"github.com/briarstand/briarstand/platform/standin"
+	"github.com/briarstand/briarstand/kvstore/httpkv"
+	"github.com/briarstand/briarstand/kvstore/standin"
 	"github.com/briarstand/briarstand/server/operatorapi"
 )
 
