--- a/server/server_test.go
+++ b/server/server_test.go
@@ -33,7 +33,7 @@
 	t.Helper()
 	platform := platformstandin.New(platformstandin.Config{})
 	web := httptest.NewServer(platform)
-	t.Cleanup(func() { kvstore.Close(); web.Close() })
+	t.Cleanup(func() { platform.Close(); web.Close() })
 	values := map[string]string{
 		"vm-id": "attica-1", "zone": "attica-a", "platform-url": web.URL,
 		"caller-listen": "127.0.0.1:0", "operator-listen": "127.0.0.1:0", "peer-listen": "127.0.0.1:0", "admin-listen": "127.0.0.1:0",
@@ -96,7 +96,7 @@
 	c.Assert(<-result, qt.IsNil)
 	c.Assert(srv.Phase(), qt.Equals, PhaseStopped)
 	w := httptest.NewRecorder()
-	kvstore.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/catalog/service/briarstand", nil))
+	platform.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/catalog/service/briarstand", nil))
 	c.Assert(strings.TrimSpace(w.Body.String()), qt.Equals, "[]")
 }
 
@@ -105,15 +105,15 @@
 func TestStartInStoreOutage(t *testing.T) {
 	c := qt.New(t)
 	srv, platform := newTestServer(t, "platform-timeout", "100ms")
-	kvstore.SetDown(true)
+	platform.SetDown(true)
 	_, result := runServer(t, srv)
-	waitFor(c, "an attempt to read the store", func() bool { return kvstore.Calls()[platformstandin.KindList] > 0 })
+	waitFor(c, "an attempt to read the store", func() bool { return platform.Calls()[platformstandin.KindList] > 0 })
 	c.Assert(srv.Ready(), qt.ErrorMatches, "the VM is starting")
-	kvstore.SetDown(false)
+	platform.SetDown(false)
 	waitFor(c, "ready", func() bool { return srv.Ready() == nil })
 	waitFor(c, "registered", func() bool {
 		w := httptest.NewRecorder()
-		kvstore.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/catalog/service/briarstand", nil))
+		platform.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/catalog/service/briarstand", nil))
 		return strings.Contains(w.Body.String(), "attica-1")
 	})
 	select {
@@ -128,9 +128,9 @@
 func TestStopWhileStarting(t *testing.T) {
 	c := qt.New(t)
 	srv, platform := newTestServer(t, "platform-timeout", "50ms")
-	kvstore.SetDown(true)
+	platform.SetDown(true)
 	stop, result := runServer(t, srv)
-	waitFor(c, "an attempt to read the store", func() bool { return kvstore.Calls()[platformstandin.KindList] > 0 })
+	waitFor(c, "an attempt to read the store", func() bool { return platform.Calls()[platformstandin.KindList] > 0 })
 	stop()
 	select {
 	case err := <-result:
