--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -3,13 +3,10 @@
 import (
 	"context"
 	"errors"
-	"os"
-	"os/signal"
-	"syscall"
 
-	"github.com/charmbracelet/log"
 	"github.com/urfave/cli/v3"
 
+	"github.com/briarstand/briarstand/internal/process"
 	"github.com/briarstand/briarstand/server"
 	"github.com/briarstand/briarstand/settings"
 	"github.com/briarstand/briarstand/telemetry"
@@ -50,33 +47,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := untilSignal(ctx, logger)
+	ctx, stop := process.UntilSignal(ctx, logger)
 	defer stop()
 	return srv.Run(ctx)
 }
-
-// untilSignal returns a context that ends at the first SIGTERM or SIGINT.
-// Later ones are logged and have no other effect, so that a supervisor that
-// repeats its signal cuts no request off.
-func untilSignal(ctx context.Context, logger *log.Logger) (context.Context, func()) {
-	ctx, cancel := context.WithCancel(ctx)
-	signals := make(chan os.Signal, 4)
-	done := make(chan struct{})
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	go func() {
-		for {
-			select {
-			case <-done:
-				return
-			case sig := <-signals:
-				logger.Info("signal", "signal", sig.String(), "already_leaving", ctx.Err() != nil)
-				cancel()
-			}
-		}
-	}()
-	return ctx, func() {
-		signal.Stop(signals)
-		close(done)
-		cancel()
-	}
-}
--- /dev/null
+++ b/cli/entrycli/entrycli.go
@@ -0,0 +1,98 @@
+// Package entrycli is the command line of the entry VM's daemon. It is apart
+// from package cli so that the daemon links only what it runs.
+package entrycli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/charmbracelet/log"
+	"github.com/urfave/cli/v3"
+
+	"github.com/briarstand/briarstand/entry"
+	"github.com/briarstand/briarstand/internal/process"
+	"github.com/briarstand/briarstand/platform"
+	"github.com/briarstand/briarstand/telemetry"
+)
+
+// Exit codes of the daemon.
+const (
+	ExitOK     = 0
+	ExitFailed = 1
+)
+
+// logQueue is how many log lines may wait to be written. Lines beyond are
+// dropped and counted.
+const logQueue = 4096
+
+// Run runs the daemon with its arguments, the program name first, until
+// SIGTERM or SIGINT, and returns the exit code.
+func Run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	command := &cli.Command{
+		Name:  "briarstand-entry",
+		Usage: "run the daemon of one entry VM on the users' platform",
+		Description: "Serves callers over HTTP until SIGTERM or SIGINT, then drains. Configuration, backend servers and the\n" +
+			"other VMs come from the platform's store, and from other VMs while the store does not answer.",
+		Writer:    out,
+		ErrWriter: errOut,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "path of the platform's settings `FILE`", Sources: cli.EnvVars(platform.SettingsVariable), Required: true},
+			&cli.StringFlag{Name: "log-level", Usage: "least `LEVEL` of log lines: debug, info, warn, error", Value: "info"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error { return serve(ctx, cmd, out) },
+	}
+	if err := command.Run(ctx, args); err != nil {
+		fmt.Fprintln(errOut, "briarstand-entry:", err)
+		return ExitFailed
+	}
+	return ExitOK
+}
+
+func serve(ctx context.Context, cmd *cli.Command, out io.Writer) error {
+	level, err := log.ParseLevel(cmd.String("log-level"))
+	if err != nil {
+		return fmt.Errorf("--log-level: %w", err)
+	}
+	set, err := platform.LoadSettings(cmd.String("settings"))
+	if err != nil {
+		return err
+	}
+	lines := telemetry.NewAsyncWriter(out, logQueue)
+	defer lines.Close()
+	logger := telemetry.NewLogger(lines, level, telemetry.FieldVM, set.VMID)
+	stopReload := onReload(logger, cmd.String("settings"))
+	defer stopReload()
+	ctx, stop := process.UntilSignal(ctx, logger)
+	defer stop()
+	return entry.New(set.Entry(), platform.New(set), logger).Run(ctx)
+}
+
+// onReload checks the settings file at each SIGHUP. Addresses and bounds of a
+// running process do not change; a new process takes them over.
+func onReload(logger *log.Logger, path string) (stop func()) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-signals:
+				if _, err := platform.LoadSettings(path); err != nil {
+					logger.Error("settings not reloaded, the old ones stay", "file", path, "error", err.Error())
+					continue
+				}
+				logger.Info("settings checked, they apply from the next start", "file", path)
+			}
+		}
+	}()
+	return func() {
+		signal.Stop(signals)
+		close(done)
+	}
+}
--- /dev/null
+++ b/entry/daemon.go
@@ -0,0 +1,285 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-chi/chi/v5"
+
+	"github.com/briarstand/briarstand/balance"
+	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/forward"
+	"github.com/briarstand/briarstand/limit"
+	"github.com/briarstand/briarstand/membership"
+	"github.com/briarstand/briarstand/mirror"
+	"github.com/briarstand/briarstand/resolve"
+	"github.com/briarstand/briarstand/upstream"
+)
+
+const (
+	// addressTTL is how long callers may keep addresses: a VM that leaves still
+	// serves for longer than that.
+	addressTTL = 2 * time.Second
+	// maxAddresses is how many addresses callers read of an answer.
+	maxAddresses = 64
+	// drainServe is how long a VM that leaves takes new requests: until callers
+	// have asked for addresses again.
+	drainServe = 2500 * time.Millisecond
+	// stopMargin is how long before the kill the process ends by itself.
+	stopMargin = 500 * time.Millisecond
+	// sweepEvery is how often servers and VMs that are gone are forgotten.
+	sweepEvery = 500 * time.Millisecond
+	// warmSpread spreads the first connections of a VM to new backend servers,
+	// which cost a server a slot each.
+	warmSpread = 1200 * time.Millisecond
+	// budgetPart is the part of the shared budget that is handed out. The rest
+	// covers VMs that start and do not yet know the others.
+	budgetPart = 0.8
+	// startFleet is how many VMs a VM assumes at least until it has had time to
+	// see the others register.
+	startFleet = 24
+	startTime  = 5 * time.Second
+	// memoryPart is the part of the allowed memory that the heap may use.
+	memoryPart = 0.7
+	// readHeaderTimeout bounds the headers of a request where the
+	// configuration's own limit is not known yet, and idleTimeout an idle
+	// connection, above what callers use.
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 60 * time.Second
+)
+
+// Daemon answers callers on one entry VM.
+type Daemon struct {
+	settings Settings
+	platform Platform
+	logger   *log.Logger
+	state    *state
+	client   *upstream.Client
+	engine   *forward.Engine
+	picker   *balance.Picker
+	started  time.Time
+	leaving  atomic.Bool
+	warmed   sync.Map // *config.Backend to struct{}
+}
+
+// New returns a Daemon; Run does the work.
+func New(set Settings, p Platform, logger *log.Logger) *Daemon {
+	d := &Daemon{settings: set, platform: p, logger: logger, started: time.Now()}
+	d.state = newState(p, set.VMID, logger, lastResort(set.DrainBound))
+	d.client = upstream.NewClient(upstream.Config{Protocol: p})
+	d.picker = balance.NewPicker(balance.Config{})
+	d.engine = forward.NewEngine(forward.Config{
+		Transport: d.client, Replicas: d.state.registry, Picker: d.picker,
+		Latencies: balance.NewLatencies(balance.LatencyConfig{}), Policy: forward.DefaultPolicy(),
+		BudgetPermille: int(float64(set.BudgetPermille) * budgetPart), Logger: logger,
+	})
+	d.shareOut()
+	return d
+}
+
+// lastResort is how long a server that drains or is not listed may get work
+// when its service has no other. It leaves a third of the bound for the way of
+// the news.
+func lastResort(drain time.Duration) time.Duration { return drain * 2 / 3 }
+
+// Run serves until the context ends, and then drains.
+func (d *Daemon) Run(ctx context.Context) error {
+	if d.settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(d.settings.MemoryBytes) * memoryPart))
+	}
+	servers, err := d.listen()
+	if err != nil {
+		return err
+	}
+	work, stop := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	follower := mirror.NewFollower(mirror.FollowerConfig{
+		Mirror: d.state.mirror, Store: d.platform, Logger: d.logger, Changed: d.refresh,
+		Peers: newPeers(d.state, d.settings.PeerAddress, d.settings.PeerSeeds),
+	})
+	self := membership.Member{
+		ID: d.settings.VMID, Zone: d.settings.Zone, Region: d.settings.Region, CallerAddress: d.settings.CallerAddress,
+		PeerAddress: d.settings.PeerAddress, Incarnation: d.started.UnixNano(),
+	}
+	reg := newRegistration(d.platform, d.logger, self, d.settings.MinLease, follower.CheckStore)
+	wg.Go(func() { follower.Run(work) })
+	wg.Go(func() { reg.run(work) })
+	wg.Go(func() { d.sweep(work) })
+	d.logger.Info("started", "callers", d.settings.CallerAddress, "zone", d.settings.Zone)
+
+	<-ctx.Done()
+	d.drain(servers, reg)
+	stop()
+	wg.Wait()
+	d.logger.Info("stopped")
+	return nil
+}
+
+// servers are the HTTP servers of a daemon.
+type servers struct{ callers, ready, resolve, peers *http.Server }
+
+func (d *Daemon) listen() (*servers, error) {
+	s := &servers{}
+	for _, l := range []struct {
+		server  **http.Server
+		address string
+		handler http.Handler
+	}{
+		{&s.callers, d.settings.CallerAddress, d},
+		{&s.ready, d.settings.ReadyAddress, d.readyHandler()},
+		{&s.resolve, d.settings.ResolveAddress, d.resolveHandler()},
+		{&s.peers, d.settings.PeerAddress, peerHandler(d.state.mirror)},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return nil, &ListenError{Address: l.address, Err: err}
+		}
+		server := &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: d.logger.StandardLog()}
+		*l.server = server
+		go func() {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				d.logger.Error("listener ended", "address", l.address, "error", err.Error())
+			}
+		}()
+	}
+	return s, nil
+}
+
+func (d *Daemon) ready() bool {
+	return !d.leaving.Load() && d.state.table.Load() != nil && d.state.primed.Load()
+}
+
+func (d *Daemon) readyHandler() http.Handler {
+	r := chi.NewRouter()
+	r.Get(d.platform.ReadyPath(), func(w http.ResponseWriter, _ *http.Request) {
+		if !d.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return r
+}
+
+func (d *Daemon) resolveHandler() http.Handler {
+	r := chi.NewRouter()
+	r.Get(d.platform.ResolvePath(), func(w http.ResponseWriter, req *http.Request) {
+		near := d.platform.ResolveRequest(req)
+		addresses := resolve.Nearest(d.members(), near.Zone, near.Region, maxAddresses)
+		if len(addresses) == 0 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		ttl := min(addressTTL, d.settings.MaxAddressTTL)
+		if err := d.platform.ResolveAnswer(w, addresses, ttl); err != nil {
+			d.logger.Info("addresses not delivered", "error", err.Error())
+		}
+	})
+	return r
+}
+
+// members returns the VMs that callers may be sent to. What this VM knows of
+// itself goes before what its record says.
+func (d *Daemon) members() []membership.Member {
+	known := d.state.fleet.Load().members
+	members := make([]membership.Member, 0, len(known)+1)
+	for _, m := range known {
+		if m.ID != d.settings.VMID {
+			members = append(members, m)
+		}
+	}
+	if d.ready() {
+		members = append(members, membership.Member{
+			ID: d.settings.VMID, Zone: d.settings.Zone, Region: d.settings.Region, CallerAddress: d.settings.CallerAddress, State: membership.Alive,
+		})
+	}
+	return members
+}
+
+// refresh takes over a change of the mirror.
+func (d *Daemon) refresh() {
+	d.state.refresh(time.Now())
+	d.apply()
+}
+
+func (d *Daemon) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			d.state.sweep(time.Now())
+			d.apply()
+		}
+	}
+}
+
+// apply passes on what the VM believes to the parts that depend on it.
+func (d *Daemon) apply() {
+	vms := d.shareOut()
+	d.client.Update(d.state.connectionLimits(vms))
+	d.warm()
+}
+
+// shareOut sets this VM's share of the budget and returns the number of VMs.
+func (d *Daemon) shareOut() int {
+	vms := max(1, len(d.state.fleet.Load().known))
+	if time.Since(d.started) < startTime {
+		vms = max(vms, startFleet)
+	}
+	slack := d.settings.BudgetSlack * budgetPart / float64(vms)
+	// In one window a VM spends at most a full bucket and what it gains.
+	d.engine.SetShare(limit.Share{Burst: slack / 2, PerSecond: slack / 2 / d.settings.BudgetWindow.Seconds()})
+	return vms
+}
+
+// warm opens a first connection to each backend server in use.
+func (d *Daemon) warm() {
+	table := d.state.table.Load()
+	if table == nil {
+		return
+	}
+	used := table.InUse()
+	for service, replicas := range d.state.registry.Services() {
+		if !used[service] {
+			continue
+		}
+		for _, b := range replicas.Ready {
+			if _, done := d.warmed.LoadOrStore(b, struct{}{}); !done {
+				go d.warmOne(b)
+			}
+		}
+	}
+}
+
+func (d *Daemon) warmOne(b *config.Backend) {
+	time.Sleep(rand.N(warmSpread))
+	if err := d.client.Warm(context.Background(), b); err != nil {
+		d.logger.Info("no connection to backend server", "backend", b.ID, "address", b.Address, "error", err.Error())
+	}
+}
+
+// drain ends the daemon without cutting a request off: callers are sent
+// elsewhere first, then no connection is taken, then the last requests end.
+func (d *Daemon) drain(s *servers, reg *registration) {
+	end := time.Now().Add(d.settings.StopGrace - stopMargin)
+	d.leaving.Store(true)
+	reg.leave()
+	d.logger.Info("leaving", "serve_ms", drainServe.Milliseconds())
+	time.Sleep(min(drainServe, time.Until(end)/2))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	for _, server := range []*http.Server{s.callers, s.resolve, s.ready, s.peers} {
+		if err := server.Shutdown(ctx); err != nil {
+			d.logger.Warn("requests cut off at the end of the grace time", "address", server.Addr, "error", err.Error())
+		}
+	}
+}
--- /dev/null
+++ b/entry/fleet.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/briarstand/briarstand/membership"
+)
+
+const (
+	// lapsedVMUse is how long a VM whose record is gone is still named to
+	// callers: records also lapse while the store is away.
+	lapsedVMUse = 3 * time.Second
+	// lapsedVMCount is how long such a VM counts for the shares of budgets; it
+	// may have spent its share in the current window.
+	lapsedVMCount = 10 * time.Second
+)
+
+// fleet is an immutable picture of the entry VMs.
+type fleet struct {
+	// members are the VMs that callers may be sent to, by id.
+	members []membership.Member
+	// known are the VMs that share budgets and connections.
+	known []membership.Member
+}
+
+// vmTable decides which VMs count, from when their records were last seen.
+type vmTable struct {
+	self string
+	vms  map[string]*vmEntry
+}
+
+type vmEntry struct {
+	member membership.Member
+	listed bool
+	seen   time.Time // when the record was last there
+}
+
+func newVMTable(self string) *vmTable { return &vmTable{self: self, vms: map[string]*vmEntry{}} }
+
+// update takes over the listed VMs, or only lets time pass if they are nil.
+func (t *vmTable) update(listed map[string]membership.Member, now time.Time) *fleet {
+	if listed != nil {
+		for _, v := range t.vms {
+			v.listed = false
+		}
+		for id, m := range listed {
+			t.vms[id] = &vmEntry{member: m, listed: true, seen: now}
+		}
+	}
+	f := &fleet{}
+	for _, id := range slices.Sorted(maps.Keys(t.vms)) {
+		v := t.vms[id]
+		if v.listed {
+			v.seen = now
+		}
+		gone := now.Sub(v.seen)
+		if gone > lapsedVMCount {
+			delete(t.vms, id)
+			continue
+		}
+		f.known = append(f.known, v.member)
+		if v.member.State == membership.Alive && gone <= lapsedVMUse {
+			f.members = append(f.members, v.member)
+		}
+	}
+	return f
+}
--- /dev/null
+++ b/entry/handler.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/briarstand/briarstand/forward"
+	"github.com/briarstand/briarstand/telemetry"
+	"github.com/briarstand/briarstand/upstream"
+)
+
+// startRetryAfter is what callers are told to wait while no configuration is
+// known: a daemon reads it within milliseconds of its start.
+const startRetryAfter = 300 * time.Millisecond
+
+// ServeHTTP answers a caller's request.
+func (d *Daemon) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	id, wait := d.platform.Caller(r)
+	if d.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	table := d.state.table.Load()
+	if table == nil || !d.state.primed.Load() {
+		d.end(w, r, id, arrived, "", 0, forward.Answer{Outcome: forward.Refused, RetryAfter: startRetryAfter, Reason: "no configuration is known yet"})
+		return
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	rt, ok := table.Match(r.Host, path)
+	if !ok {
+		d.logger.Info("request", telemetry.FieldRequestID, id, "outcome", "no_route", "host", r.Host, "path", path, "version", table.Version)
+		http.Error(w, "no route for this host and path", http.StatusNotFound)
+		return
+	}
+	body, err := readBody(w, r, table.Limits.BodyBytes)
+	if err != nil {
+		d.rejectBody(w, id, err)
+		return
+	}
+	answer := d.engine.Run(r.Context(), forward.Job{
+		Route:   rt,
+		Request: &upstream.Request{Method: r.Method, Head: d.platform.Head(r, len(body)), Body: body, ID: id},
+		Wait:    wait,
+		Arrived: arrived,
+	})
+	d.end(w, r, id, arrived, rt.Name, table.Version, answer)
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	if limit > 0 {
+		r.Body = http.MaxBytesReader(w, r.Body, limit)
+	}
+	return io.ReadAll(r.Body)
+}
+
+func (d *Daemon) rejectBody(w http.ResponseWriter, id string, err error) {
+	status := http.StatusBadRequest
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		status = http.StatusRequestEntityTooLarge
+	}
+	d.logger.Warn("request", telemetry.FieldRequestID, id, "outcome", "body_not_read", "status", status, telemetry.FieldError, err.Error())
+	http.Error(w, "the body could not be read", status)
+}
+
+// end writes the answer and one log line.
+func (d *Daemon) end(w http.ResponseWriter, r *http.Request, id string, arrived time.Time, routeName string, version int64, a forward.Answer) {
+	if a.Outcome == forward.CallerLeft {
+		// Nobody reads an answer any more. Ending the connection without one
+		// keeps the server from sending an empty success.
+		d.logRequest(id, arrived, routeName, version, &a)
+		panic(http.ErrAbortHandler)
+	}
+	if err := d.platform.Answer(w, &a, id); err != nil {
+		d.logger.Info("answer not delivered", telemetry.FieldRequestID, id, telemetry.FieldError, err.Error())
+	}
+	d.logRequest(id, arrived, routeName, version, &a)
+}
+
+func (d *Daemon) logRequest(id string, arrived time.Time, routeName string, version int64, a *forward.Answer) {
+	d.logger.Info("request", telemetry.FieldRequestID, id, "outcome", a.Outcome.String(), "reason", a.Reason, "route", routeName,
+		"version", version, "ms", time.Since(arrived).Milliseconds(), "attempts", a.Attempts, "hedges", a.Hedges, "retries", a.Retries, "missing", a.Missing)
+}
--- /dev/null
+++ b/entry/registration.go
@@ -0,0 +1,140 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/briarstand/briarstand/kvstore"
+	"github.com/briarstand/briarstand/membership"
+)
+
+const (
+	// leaseTTL is how long this VM's record outlives its process. Callers turn
+	// to another address by themselves meanwhile.
+	leaseTTL = 4 * time.Second
+	// leaseRenewals is how often a lease is renewed in its time.
+	leaseRenewals = 3
+	// registerRetry is the pause after a failed call.
+	registerRetry = 700 * time.Millisecond
+)
+
+// registration keeps this VM's record in the store for as long as it runs.
+type registration struct {
+	platform Platform
+	logger   *log.Logger
+	member   membership.Member
+	ttl      time.Duration
+	// failed is called when a call to the store fails.
+	failed  func()
+	leaving atomic.Bool
+	wake    chan struct{}
+	lease   kvstore.LeaseID
+	put     membership.State // what the record says now
+	lost    bool
+}
+
+func newRegistration(p Platform, logger *log.Logger, m membership.Member, minLease time.Duration, failed func()) *registration {
+	return &registration{platform: p, logger: logger, member: m, ttl: max(leaseTTL, minLease), failed: failed, wake: make(chan struct{}, 1)}
+}
+
+// leave changes the record, so that callers are no longer sent here.
+func (r *registration) leave() {
+	r.leaving.Store(true)
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run registers the VM and renews its lease until the context ends, and then
+// ends the lease.
+func (r *registration) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := r.ttl / leaseRenewals
+		if err := r.step(ctx); err != nil {
+			if ctx.Err() == nil {
+				r.noteLost(err)
+				r.failed()
+			}
+			pause = registerRetry/2 + rand.N(registerRetry)
+		} else if r.lost {
+			r.lost = false
+			r.logger.Info("this VM is registered again")
+		}
+		timer := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-r.wake:
+		}
+		timer.Stop()
+	}
+	r.end()
+}
+
+func (r *registration) noteLost(err error) {
+	if !r.lost {
+		r.logger.Warn("this VM's record could not be kept", "error", err.Error())
+	}
+	r.lost = true
+}
+
+// step makes the one call that is needed next.
+func (r *registration) step(ctx context.Context) error {
+	state := membership.Alive
+	if r.leaving.Load() {
+		state = membership.Leaving
+	}
+	if r.lease == "" {
+		lease, err := r.platform.GrantLease(ctx, r.ttl)
+		if err != nil {
+			return err
+		}
+		r.lease, r.put = lease, ""
+	}
+	var err error
+	if r.put != state {
+		err = r.write(ctx, state)
+	} else {
+		err = r.platform.RenewLease(ctx, r.lease)
+	}
+	if errors.Is(err, kvstore.ErrLeaseLapsed) {
+		r.lease, r.put = "", ""
+		return err
+	}
+	return err
+}
+
+func (r *registration) write(ctx context.Context, state membership.State) error {
+	m := r.member
+	m.State = state
+	key, value, err := r.platform.EncodeVM(m)
+	if err != nil {
+		return err
+	}
+	if err := r.platform.Put(ctx, key, value, r.lease); err != nil {
+		return err
+	}
+	r.put = state
+	return nil
+}
+
+// end removes the record. A failure leaves it to lapse.
+func (r *registration) end() {
+	if r.lease == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
+	defer cancel()
+	if err := r.platform.RevokeLease(ctx, r.lease); err != nil {
+		r.logger.Warn("lease not ended, it will lapse", "error", err.Error())
+	}
+}
+
+// endTimeout bounds the last call of a process that stops.
+const endTimeout = 300 * time.Millisecond
--- /dev/null
+++ b/entry/state.go
@@ -0,0 +1,168 @@
+package entry
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/discovery"
+	"github.com/briarstand/briarstand/membership"
+	"github.com/briarstand/briarstand/mirror"
+	"github.com/briarstand/briarstand/route"
+	"github.com/briarstand/briarstand/telemetry"
+)
+
+// state is what the VM believes, decoded from the mirror. Requests read it
+// without a lock.
+type state struct {
+	platform Platform
+	mirror   *mirror.Mirror
+	registry *discovery.Registry
+	logger   *log.Logger
+	table    atomic.Pointer[route.Table]
+	fleet    atomic.Pointer[fleet]
+	primed   atomic.Bool // backend servers were read once
+
+	mu      sync.Mutex // serializes refresh
+	servers map[string]decoded[discovery.Server]
+	members map[string]decoded[membership.Member]
+	listed  map[string]discovery.Server
+	config  int64 // revision of the configuration in force
+	badRev  int64 // revision of the last configuration that could not be read
+	vms     *vmTable
+}
+
+// decoded is a record's content, kept so that only records that changed are
+// decoded again.
+type decoded[T any] struct {
+	revision int64
+	value    T
+	ok       bool
+}
+
+func newState(p Platform, vmID string, logger *log.Logger, lastResort time.Duration) *state {
+	s := &state{
+		platform: p, mirror: mirror.New(), logger: logger,
+		registry: discovery.NewRegistry(discovery.Config{LastResort: lastResort}),
+		servers:  map[string]decoded[discovery.Server]{}, members: map[string]decoded[membership.Member]{},
+		vms: newVMTable(vmID),
+	}
+	s.fleet.Store(&fleet{})
+	return s
+}
+
+// refresh decodes what changed in the mirror and reports whether backend
+// servers or the configuration changed.
+func (s *state) refresh(now time.Time) (changed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.mirror.Listing()
+	s.listed = map[string]discovery.Server{}
+	members := map[string]membership.Member{}
+	seenServers, seenMembers := map[string]decoded[discovery.Server]{}, map[string]decoded[membership.Member]{}
+	for _, r := range l.Records {
+		switch s.platform.Kind(r.Key) {
+		case ConfigurationRecord:
+			changed = s.takeTable(r) || changed
+		case ServerRecord:
+			if d := decode(s, s.servers, seenServers, r, s.platform.Server); d.ok {
+				s.listed[d.value.ID] = d.value
+			}
+		case VMRecord:
+			if d := decode(s, s.members, seenMembers, r, s.platform.VM); d.ok {
+				members[d.value.ID] = d.value
+			}
+		}
+	}
+	s.servers, s.members = seenServers, seenMembers
+	changes := s.registry.Update(s.listed, now)
+	for _, c := range changes {
+		s.logger.Info("backend server", "backend", c.Server.ID, telemetry.FieldService, c.Server.Service, "address", c.Server.Address,
+			"from", c.From.String(), "to", c.To.String(), telemetry.FieldRevision, l.Revision)
+	}
+	s.fleet.Store(s.vms.update(members, now))
+	if l.Revision > 0 {
+		s.primed.Store(true)
+	}
+	return changed || len(changes) > 0
+}
+
+// sweep lets time pass for servers and VMs that are no longer listed.
+func (s *state) sweep(now time.Time) (changed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet.Store(s.vms.update(nil, now))
+	if s.listed == nil {
+		return false
+	}
+	changes := s.registry.Update(s.listed, now)
+	return len(changes) > 0
+}
+
+func decode[T any](s *state, old, next map[string]decoded[T], r mirror.Record, parse func(mirror.Record) (T, error)) decoded[T] {
+	d, ok := old[r.Key]
+	if !ok || d.revision != r.Revision {
+		value, err := parse(r)
+		d = decoded[T]{revision: r.Revision, value: value, ok: err == nil}
+		if err != nil {
+			s.logger.Warn("record ignored", "key", r.Key, telemetry.FieldRevision, r.Revision, telemetry.FieldError, err.Error())
+		}
+	}
+	next[r.Key] = d
+	return d
+}
+
+// takeTable puts a new version of the configuration in force. One that cannot
+// be read leaves the last one in force.
+func (s *state) takeTable(r mirror.Record) bool {
+	if r.Revision <= s.config || r.Revision == s.badRev {
+		return false
+	}
+	table, err := s.platform.Table(r)
+	old := s.table.Load()
+	if err == nil && old != nil && table.Version < old.Version {
+		err = &VersionError{Version: table.Version, InForce: old.Version}
+	}
+	if err != nil {
+		s.badRev = r.Revision
+		s.logger.Error("configuration not taken", telemetry.FieldRevision, r.Revision, telemetry.FieldError, err.Error())
+		return false
+	}
+	s.config = r.Revision
+	s.table.Store(table)
+	s.logger.Info("configuration in force", "version", table.Version, telemetry.FieldRevision, r.Revision)
+	return true
+}
+
+// connectionLimits returns how many connections this VM may hold to each
+// backend server: its share of what the server accepts from all VMs.
+func (s *state) connectionLimits(vms int) map[*config.Backend]int {
+	table := s.table.Load()
+	limits := map[*config.Backend]int{}
+	for service, replicas := range s.registry.Services() {
+		total := defaultConnections
+		if table != nil && table.Services[service].MaxConnections > 0 {
+			total = table.Services[service].MaxConnections
+		}
+		limit := max(1, int(float64(total)*connectionPart)/max(1, vms))
+		for _, b := range replicas.Ready {
+			limits[b] = limit
+		}
+		for _, l := range replicas.LastResort {
+			limits[l.Backend] = limit
+		}
+	}
+	return limits
+}
+
+const (
+	// connectionPart is the part of a server's connections that is shared out;
+	// the rest is for VMs that come while others still hold theirs.
+	connectionPart = 0.9
+	// defaultConnections applies to a service that the configuration does not
+	// name yet.
+	defaultConnections = 32
+)
--- /dev/null
+++ b/forward/forward.go
@@ -0,0 +1,146 @@
+// Package forward answers callers' requests from backend servers: one request
+// from one of them, or a query from one of each shard. Both use the same
+// attempts, hedges and retries.
+package forward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/briarstand/briarstand/backend"
+	"github.com/briarstand/briarstand/balance"
+	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/discovery"
+	"github.com/briarstand/briarstand/limit"
+	"github.com/briarstand/briarstand/route"
+	"github.com/briarstand/briarstand/upstream"
+)
+
+// Transport sends attempts; upstream.Client implements it.
+type Transport interface {
+	Send(b *config.Backend, req *upstream.Request, deadline time.Time, tag int, results chan<- upstream.Result) *upstream.Call
+	Free(b *config.Backend) bool
+}
+
+// Replicas knows the backend servers of a service; discovery.Registry
+// implements it.
+type Replicas interface {
+	Replicas(service string) *discovery.Replicas
+}
+
+// Picker chooses replicas; balance.Picker implements it.
+type Picker interface {
+	Pick(choice config.ReplicaChoice, candidates []*config.Backend, tried []string) (*config.Backend, bool)
+	Started(backendID string)
+	Finished(backendID string, latency time.Duration, status backend.Status)
+}
+
+// Config configures an Engine. Transport, Replicas, Picker and Latencies are
+// required.
+type Config struct {
+	Transport Transport
+	Replicas  Replicas
+	Picker    Picker
+	Latencies *balance.Latencies
+	Policy    Policy
+	// BudgetPermille is how many hedges and retries may be sent for a thousand
+	// requests, besides the share of the allowance set by SetShare.
+	BudgetPermille int
+	Logger         *log.Logger
+}
+
+// Engine answers requests. Its methods may be called concurrently.
+type Engine struct {
+	cfg     Config
+	mu      sync.Mutex
+	share   limit.Share
+	budgets sync.Map // service name to *limit.Budget
+}
+
+// NewEngine returns an Engine. Without a share the budget is the least one.
+func NewEngine(cfg Config) *Engine {
+	return &Engine{cfg: cfg, share: limit.Share{Burst: 1}}
+}
+
+// SetShare changes this VM's share of the allowance for hedges and retries of
+// each service.
+func (e *Engine) SetShare(share limit.Share) {
+	e.mu.Lock()
+	e.share = share
+	e.mu.Unlock()
+	e.budgets.Range(func(_, b any) bool {
+		b.(*limit.Budget).SetShare(share)
+		return true
+	})
+}
+
+func (e *Engine) budget(service string) *limit.Budget {
+	if b, ok := e.budgets.Load(service); ok {
+		return b.(*limit.Budget)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	b, _ := e.budgets.LoadOrStore(service, limit.NewSharedBudget(e.cfg.BudgetPermille, e.share))
+	return b.(*limit.Budget)
+}
+
+// Outcome says how a request ended.
+type Outcome int
+
+// Outcomes of a request.
+const (
+	// Answered carries the reply of a backend server, or the parts of a query.
+	Answered Outcome = iota + 1
+	// Refused was not run and never will be.
+	Refused
+	// Unanswered may have run, and has no answer within its time.
+	Unanswered
+	// Broken may have run, and every attempt that was allowed failed.
+	Broken
+	// CallerLeft has nobody to answer.
+	CallerLeft
+)
+
+var outcomeNames = [...]string{Answered: "answered", Refused: "refused", Unanswered: "unanswered", Broken: "broken", CallerLeft: "caller_left"}
+
+func (o Outcome) String() string {
+	if o < Answered || int(o) >= len(outcomeNames) {
+		return "unknown"
+	}
+	return outcomeNames[o]
+}
+
+// Answer is the end of a request.
+type Answer struct {
+	Outcome Outcome
+	// Reply is passed on unchanged, for a request to one service.
+	Reply *upstream.Reply
+	// Signatures, Missing and Body make up the answer of a query over shards.
+	Scattered  bool
+	Signatures []string
+	Missing    int
+	Body       []byte
+	// RetryAfter is set when Outcome is Refused.
+	RetryAfter time.Duration
+	// Reason says why there is no complete answer.
+	Reason string
+	// Attempts, Hedges and Retries count what was sent, for logs and metrics.
+	Attempts, Hedges, Retries int
+}
+
+// Job is one request.
+type Job struct {
+	Route   *route.Route
+	Request *upstream.Request
+	// Wait is how long the caller waits, from Arrived; 0 if it did not say.
+	Wait    time.Duration
+	Arrived time.Time
+}
+
+// Run answers a request. The context ends when the caller leaves.
+func (e *Engine) Run(ctx context.Context, job Job) Answer {
+	return newRun(e, job).run(ctx)
+}
--- /dev/null
+++ b/forward/policy.go
@@ -0,0 +1,114 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/briarstand/briarstand/route"
+)
+
+// Policy holds the figures of the decisions. All are set by DefaultPolicy.
+type Policy struct {
+	// ReturnTime is taken off the goal: the way of the answer to the caller,
+	// that of the request to this VM, and the work on both.
+	ReturnTime time.Duration
+	// HedgeQuantile is the part of recent sub-requests, in parts per thousand,
+	// that a sub-request must be slower than before it is hedged.
+	HedgeQuantile int
+	// HedgeMin and HedgeFallback are the least hedge delay, and the delay while
+	// too few latencies are known.
+	HedgeMin, HedgeFallback time.Duration
+	// HedgeLatest is the part of the time until an answer is due after which a
+	// hedge is sent in any case.
+	HedgeLatest float64
+	// TimeoutMargin is how long before the timeout of a route or the end of the
+	// caller's wait a request is given up.
+	TimeoutMargin time.Duration
+	// RetryAfter is what a caller is told to wait after a refusal.
+	RetryAfter time.Duration
+}
+
+// DefaultPolicy returns the policy in use. ReturnTime covers a latency to
+// callers of 3 ms each way and one more round trip for a new connection.
+func DefaultPolicy() Policy {
+	return Policy{
+		ReturnTime:    15 * time.Millisecond,
+		HedgeQuantile: 850,
+		HedgeMin:      4 * time.Millisecond,
+		HedgeFallback: 35 * time.Millisecond,
+		HedgeLatest:   0.5,
+		TimeoutMargin: 20 * time.Millisecond,
+		RetryAfter:    200 * time.Millisecond,
+	}
+}
+
+// Schedule holds the times of one request, counted from its arrival.
+type Schedule struct {
+	// AnswerBy is when a query over shards answers with the parts that it has,
+	// if they are enough.
+	AnswerBy time.Duration
+	// GiveUp is when the request is given up.
+	GiveUp time.Duration
+}
+
+// Schedule returns the times of a request on a route for a caller that waits
+// for so long; 0 if it did not say.
+func (p Policy) Schedule(r *route.Route, wait time.Duration) Schedule {
+	give := r.Timeout
+	if wait > 0 && (give <= 0 || wait < give) {
+		give = wait
+	}
+	if give <= 0 {
+		give = defaultTimeout
+	}
+	s := Schedule{GiveUp: give - min(p.TimeoutMargin, give/10)}
+	s.AnswerBy = s.GiveUp
+	if r.Goal > 0 {
+		s.AnswerBy = min(s.GiveUp, max(r.Goal-p.ReturnTime, r.Goal/2))
+	}
+	return s
+}
+
+// HedgeDelay returns how long a sub-request runs before a second one is sent.
+// It answers pauses and stragglers of single backend servers, which a query
+// over many shards nearly always meets.
+func (p Policy) HedgeDelay(quantile time.Duration, known bool, answerBy time.Duration) time.Duration {
+	latest := time.Duration(p.HedgeLatest * float64(answerBy))
+	if !known {
+		return min(p.HedgeFallback, latest)
+	}
+	return min(max(quantile, p.HedgeMin), latest)
+}
+
+// attemptEnd says how an attempt ended, as far as a retry depends on it.
+type attemptEnd int
+
+const (
+	endServed attemptEnd = iota + 1
+	endNotRun            // it provably did not run
+	endMayHaveRun
+)
+
+// mayRepeat reports whether a sub-request may be sent again after an attempt.
+// Requests that are not idempotent are repeated only after a proof that they
+// did not run. sent counts all attempts, and mayHaveRun those that were not
+// refused.
+func mayRepeat(r *route.Route, end attemptEnd, sent, mayHaveRun int) bool {
+	if sent >= maxSends || mayHaveRun >= max(1, r.MaxAttempts) {
+		return false
+	}
+	switch end {
+	case endNotRun:
+		return true
+	case endMayHaveRun:
+		return r.Idempotent
+	}
+	return false
+}
+
+const (
+	// maxSends bounds the attempts of one sub-request with those that were
+	// refused, which do not count against the route's limit.
+	maxSends = 3
+	// defaultTimeout applies where neither the route nor the caller sets one.
+	defaultTimeout = 10 * time.Second
+)
--- /dev/null
+++ b/forward/run.go
@@ -0,0 +1,397 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/briarstand/briarstand/backend"
+	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/telemetry"
+	"github.com/briarstand/briarstand/upstream"
+)
+
+// leg is the part of a request that one service answers: the whole request, or
+// the sub-request to one shard.
+type leg struct {
+	service    string
+	tried      []string
+	sent       int
+	mayHaveRun int // attempts that were not refused, with those in progress
+	running    int
+	hedgeAt    time.Duration // 0 if no hedge is due
+	reply      *upstream.Reply
+	failure    *upstream.Reply // the last failure of a backend server
+	done       bool            // answered, or given up
+	reason     string          // why it was given up
+}
+
+// attempt is one send, numbered by its index in run.attempts.
+type attempt struct {
+	leg   int
+	call  *upstream.Call
+	start time.Time
+	ended bool
+}
+
+// run is the state of one request. Only the goroutine of run.run touches it.
+type run struct {
+	engine   *Engine
+	job      Job
+	schedule Schedule
+	deadline time.Time
+	legs     []leg
+	attempts []attempt
+	results  chan upstream.Result
+	open     int // legs that are not done
+	answered int
+	hedge    time.Duration
+	answer   Answer
+}
+
+func newRun(e *Engine, job Job) *run {
+	r := &run{engine: e, job: job, schedule: e.cfg.Policy.Schedule(job.Route, job.Wait)}
+	r.deadline = job.Arrived.Add(r.schedule.GiveUp)
+	if job.Route.Scattered() {
+		r.legs = make([]leg, len(job.Route.Shards))
+		for i, s := range job.Route.Shards {
+			r.legs[i].service = s
+		}
+	} else {
+		r.legs = []leg{{service: job.Route.RandomTarget()}}
+	}
+	r.open = len(r.legs)
+	r.results = make(chan upstream.Result, len(r.legs)*maxSends)
+	quantile, known := e.cfg.Latencies.LatencyQuantile(job.Route.Name, e.cfg.Policy.HedgeQuantile)
+	r.hedge = e.cfg.Policy.HedgeDelay(quantile, known, r.schedule.AnswerBy)
+	r.answer.Scattered = job.Route.Scattered()
+	return r
+}
+
+func (r *run) run(ctx context.Context) Answer {
+	defer r.settle()
+	if !r.reachable() {
+		return r.refuse("too few shards have a backend server")
+	}
+	for i := range r.legs {
+		r.engine.budget(r.legs[i].service).Sent(1)
+		r.send(i)
+	}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		now := time.Since(r.job.Arrived)
+		r.sendHedges(now)
+		if r.complete(now) {
+			return r.finish(now)
+		}
+		timer.Reset(r.nextWake(now) - now)
+		select {
+		case res := <-r.results:
+			r.handle(res)
+			r.drainResults()
+		case <-timer.C:
+		case <-ctx.Done():
+			r.answer.Outcome, r.answer.Reason = CallerLeft, "the caller left"
+			return r.answer
+		}
+	}
+}
+
+func (r *run) drainResults() {
+	for {
+		select {
+		case res := <-r.results:
+			r.handle(res)
+		default:
+			return
+		}
+	}
+}
+
+// reachable reports whether enough services have a backend server at all.
+// Otherwise the request is refused at once instead of at its timeout.
+func (r *run) reachable() bool {
+	n := 0
+	now := time.Now()
+	for i := range r.legs {
+		if len(r.engine.cfg.Replicas.Replicas(r.legs[i].service).Usable(now)) > 0 {
+			n++
+		}
+	}
+	return n >= r.need()
+}
+
+// need is how many legs must be answered.
+func (r *run) need() int {
+	if r.job.Route.Scattered() {
+		return r.job.Route.MinShards()
+	}
+	return 1
+}
+
+// send starts an attempt of a leg and reports whether there was a backend
+// server for it.
+func (r *run) send(i int) bool {
+	l := &r.legs[i]
+	b, ok := r.pick(l)
+	if !ok {
+		if l.running == 0 {
+			r.giveUpLeg(l, "no backend server left")
+		}
+		return false
+	}
+	l.tried = append(l.tried, b.ID)
+	l.sent++
+	l.mayHaveRun++
+	l.running++
+	l.hedgeAt = 0
+	if r.job.Route.Idempotent && l.sent < maxSends && l.mayHaveRun < r.job.Route.MaxAttempts {
+		l.hedgeAt = time.Since(r.job.Arrived) + r.hedge
+	}
+	r.answer.Attempts++
+	tag := len(r.attempts)
+	r.engine.cfg.Picker.Started(b.ID)
+	r.attempts = append(r.attempts, attempt{leg: i, start: time.Now()})
+	r.attempts[tag].call = r.engine.cfg.Transport.Send(b, r.job.Request, r.deadline, tag, r.results)
+	return true
+}
+
+// pick chooses the backend server of the next attempt, among those with a free
+// connection if there are any.
+func (r *run) pick(l *leg) (*config.Backend, bool) {
+	usable := r.engine.cfg.Replicas.Replicas(l.service).Usable(time.Now())
+	free := usable[:0:0]
+	for _, b := range usable {
+		if r.engine.cfg.Transport.Free(b) {
+			free = append(free, b)
+		}
+	}
+	if b, ok := r.engine.cfg.Picker.Pick(config.ChoiceAdaptive, free, l.tried); ok {
+		return b, true
+	}
+	return r.engine.cfg.Picker.Pick(config.ChoiceAdaptive, usable, l.tried)
+}
+
+func (r *run) giveUpLeg(l *leg, reason string) {
+	if !l.done {
+		l.done = true
+		l.reason = reason
+		r.open--
+	}
+}
+
+// sendHedges sends a second attempt for each leg whose first is late.
+func (r *run) sendHedges(now time.Duration) {
+	for i := range r.legs {
+		l := &r.legs[i]
+		if l.done || l.hedgeAt == 0 || now < l.hedgeAt {
+			continue
+		}
+		l.hedgeAt = 0
+		if !r.hasOther(l) || !r.engine.budget(l.service).TakeSpare() {
+			continue
+		}
+		if r.send(i) {
+			r.answer.Hedges++
+		}
+	}
+}
+
+// hasOther reports whether a backend server is left that was not tried, before
+// a token of the budget is spent on it.
+func (r *run) hasOther(l *leg) bool {
+	_, ok := r.pick(l)
+	return ok
+}
+
+// handle takes the end of an attempt into account.
+func (r *run) handle(res upstream.Result) {
+	a := &r.attempts[res.Tag]
+	a.ended = true
+	l := &r.legs[a.leg]
+	l.running--
+	end := r.engine.observe(r.job.Route.Name, a, res)
+	if end == endNotRun {
+		l.mayHaveRun--
+	}
+	if l.done {
+		return
+	}
+	if end == endServed {
+		l.reply, l.done = res.Reply, true
+		r.open--
+		r.answered++
+		return
+	}
+	if res.Reply != nil && res.Reply.Verdict == upstream.Failed {
+		l.failure = res.Reply
+	}
+	r.logFailure(l, a, res)
+	if l.running > 0 {
+		return // a hedge is on its way
+	}
+	l.hedgeAt = 0
+	if !mayRepeat(r.job.Route, end, l.sent, l.mayHaveRun) {
+		r.giveUpLeg(l, "attempts used up")
+		return
+	}
+	if !r.hasOther(l) {
+		r.giveUpLeg(l, "no other backend server")
+		return
+	}
+	if !r.engine.budget(l.service).Take() {
+		r.giveUpLeg(l, "budget for retries is empty")
+		return
+	}
+	if r.send(a.leg) {
+		r.answer.Retries++
+	}
+}
+
+func (r *run) logFailure(l *leg, a *attempt, res upstream.Result) {
+	reason := ""
+	if res.Err != nil {
+		reason = res.Err.Error()
+	} else {
+		reason = res.Reply.Verdict.String()
+	}
+	r.engine.cfg.Logger.Debug("attempt failed", telemetry.FieldRequestID, r.job.Request.ID, telemetry.FieldService, l.service,
+		"backend", a.call.Backend.ID, "attempt", l.sent, telemetry.FieldError, reason)
+}
+
+// complete reports whether the request can be answered or given up.
+func (r *run) complete(now time.Duration) bool {
+	switch {
+	case r.open == 0, now >= r.schedule.GiveUp:
+		return true
+	case r.answered+r.open < r.need():
+		return true // enough shards are lost
+	}
+	return r.job.Route.Scattered() && now >= r.schedule.AnswerBy && r.answered >= r.need()
+}
+
+// nextWake returns when something is due without a reply.
+func (r *run) nextWake(now time.Duration) time.Duration {
+	wake := r.schedule.GiveUp
+	if r.schedule.AnswerBy > now {
+		wake = min(wake, r.schedule.AnswerBy)
+	}
+	for i := range r.legs {
+		if l := &r.legs[i]; !l.done && l.hedgeAt > 0 {
+			wake = min(wake, l.hedgeAt)
+		}
+	}
+	return wake
+}
+
+// finish makes the answer.
+func (r *run) finish(now time.Duration) Answer {
+	if r.answered >= r.need() {
+		r.answer.Outcome = Answered
+		if !r.job.Route.Scattered() {
+			r.answer.Reply = r.legs[0].reply
+			return r.answer
+		}
+		r.gather()
+		return r.answer
+	}
+	ran, reason := 0, ""
+	for i := range r.legs {
+		l := &r.legs[i]
+		ran += l.mayHaveRun
+		if l.reason != "" {
+			reason = l.reason
+		}
+	}
+	if !r.job.Route.Scattered() && r.legs[0].failure != nil {
+		r.answer.Outcome, r.answer.Reply, r.answer.Reason = Answered, r.legs[0].failure, "the backend server failed"
+		return r.answer
+	}
+	if ran == 0 && r.answered == 0 {
+		return r.refuse(reason)
+	}
+	r.answer.Outcome, r.answer.Reason = Broken, reason
+	if now >= r.schedule.GiveUp {
+		r.answer.Outcome, r.answer.Reason = Unanswered, "timeout"
+	}
+	return r.answer
+}
+
+func (r *run) refuse(reason string) Answer {
+	r.answer.Outcome, r.answer.Reason, r.answer.RetryAfter = Refused, reason, r.engine.cfg.Policy.RetryAfter
+	return r.answer
+}
+
+func (r *run) gather() {
+	parts := make([][]byte, 0, r.answered)
+	for i := range r.legs {
+		l := &r.legs[i]
+		if l.reply == nil {
+			r.answer.Missing++
+			continue
+		}
+		parts = append(parts, l.reply.Body)
+		r.answer.Signatures = append(r.answer.Signatures, l.reply.Signature)
+	}
+	if r.answer.Missing > 0 {
+		r.answer.Reason = "parts left out"
+	}
+	r.answer.Body = mergeRecords(parts, r.job.Route.Limit)
+}
+
+// settle abandons what is still running. Its results are observed as they come,
+// so that a slow backend server is known as such.
+func (r *run) settle() {
+	left := 0
+	for i := range r.attempts {
+		if !r.attempts[i].ended {
+			r.attempts[i].call.Abandon()
+			left++
+		}
+	}
+	if left == 0 {
+		return
+	}
+	name, attempts, results, engine := r.job.Route.Name, r.attempts, r.results, r.engine
+	go func() {
+		for ; left > 0; left-- {
+			res := <-results
+			engine.observe(name, &attempts[res.Tag], res)
+		}
+	}()
+}
+
+// observe reports the end of an attempt to the picker and the latencies.
+func (e *Engine) observe(routeName string, a *attempt, res upstream.Result) attemptEnd {
+	latency := time.Since(a.start)
+	end, status := classify(res)
+	if end == endServed {
+		e.cfg.Latencies.Observe(routeName, latency)
+	}
+	e.cfg.Picker.Finished(a.call.Backend.ID, latency, status)
+	return end
+}
+
+// classify returns what the end of an attempt means for a retry and for the
+// replica.
+func classify(res upstream.Result) (attemptEnd, backend.Status) {
+	var unsent *upstream.UnsentError
+	switch {
+	case errors.Is(res.Err, upstream.ErrAbandoned):
+		return endNotRun, backend.Cancelled
+	case errors.As(res.Err, &unsent):
+		return endNotRun, backend.Unsent
+	case res.Err != nil:
+		return endMayHaveRun, backend.StreamBroken
+	}
+	switch res.Reply.Verdict {
+	case upstream.Served:
+		return endServed, backend.OK
+	case upstream.NotRun:
+		return endNotRun, backend.Shed
+	case upstream.OtherServer:
+		return endNotRun, backend.Unsent
+	}
+	return endMayHaveRun, backend.Failed
+}
--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,37 @@
+// Package process holds what the daemons' main programs share.
+package process
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/charmbracelet/log"
+)
+
+// UntilSignal returns a context that ends at the first SIGTERM or SIGINT.
+// Later ones are logged and have no other effect, so that a supervisor that
+// repeats its signal cuts no request off.
+func UntilSignal(ctx context.Context, logger *log.Logger) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	signals := make(chan os.Signal, 4)
+	done := make(chan struct{})
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case sig := <-signals:
+				logger.Info("signal", "signal", sig.String(), "already_leaving", ctx.Err() != nil)
+				cancel()
+			}
+		}
+	}()
+	return ctx, func() {
+		signal.Stop(signals)
+		close(done)
+		cancel()
+	}
+}
--- a/limit/budget.go
+++ b/limit/budget.go
@@ -19,15 +19,48 @@
 
 // Budget is the token bucket of one service for hedges and retries. Each
 // sub-request sent fills it by a fraction of a token.
+// A budget with a share also gains tokens with time.
 type Budget struct {
 	mu       sync.Mutex
 	permille int64
 	level    int64 // thousandths of a token
+	share    Share
+	filled   time.Time // until when level includes the share's steady gain
 	start    time.Time
 	current  int64 // sub-requests since start
 	previous int64 // sub-requests in the window before start
 }
 
+// Share is a VM's part of an allowance that all VMs draw on together.
+type Share struct {
+	// Burst is the highest level, in tokens.
+	Burst float64
+	// PerSecond is the gain besides that of the sub-requests, in tokens per second.
+	PerSecond float64
+}
+
+// NewSharedBudget returns a bucket like NewBudget whose burst is given by the
+// share instead of the load. It starts half full: where many VMs start at once,
+// the buckets of those that they replace were spent just before.
+func NewSharedBudget(permille int, share Share) *Budget {
+	now := time.Now()
+	b := &Budget{start: now, filled: now}
+	b.SetRate(permille)
+	b.share = share
+	b.level = b.burst(now) / 2
+	return b
+}
+
+// SetShare changes the share after VMs came or went.
+func (b *Budget) SetShare(share Share) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	b.advance(now)
+	b.share = share
+	b.level = min(b.level, b.burst(now))
+}
+
 // NewBudget returns a full bucket that gains permille thousandths of a token
 // for each sub-request. With permille 0 it never yields a token.
 func NewBudget(permille int) *Budget {
@@ -91,6 +124,11 @@
 }
 
 func (b *Budget) advance(now time.Time) {
+	if b.share.PerSecond > 0 {
+		gain := b.share.PerSecond * tokenUnit * now.Sub(b.filled).Seconds()
+		b.level = min(b.level+int64(gain), b.burst(now))
+		b.filled = now
+	}
 	elapsed := now.Sub(b.start)
 	switch {
 	case elapsed < rateWindow:
@@ -107,6 +145,9 @@
 
 // burst returns the highest level, in thousandths of a token.
 func (b *Budget) burst(now time.Time) int64 {
+	if b.share.Burst > 0 {
+		return int64(b.share.Burst * tokenUnit)
+	}
 	left := rateWindow - now.Sub(b.start)
 	lastSecond := b.current + b.previous*int64(left)/int64(rateWindow)
 	return max(minBurst*tokenUnit, lastSecond*burstPermille)
--- /dev/null
+++ b/mirror/follower.go
@@ -0,0 +1,235 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+)
+
+// Defaults of FollowerConfig.
+const (
+	// DefaultWatchWait is how long a watch waits for changes. Each watch is a
+	// paid call, and a silent connection is found by keep-alive probes.
+	DefaultWatchWait = 20 * time.Second
+	// DefaultGather is the pause after a change, in which further changes
+	// collect; it delays a change by a tenth of the shortest drain bound.
+	DefaultGather = 250 * time.Millisecond
+	// DefaultRetryMin and DefaultRetryMax bound the pause after a failed call.
+	DefaultRetryMin = 100 * time.Millisecond
+	DefaultRetryMax = time.Second
+	// DefaultPeerEvery is the pause between reads from other VMs while the
+	// store does not answer.
+	DefaultPeerEvery = 400 * time.Millisecond
+)
+
+// Store is the platform's store as a Follower reads it.
+type Store interface {
+	// List returns all records.
+	List(ctx context.Context) (Listing, error)
+	// Watch returns the changes after a revision as soon as there is one, or
+	// none when wait has passed. It fails with ErrCompacted when the store has
+	// dropped them.
+	Watch(ctx context.Context, after int64, wait time.Duration) (Changes, error)
+}
+
+// Peers reads the mirror of another VM.
+type Peers interface {
+	// Fetch returns the listing of some other VM that is newer than after. ok
+	// is false if that VM has nothing newer.
+	Fetch(ctx context.Context, after int64) (l Listing, ok bool, err error)
+}
+
+// FollowerConfig configures a Follower. Mirror, Store and Changed are required.
+type FollowerConfig struct {
+	Mirror *Mirror
+	Store  Store
+	// Peers may be nil.
+	Peers  Peers
+	Logger *log.Logger
+	// Changed is called after each change of the mirror, by one goroutine at a
+	// time.
+	Changed func()
+	// Zero durations take the defaults above.
+	WatchWait, Gather, RetryMin, RetryMax, PeerEvery time.Duration
+}
+
+// Follower keeps a mirror up to date.
+type Follower struct {
+	cfg      FollowerConfig
+	notify   sync.Mutex // serializes Changed
+	lost     atomic.Bool
+	backAt   atomic.Int64
+	cancelMu sync.Mutex
+	cancel   context.CancelFunc // ends the waiting watch
+}
+
+func setDefault(field *time.Duration, value time.Duration) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// NewFollower returns a Follower; Run does the work.
+func NewFollower(cfg FollowerConfig) *Follower {
+	setDefault(&cfg.WatchWait, DefaultWatchWait)
+	setDefault(&cfg.Gather, DefaultGather)
+	setDefault(&cfg.RetryMin, DefaultRetryMin)
+	setDefault(&cfg.RetryMax, DefaultRetryMax)
+	setDefault(&cfg.PeerEvery, DefaultPeerEvery)
+	f := &Follower{cfg: cfg}
+	f.lost.Store(true) // until the first answer
+	return f
+}
+
+// StoreLost reports whether the last call to the store failed.
+func (f *Follower) StoreLost() bool { return f.lost.Load() }
+
+// StoreRegained returns when the store last answered after a loss.
+func (f *Follower) StoreRegained() time.Time { return time.Unix(0, f.backAt.Load()) }
+
+// CheckStore ends a waiting watch, so that the store is asked again on a new
+// call. Others call it when their own calls to the store fail.
+func (f *Follower) CheckStore() {
+	f.cancelMu.Lock()
+	defer f.cancelMu.Unlock()
+	if f.cancel != nil {
+		f.cancel()
+	}
+}
+
+// Run follows the store until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	if f.cfg.Peers != nil {
+		wg.Go(func() { f.followPeers(ctx) })
+	}
+	wg.Go(func() { f.followStore(ctx) })
+	wg.Wait()
+}
+
+func (f *Follower) followStore(ctx context.Context) {
+	list := true
+	pause := f.cfg.RetryMin
+	for ctx.Err() == nil {
+		if list && f.cfg.Mirror.Revision() > 0 && f.lost.Load() {
+			list = false // another VM gave its records meanwhile
+		}
+		changed, err := f.step(ctx, list)
+		if ctx.Err() != nil {
+			return
+		}
+		compacted := errors.Is(err, ErrCompacted)
+		var stale *StaleListingError
+		switch {
+		case err == nil:
+			f.regained()
+			list = false
+			pause = f.cfg.RetryMin
+			if changed {
+				f.changed()
+				sleep(ctx, f.cfg.Gather)
+			}
+		case compacted:
+			f.regained()
+			list = true
+			f.cfg.Logger.Info("history of the store was compacted, reading everything", "revision", f.cfg.Mirror.Revision())
+		case errors.As(err, &stale):
+			// Another VM knew more; the next watch starts from there.
+			f.regained()
+			list = false
+		default:
+			f.markLost(err)
+			sleep(ctx, pause/2+rand.N(pause))
+			pause = min(2*pause, f.cfg.RetryMax)
+		}
+	}
+}
+
+func (f *Follower) step(ctx context.Context, list bool) (changed bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.cancelMu.Lock()
+	f.cancel = cancel
+	f.cancelMu.Unlock()
+	if list {
+		l, err := f.cfg.Store.List(ctx)
+		if err != nil {
+			return false, err
+		}
+		return f.cfg.Mirror.Replace(l)
+	}
+	wait := f.cfg.WatchWait
+	if f.lost.Load() {
+		// A short first watch shows soon whether the store is back.
+		wait = f.cfg.Gather
+	}
+	c, err := f.cfg.Store.Watch(ctx, f.cfg.Mirror.Revision(), wait)
+	if err != nil {
+		return false, err
+	}
+	return f.cfg.Mirror.Apply(c), nil
+}
+
+func (f *Follower) followPeers(ctx context.Context) {
+	failing := false
+	for ctx.Err() == nil {
+		sleep(ctx, f.cfg.PeerEvery/2+rand.N(f.cfg.PeerEvery))
+		if !f.lost.Load() || ctx.Err() != nil {
+			continue
+		}
+		l, ok, err := f.cfg.Peers.Fetch(ctx, f.cfg.Mirror.Revision())
+		if err != nil {
+			if !failing {
+				f.cfg.Logger.Warn("another VM did not give its records", "error", err.Error())
+			}
+			failing = true
+			continue
+		}
+		failing = false
+		if !ok {
+			continue
+		}
+		changed, err := f.cfg.Mirror.Replace(l)
+		if err != nil {
+			continue // the mirror became newer in the meantime
+		}
+		f.cfg.Logger.Info("records taken from another VM", "revision", l.Revision, "records", len(l.Records), "changed", changed)
+		if changed {
+			f.changed()
+		}
+	}
+}
+
+func (f *Follower) changed() {
+	f.notify.Lock()
+	defer f.notify.Unlock()
+	f.cfg.Changed()
+}
+
+func (f *Follower) regained() {
+	if f.lost.CompareAndSwap(true, false) {
+		now := time.Now()
+		f.backAt.Store(now.UnixNano())
+		f.cfg.Logger.Info("store answers", "revision", f.cfg.Mirror.Revision())
+	}
+}
+
+func (f *Follower) markLost(err error) {
+	if f.lost.CompareAndSwap(false, true) {
+		f.cfg.Logger.Warn("store does not answer", "revision", f.cfg.Mirror.Revision(), "error", err.Error())
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/mirror/mirror.go
@@ -0,0 +1,120 @@
+// Package mirror keeps a VM's copy of the records that all VMs share in the
+// platform's store: the configuration, the backend servers and the VMs. The
+// copy follows the store, and other VMs while the store does not answer.
+package mirror
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+)
+
+// Record is a key of the store as it was last written.
+type Record struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value"`
+	Revision int64  `json:"revision"`
+}
+
+// Change is a write or a removal of one key.
+type Change struct {
+	Record
+	Deleted bool
+}
+
+// Listing is every record at a revision of the store. Records may be newer
+// than the revision, since a store is read in pages.
+type Listing struct {
+	Records  []Record `json:"records"`
+	Revision int64    `json:"revision"`
+}
+
+// Changes are the changes up to a revision.
+type Changes struct {
+	Changes  []Change
+	Revision int64
+}
+
+// ErrCompacted reports that the store no longer has the changes after a
+// revision, so that everything has to be read again.
+var ErrCompacted = errors.New("history of the store was compacted")
+
+// StaleListingError reports a listing that is older than the mirror.
+type StaleListingError struct{ Listed, Held int64 }
+
+func (e *StaleListingError) Error() string {
+	return fmt.Sprintf("listing at revision %d is older than the mirror at %d", e.Listed, e.Held)
+}
+
+// Mirror is a copy of the store's records. Its revision only grows. Methods are
+// safe for concurrent use.
+type Mirror struct {
+	mu       sync.Mutex
+	records  map[string]Record
+	revision int64
+}
+
+// New returns an empty mirror at revision 0.
+func New() *Mirror { return &Mirror{records: map[string]Record{}} }
+
+// Revision returns the store revision that the mirror has reached, 0 before
+// the first listing.
+func (m *Mirror) Revision() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision
+}
+
+// Replace takes over a listing and reports whether a record differs. A listing
+// older than the mirror fails with a *StaleListingError: it would bring back
+// what has changed since.
+func (m *Mirror) Replace(l Listing) (changed bool, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if l.Revision < m.revision {
+		return false, &StaleListingError{Listed: l.Revision, Held: m.revision}
+	}
+	next := make(map[string]Record, len(l.Records))
+	for _, r := range l.Records {
+		if held, ok := m.records[r.Key]; ok && held.Revision > r.Revision {
+			r = held
+		}
+		next[r.Key] = r
+	}
+	changed = !maps.EqualFunc(m.records, next, func(a, b Record) bool { return a.Revision == b.Revision })
+	m.records = next
+	m.revision = l.Revision
+	return changed, nil
+}
+
+// Apply takes over changes and reports whether there were new ones. Changes
+// that the mirror already has are skipped.
+func (m *Mirror) Apply(c Changes) (changed bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, change := range c.Changes {
+		held, ok := m.records[change.Key]
+		switch {
+		case ok && held.Revision >= change.Revision:
+		case change.Deleted && ok:
+			delete(m.records, change.Key)
+			changed = true
+		case !change.Deleted && change.Revision > m.revision:
+			m.records[change.Key] = change.Record
+			changed = true
+		}
+	}
+	m.revision = max(m.revision, c.Revision)
+	return changed
+}
+
+// Listing returns all records, by key.
+func (m *Mirror) Listing() Listing {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	records := slices.SortedFunc(maps.Values(m.records), func(a, b Record) int { return strings.Compare(a.Key, b.Key) })
+	return Listing{Records: records, Revision: m.revision}
+}
--- a/resolve/resolve.go
+++ b/resolve/resolve.go
@@ -76,3 +76,32 @@
 	}
 	return near, far
 }
+
+// Nearest returns the caller addresses of the VMs that are nearest to a caller:
+// those in its zone, else in its region, else all. A caller spreads its
+// connections evenly over them.
+func Nearest(members []membership.Member, zone, region string, limit int) []string {
+	var inZone, inRegion, all []string
+	for _, m := range members {
+		if m.State != membership.Alive || m.CallerAddress == "" {
+			continue
+		}
+		all = append(all, m.CallerAddress)
+		if m.Region == region {
+			inRegion = append(inRegion, m.CallerAddress)
+		}
+		if m.Zone == zone {
+			inZone = append(inZone, m.CallerAddress)
+		}
+	}
+	for _, near := range [][]string{inZone, inRegion} {
+		if len(near) >= leastNear {
+			return near[:min(len(near), limit)]
+		}
+	}
+	return all[:min(len(all), limit)]
+}
+
+// leastNear is how many VMs near a caller are enough to name no others: one may
+// be gone without anybody knowing yet.
+const leastNear = 2
--- /dev/null
+++ b/telemetry/async.go
@@ -0,0 +1,61 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+)
+
+// AsyncWriter passes lines on to a writer without ever blocking the caller.
+// Lines that find the queue full are dropped and counted.
+type AsyncWriter struct {
+	queue   chan []byte
+	dropped atomic.Uint64
+	done    chan struct{}
+	once    sync.Once
+}
+
+// NewAsyncWriter returns a writer with a queue of so many lines. Close ends it.
+func NewAsyncWriter(w io.Writer, queue int) *AsyncWriter {
+	a := &AsyncWriter{queue: make(chan []byte, queue), done: make(chan struct{})}
+	go a.run(w)
+	return a
+}
+
+// Write queues a copy of one line. It never fails.
+func (a *AsyncWriter) Write(line []byte) (int, error) {
+	select {
+	case a.queue <- append([]byte(nil), line...):
+	default:
+		a.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns how many lines were dropped.
+func (a *AsyncWriter) Dropped() uint64 { return a.dropped.Load() }
+
+func (a *AsyncWriter) run(w io.Writer) {
+	defer close(a.done)
+	reported := uint64(0)
+	for line := range a.queue {
+		if line == nil {
+			return
+		}
+		// There is no place to report that the log itself cannot be written.
+		_, _ = w.Write(line)
+		if n := a.dropped.Load(); n != reported && len(a.queue) == 0 {
+			_, _ = fmt.Fprintf(w, "{\"level\":\"warn\",\"msg\":\"log lines dropped\",\"total\":%d}\n", n)
+			reported = n
+		}
+	}
+}
+
+// Close writes the lines that are queued. Later lines are dropped.
+func (a *AsyncWriter) Close() {
+	a.once.Do(func() {
+		a.queue <- nil
+		<-a.done
+	})
+}
--- /dev/null
+++ b/upstream/client.go
@@ -0,0 +1,311 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/briarstand/briarstand/config"
+)
+
+// Defaults of Config.
+const (
+	// DefaultDialTimeout bounds the set-up of a connection: several round trips
+	// between regions, and less than the retransmission of a lost first packet.
+	DefaultDialTimeout = 500 * time.Millisecond
+	// DefaultIdleTimeout closes connections that were not used, below the idle
+	// timeout that servers usually have.
+	DefaultIdleTimeout = 30 * time.Second
+	// DefaultReplyGrace is how long the reply of an abandoned attempt is read,
+	// so that its connection can be used again. Backend servers should be
+	// released within half a second after a caller has left.
+	DefaultReplyGrace = 350 * time.Millisecond
+)
+
+// Errors inside UnsentError.
+var (
+	ErrNoConnection = errors.New("no connection became free in time")
+	ErrAbandoned    = errors.New("abandoned before it was sent")
+)
+
+// Config configures a Client. Protocol is required.
+type Config struct {
+	Protocol Protocol
+	// Dial opens a connection; nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Zero durations take the defaults above.
+	DialTimeout, IdleTimeout, ReplyGrace time.Duration
+}
+
+// Client sends requests to backend servers and keeps connections to them.
+type Client struct {
+	cfg    Config
+	mu     sync.Mutex // serializes writers of pools
+	limits map[*config.Backend]int
+	pools  atomic.Pointer[map[*config.Backend]*pool]
+	stats  Stats
+}
+
+// Stats count what happened with connections.
+type Stats struct {
+	Dials, DialErrors, Stale, Reused, Waited atomic.Uint64
+}
+
+// NewClient returns a Client without connections.
+func NewClient(cfg Config) *Client {
+	if cfg.Dial == nil {
+		d := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}}
+		cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
+	}
+	for _, d := range []struct {
+		field *time.Duration
+		value time.Duration
+	}{{&cfg.DialTimeout, DefaultDialTimeout}, {&cfg.IdleTimeout, DefaultIdleTimeout}, {&cfg.ReplyGrace, DefaultReplyGrace}} {
+		if *d.field == 0 {
+			*d.field = d.value
+		}
+	}
+	c := &Client{cfg: cfg}
+	c.pools.Store(&map[*config.Backend]*pool{})
+	return c
+}
+
+// Stats returns the counters.
+func (c *Client) Stats() *Stats { return &c.stats }
+
+// Update takes over how many connections may be open to each backend server,
+// and closes the connections to all others.
+func (c *Client) Update(limits map[*config.Backend]int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limits = limits
+	old := *c.pools.Load()
+	next := make(map[*config.Backend]*pool, len(old))
+	for b, p := range old {
+		if n, ok := limits[b]; ok {
+			p.setLimit(n)
+			next[b] = p
+		} else {
+			p.retire()
+		}
+	}
+	c.pools.Store(&next)
+}
+
+func (c *Client) pool(b *config.Backend) *pool {
+	if p, ok := (*c.pools.Load())[b]; ok {
+		return p
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old := *c.pools.Load()
+	if p, ok := old[b]; ok {
+		return p
+	}
+	next := make(map[*config.Backend]*pool, len(old)+1)
+	for k, v := range old {
+		next[k] = v
+	}
+	p := newPool(b, c.limits[b])
+	next[b] = p
+	c.pools.Store(&next)
+	return p
+}
+
+// Free reports whether a request to the backend server would find a connection
+// that is idle or may be opened.
+func (c *Client) Free(b *config.Backend) bool {
+	p, ok := (*c.pools.Load())[b]
+	return !ok || p.free()
+}
+
+// Warm opens a connection to a backend server unless there is one. It returns
+// when the connection is open.
+func (c *Client) Warm(ctx context.Context, b *config.Backend) error {
+	p := c.pool(b)
+	if !p.reserveFirst() {
+		return nil
+	}
+	conn, err := c.dial(ctx, b)
+	if err != nil {
+		p.drop()
+		return err
+	}
+	p.put(conn)
+	return nil
+}
+
+func (c *Client) dial(ctx context.Context, b *config.Backend) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.DialTimeout)
+	defer cancel()
+	c.stats.Dials.Add(1)
+	nc, err := c.cfg.Dial(ctx, b.Address)
+	if err != nil {
+		c.stats.DialErrors.Add(1)
+		return nil, err
+	}
+	return newConn(nc), nil
+}
+
+// Call is one attempt in progress.
+type Call struct {
+	Backend *config.Backend
+	ctx     context.Context
+	cancel  context.CancelFunc
+	grace   time.Duration
+	mu      sync.Mutex
+	conn    *conn
+	gaveUp  bool
+}
+
+// Abandon says that the reply is no longer needed. An attempt that was not
+// written is dropped; otherwise the reply is read for a short time.
+func (a *Call) Abandon() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.gaveUp {
+		return
+	}
+	a.gaveUp = true
+	if a.conn == nil {
+		a.cancel()
+		return
+	}
+	// The deadline of a live socket; an error means that it is closed already.
+	_ = a.conn.SetDeadline(time.Now().Add(a.grace))
+}
+
+// start hands the connection to the attempt, unless it was abandoned.
+func (a *Call) start(conn *conn, deadline time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.gaveUp {
+		return false
+	}
+	a.conn = conn
+	_ = conn.SetDeadline(deadline) // a closed socket shows at the write
+	return true
+}
+
+// finish takes the connection back from the attempt.
+func (a *Call) finish() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.conn = nil
+}
+
+// Send starts an attempt. The result arrives at results exactly once, also
+// after Abandon; results must have room for it.
+func (c *Client) Send(b *config.Backend, req *Request, deadline time.Time, tag int, results chan<- Result) *Call {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	call := &Call{Backend: b, ctx: ctx, cancel: cancel, grace: c.cfg.ReplyGrace}
+	go func() {
+		defer cancel()
+		reply, err := c.attempt(call, req, deadline)
+		results <- Result{Tag: tag, Reply: reply, Err: err}
+	}()
+	return call
+}
+
+func (c *Client) attempt(call *Call, req *Request, deadline time.Time) (*Reply, error) {
+	b := call.Backend
+	p := c.pool(b)
+	conn, err := c.acquire(call.ctx, p)
+	if err != nil {
+		return nil, &UnsentError{Backend: b.ID, Err: err}
+	}
+	if !call.start(conn, deadline) {
+		p.put(conn)
+		return nil, &UnsentError{Backend: b.ID, Err: ErrAbandoned}
+	}
+	left := time.Until(deadline)
+	if left < time.Millisecond {
+		call.finish()
+		p.put(conn)
+		return nil, &UnsentError{Backend: b.ID, Err: context.DeadlineExceeded}
+	}
+	head := c.cfg.Protocol.AppendAttempt(append(make([]byte, 0, len(req.Head)+len(req.Body)+128), req.Head...), left, b.ID)
+	reply, reusable, sent, err := conn.roundTrip(req, append(head, "\r\n"...))
+	call.finish()
+	if err != nil {
+		p.close(conn)
+		if !sent {
+			return nil, &UnsentError{Backend: b.ID, Err: err}
+		}
+		return nil, &BrokenError{Backend: b.ID, Err: err}
+	}
+	c.cfg.Protocol.Judge(reply, req)
+	if !reusable || reply.Verdict == Foreign || reply.Verdict == OtherServer {
+		p.close(conn)
+		return reply, nil
+	}
+	_ = conn.SetDeadline(time.Time{}) // an error shows at the next use
+	conn.idleFor = c.idleFor(reply.Header)
+	p.put(conn)
+	return reply, nil
+}
+
+// acquire returns an idle connection, a new one, or the next that is freed.
+func (c *Client) acquire(ctx context.Context, p *pool) (*conn, error) {
+	for {
+		conn, wait := p.get()
+		if conn == nil && wait == nil {
+			conn, err := c.dial(ctx, p.backend)
+			if err != nil {
+				p.drop()
+				return nil, err
+			}
+			return conn, nil
+		}
+		if wait != nil {
+			c.stats.Waited.Add(1)
+			select {
+			case conn = <-wait:
+			case <-ctx.Done():
+				if p.giveUp(wait) {
+					return nil, ErrNoConnection
+				}
+				conn = <-wait
+			}
+			if conn == nil {
+				continue // a slot became free; ask again
+			}
+		}
+		if conn.usable() {
+			c.stats.Reused.Add(1)
+			return conn, nil
+		}
+		c.stats.Stale.Add(1)
+		p.close(conn)
+	}
+}
+
+// idleFor returns how long a connection may be idle: the server's announcement
+// less a margin, as a request must not cross the server's close.
+func (c *Client) idleFor(h http.Header) time.Duration {
+	for _, v := range h["Keep-Alive"] {
+		for param := range strings.SplitSeq(v, ",") {
+			name, value, _ := strings.Cut(strings.TrimSpace(param), "=")
+			if !strings.EqualFold(name, "timeout") {
+				continue
+			}
+			if s, err := strconv.Atoi(strings.TrimSpace(value)); err == nil {
+				return min(c.cfg.IdleTimeout, time.Duration(s)*time.Second*4/5)
+			}
+		}
+	}
+	return c.cfg.IdleTimeout
+}
+
+func (c *conn) usable() bool {
+	if c.idleFor > 0 && time.Since(c.idleSince) > c.idleFor {
+		return false
+	}
+	return c.checkIdle() == nil
+}
