Let hedges use a shared budget down to half a token

Cause: of 20 to 30 sub-requests a query, more than half of the queries meet a pause; only 7.7% extra was sent of the 34% allowed, since a hedge needed a bucket more than half full, and a VM's whole bucket is 2.8 tokens.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -43,6 +43,8 @@
 	// budgetPart is the part of the shared budget that is handed out. The rest
 	// covers VMs that start and do not yet know the others.
 	budgetPart = 0.8
+	// burstPart is the part of a VM's share that may be spent at once.
+	burstPart = 0.6
 	// startFleet is how many VMs a VM assumes at least until it has had time to
 	// see the others register.
 	startFleet = 24
@@ -237,7 +239,7 @@
 	}
 	slack := d.settings.BudgetSlack * budgetPart / float64(vms)
 	// In one window a VM spends at most a full bucket and what it gains.
-	d.engine.SetShare(limit.Share{Burst: slack / 2, PerSecond: slack / 2 / d.settings.BudgetWindow.Seconds()})
+	d.engine.SetShare(limit.Share{Burst: slack * burstPart, PerSecond: slack * (1 - burstPart) / d.settings.BudgetWindow.Seconds()})
 	return vms
 }
 
--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,469 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"github.com/briarstand/briarstand/entry"
+	"github.com/briarstand/briarstand/platform"
+	"github.com/briarstand/briarstand/standin"
+	"github.com/briarstand/briarstand/telemetry"
+)
+
+// Guards against goroutines that outlive a daemon.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("net/http.(*persistConn).readLoop"), goleak.IgnoreAnyFunction("net/http.(*persistConn).writeLoop"))
+}
+
+const host = "shop.example"
+
+// fixture is a store with backend servers and daemons on loopback addresses.
+type fixture struct {
+	*qt.C
+	store    *standin.Store
+	backends map[string]*standin.Backend
+	logs     *syncBuffer
+}
+
+// syncBuffer collects log lines of several daemons.
+type syncBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{C: qt.New(t), store: standin.NewStore(), backends: map[string]*standin.Backend{}, logs: &syncBuffer{}}
+	t.Cleanup(func() {
+		for _, b := range f.backends {
+			b.Close()
+		}
+		f.store.Close()
+	})
+	return f
+}
+
+// backend starts and registers a backend server.
+func (f *fixture) backend(id, service string, body string) *standin.Backend {
+	b := standin.NewBackend(id, service, "attica-a", []byte(body))
+	f.backends[id] = b
+	b.Register(f.store, "ready")
+	return b
+}
+
+// vm is a running daemon.
+type vm struct {
+	settings entry.Settings
+	stop     context.CancelFunc
+	done     chan error
+}
+
+func freeAddress(c *qt.C) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// start runs a daemon with a short grace time and waits until it is ready, if
+// wait is set.
+func (f *fixture) start(id string, wait bool, seeds ...string) *vm {
+	return f.startWith(id, wait, 600*time.Millisecond, seeds...)
+}
+
+func (f *fixture) startWith(id string, wait bool, grace time.Duration, seeds ...string) *vm {
+	set := entry.Settings{
+		VMID: id, Zone: "attica-a", Region: "attica",
+		CallerAddress: freeAddress(f.C), ReadyAddress: freeAddress(f.C), ResolveAddress: freeAddress(f.C), PeerAddress: freeAddress(f.C),
+		PeerSeeds: seeds, DrainBound: 3 * time.Second, StopGrace: grace, MaxAddressTTL: 5 * time.Second, MinLease: time.Second,
+		BudgetPermille: 200, BudgetSlack: 126, BudgetWindow: 10 * time.Second,
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	v := &vm{settings: set, stop: stop, done: make(chan error, 1)}
+	var s platform.Settings
+	s.Store.Address = f.store.Address()
+	go func() {
+		v.done <- entry.New(set, platform.New(&s), telemetry.NewLogger(f.logs, log.DebugLevel, telemetry.FieldVM, id)).Run(ctx)
+	}()
+	f.Cleanup(func() {
+		stop()
+		<-v.done
+		v.done <- nil
+	})
+	if wait {
+		f.eventually(5*time.Second, "ready", func() bool { return f.status(v, v.settings.ReadyAddress, "/readiness") == http.StatusOK })
+	}
+	return v
+}
+
+func (f *fixture) eventually(within time.Duration, what string, ok func() bool) {
+	f.Helper()
+	for end := time.Now().Add(within); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			f.Fatalf("%s: not within %v\n%s", what, within, f.logs)
+		}
+	}
+}
+
+func (f *fixture) status(_ *vm, address, path string) int {
+	resp, err := oneShot.Get("http://" + address + path)
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// oneShot opens a connection per request, as callers do for retries.
+var oneShot = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}
+
+// answer is what a caller sees.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+}
+
+func (f *fixture) ask(v *vm, method, target, id, body string, wait time.Duration) answer {
+	f.Helper()
+	var r io.Reader
+	if body != "" {
+		r = strings.NewReader(body)
+	}
+	req, err := http.NewRequest(method, "http://"+v.settings.CallerAddress+target, r)
+	f.Assert(err, qt.IsNil)
+	req.Host = host
+	req.Header.Set("X-Request-Id", id)
+	req.Header.Set("X-Deadline-Ms", fmt.Sprint(wait.Milliseconds()))
+	resp, err := oneShot.Do(req)
+	f.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	f.Assert(err, qt.IsNil)
+	return answer{resp.StatusCode, resp.Header, string(data)}
+}
+
+func single(name, service, kind string) standin.Route {
+	return standin.Route{Name: name, Host: host, Prefix: "/" + name + "/", Kind: kind, TimeoutMS: 2000, GoalMS: 300, MaxAttempts: 2, Service: service}
+}
+
+func scattered(name string, minShare float64, shards ...string) standin.Route {
+	return standin.Route{
+		Name: name, Host: host, Prefix: "/" + name + "/", Kind: "idempotent", TimeoutMS: 1000, GoalMS: 100, MaxAttempts: 2,
+		Gather: shards, Limit: 3, MinShare: minShare,
+	}
+}
+
+func record(c byte) string { return strings.Repeat(string(c), 16) }
+
+// Guards the whole path: a request to one service and a query over shards.
+func TestWholePath(t *testing.T) {
+	f := newFixture(t)
+	f.store.SetPage(2)
+	f.backend("q1", "quotes", "the bytes")
+	f.backend("a1", "shard-a", record('b')+record('d')+"rest")
+	f.backend("b1", "shard-b", record('c')+record('a'))
+	f.store.Configure(7, single("quote", "quotes", "idempotent"), scattered("find", 0.5, "shard-a", "shard-b"))
+	f.store.Put("servers/forged", []byte(`{"service":"quotes","address":"127.0.0.1:1","zone":"attica-a","version":"v1","slots":2,"state":"retired","warmup_left_ms":0,"sequence":1}`))
+	f.store.Put("servers/broken", []byte(`not json`))
+	v := f.start("vm1", true)
+
+	a := f.ask(v, "GET", "/quote/x%2Fy?q=a+b&q", "id-1", "", time.Second)
+	f.Assert(a.status, qt.Equals, http.StatusOK)
+	f.Assert(a.body, qt.Equals, "the bytes")
+	f.Assert(a.header.Get("X-Server-Seal"), qt.Equals, f.backends["q1"].Signature("id-1"))
+	runs := f.backends["q1"].Runs()
+	f.Assert(runs, qt.HasLen, 1)
+	f.Assert(runs[0].Target, qt.Equals, "/quote/x%2Fy?q=a+b&q")
+	f.Assert(runs[0].WaitMS > 900 && runs[0].WaitMS <= 1000, qt.IsTrue)
+
+	a = f.ask(v, "GET", "/find/x", "id-2", "", time.Second)
+	f.Assert(a.status, qt.Equals, http.StatusOK)
+	f.Assert(a.body, qt.Equals, record('d')+record('c')+record('b'))
+	f.Assert(a.header.Get("X-Missing-Parts"), qt.Equals, "0")
+	parts := strings.Split(a.header.Get("X-Part-Seals"), ", ")
+	f.Assert(parts, qt.ContentEquals, []string{f.backends["a1"].Signature("id-2"), f.backends["b1"].Signature("id-2")})
+
+	f.Assert(f.ask(v, "GET", "/none/x", "id-3", "", time.Second).status, qt.Equals, http.StatusNotFound)
+
+	var resolved struct {
+		Addrs []string `json:"addrs"`
+	}
+	resp, err := oneShot.Get("http://" + v.settings.ResolveAddress + "/resolve?name=" + host + "&zone=attica-a&region=attica")
+	f.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	f.Assert(json.NewDecoder(resp.Body).Decode(&resolved), qt.IsNil)
+	f.Assert(resolved.Addrs, qt.DeepEquals, []string{v.settings.CallerAddress})
+}
+
+// Guards against a request that is not idempotent running twice, and against
+// "not run" for one that may have run: lost answers, failures and refusals.
+func TestNonIdempotent(t *testing.T) {
+	f := newFixture(t)
+	b1, b2 := f.backend("b1", "book", "ok"), f.backend("b2", "book", "ok")
+	f.store.Configure(1, single("book", "book", "non_idempotent"))
+	v := f.start("vm1", true)
+	both := func(behavior standin.Behavior) { b1.SetBehavior(behavior); b2.SetBehavior(behavior) }
+	runs := func(id string) int {
+		n := 0
+		for _, r := range slices.Concat(b1.Runs(), b2.Runs()) {
+			if r.ID == id {
+				n++
+				f.Assert(r.Body, qt.Equals, "one seat")
+			}
+		}
+		return n
+	}
+	for _, test := range []struct {
+		name      string
+		behavior  standin.Behavior
+		status    int
+		wait      time.Duration
+		wantsRuns int
+	}{
+		{"served", standin.Behavior{}, http.StatusOK, time.Second, 1},
+		{"lost", standin.Behavior{Drop: true}, http.StatusBadGateway, time.Second, 1},
+		{"truncated", standin.Behavior{Truncate: true}, http.StatusBadGateway, time.Second, 1},
+		{"failed", standin.Behavior{Fail: true}, http.StatusInternalServerError, time.Second, 1},
+		{"refused", standin.Behavior{Refuse: true}, http.StatusServiceUnavailable, time.Second, 0},
+		{"late", standin.Behavior{Hang: true}, http.StatusGatewayTimeout, 300 * time.Millisecond, 1},
+	} {
+		both(test.behavior)
+		a := f.ask(v, "POST", "/book/x", test.name, "one seat", test.wait)
+		f.Check(a.status, qt.Equals, test.status, qt.Commentf(test.name))
+		f.Check(runs(test.name), qt.Equals, test.wantsRuns, qt.Commentf(test.name))
+		f.Check(a.header.Get("Retry-After") != "", qt.Equals, test.status == http.StatusServiceUnavailable, qt.Commentf(test.name))
+	}
+}
+
+// Guards against an answer that is not the backend server's own: bytes that
+// follow a whole answer must not be taken for the next one.
+func TestBrokenAnswers(t *testing.T) {
+	f := newFixture(t)
+	b1 := f.backend("b1", "quotes", "the bytes")
+	f.store.Configure(1, single("quote", "quotes", "idempotent"))
+	v := f.start("vm1", true)
+	for i, behavior := range []standin.Behavior{{Extra: true}, {}, {Unframed: true}, {}, {Extra: true}, {Extra: true}} {
+		b1.SetBehavior(behavior)
+		id := fmt.Sprint("id-", i)
+		a := f.ask(v, "GET", "/quote/x", id, "", time.Second)
+		f.Check(a.status, qt.Equals, http.StatusOK, qt.Commentf("%d", i))
+		f.Check(a.body, qt.Equals, "the bytes", qt.Commentf("%d", i))
+		f.Check(a.header.Get("X-Server-Seal"), qt.Equals, b1.Signature(id), qt.Commentf("%d", i))
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// Guards against a shard whose server hangs deciding the latency of the query:
+// a hedge to its other server, or the answer without it in time.
+func TestSlowShard(t *testing.T) {
+	f := newFixture(t)
+	f.backend("a1", "shard-a", record('a'))
+	slow := f.backend("b1", "shard-b", record('b'))
+	other := f.backend("b2", "shard-b", record('b'))
+	f.store.Configure(1, scattered("find", 0.5, "shard-a", "shard-b"), scattered("all", 1, "shard-a", "shard-b"))
+	v := f.start("vm1", true)
+	slow.SetBehavior(standin.Behavior{Hang: true})
+	for i := range 6 {
+		start := time.Now()
+		a := f.ask(v, "GET", "/find/x", fmt.Sprint("id-", i), "", time.Second)
+		f.Check(a.status, qt.Equals, http.StatusOK)
+		f.Check(a.header.Get("X-Missing-Parts"), qt.Equals, "0")
+		f.Check(time.Since(start) < 100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(start)))
+	}
+	other.SetBehavior(standin.Behavior{Hang: true})
+	start := time.Now()
+	a := f.ask(v, "GET", "/find/x", "both", "", time.Second)
+	f.Check(a.status, qt.Equals, http.StatusOK)
+	f.Check(a.header.Get("X-Missing-Parts"), qt.Equals, "1")
+	f.Check(time.Since(start) < 100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(start)))
+	a = f.ask(v, "GET", "/all/x", "none", "", 400*time.Millisecond)
+	f.Check(a.status, qt.Equals, http.StatusGatewayTimeout)
+}
+
+// Guards against a request that cannot be served being held until its timeout.
+func TestNoBackendServer(t *testing.T) {
+	f := newFixture(t)
+	f.store.Configure(1, single("quote", "quotes", "idempotent"))
+	v := f.start("vm1", true)
+	start := time.Now()
+	a := f.ask(v, "GET", "/quote/x", "id", "", 2*time.Second)
+	f.Assert(a.status, qt.Equals, http.StatusServiceUnavailable)
+	f.Assert(time.Since(start) < 200*time.Millisecond, qt.IsTrue)
+}
+
+// Guards against configurations that come late, are skipped, or cannot be read.
+func TestConfigurationChanges(t *testing.T) {
+	f := newFixture(t)
+	f.backend("o1", "old", "old")
+	f.backend("n1", "new", "new")
+	f.store.Configure(1, single("r", "old", "idempotent"))
+	v := f.start("vm1", true)
+	f.Assert(f.ask(v, "GET", "/r/x", "id-1", "", time.Second).body, qt.Equals, "old")
+	for version := int64(2); version <= 12; version++ {
+		f.store.Configure(version, single("r", "new", "idempotent"), single(fmt.Sprint("added", version), "new", "idempotent"))
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.eventually(2*time.Second, "last version in force", func() bool { return f.ask(v, "GET", "/added12/x", "id", "", time.Second).status == http.StatusOK })
+	f.Assert(f.ask(v, "GET", "/r/x", "id-2", "", time.Second).body, qt.Equals, "new")
+	f.Assert(f.ask(v, "GET", "/added2/x", "id-3", "", time.Second).status, qt.Equals, http.StatusNotFound)
+	f.store.Put("op/config", []byte(`{"version":`))
+	time.Sleep(600 * time.Millisecond)
+	f.Assert(f.ask(v, "GET", "/r/x", "id-4", "", time.Second).body, qt.Equals, "new")
+	f.Assert(strings.Count(f.logs.String(), "configuration not taken"), qt.Equals, 1)
+}
+
+// Guards against work for a server that drains or has left, and against one
+// that stays away after its entry lapsed and came back.
+func TestServerLeaves(t *testing.T) {
+	f := newFixture(t)
+	leaving := f.backend("b1", "quotes", "leaving")
+	f.backend("b2", "quotes", "staying")
+	f.store.Configure(1, single("quote", "quotes", "idempotent"))
+	v := f.start("vm1", true)
+	after := func() (ran int) {
+		time.Sleep(500 * time.Millisecond)
+		before := len(leaving.Runs())
+		for i := range 20 {
+			f.Assert(f.ask(v, "GET", "/quote/x", fmt.Sprint("id-", i), "", time.Second).status, qt.Equals, http.StatusOK)
+		}
+		return len(leaving.Runs()) - before
+	}
+	leaving.Register(f.store, "draining")
+	f.Assert(after(), qt.Equals, 0)
+	leaving.Register(f.store, "ready")
+	f.Assert(after() > 0, qt.IsTrue)
+	f.store.Delete("servers/b1")
+	f.Assert(after(), qt.Equals, 0)
+}
+
+// Guards against a request that reaches another service at an address that is
+// used again.
+func TestAddressUsedAgain(t *testing.T) {
+	f := newFixture(t)
+	other := f.backend("x1", "other", "other")
+	f.backend("q1", "quotes", "right")
+	entryOf := func(id string, b *standin.Backend) {
+		value, err := json.Marshal(map[string]any{
+			"service": "quotes", "address": b.Address(), "zone": "attica-a", "version": "v1", "slots": 2, "state": "ready", "warmup_left_ms": 0, "sequence": 3,
+		})
+		f.Assert(err, qt.IsNil)
+		f.store.Put("servers/"+id, value)
+	}
+	entryOf("q2", other)
+	f.store.Configure(1, single("quote", "quotes", "idempotent"))
+	v := f.start("vm1", true)
+	for i := range 10 {
+		f.Assert(f.ask(v, "GET", "/quote/x", fmt.Sprint("id-", i), "", time.Second).body, qt.Equals, "right")
+	}
+	f.Assert(other.Runs(), qt.HasLen, 0)
+}
+
+// Guards against a VM that forgets everything while the store is away, and one
+// that starts meanwhile and cannot learn from the others.
+func TestStoreAway(t *testing.T) {
+	for _, fault := range []standin.Fault{standin.Busy, standin.Reset, standin.Silent, standin.LostReplies} {
+		t.Run(fmt.Sprint(int(fault)), func(t *testing.T) {
+			f := newFixture(t)
+			f.backend("q1", "quotes", "bytes")
+			f.store.Configure(1, single("quote", "quotes", "idempotent"))
+			v := f.start("vm1", true)
+			f.store.SetFault(fault)
+			second := f.start("vm2", true, v.settings.PeerAddress)
+			f.Assert(f.ask(v, "GET", "/quote/x", "id-1", "", time.Second).status, qt.Equals, http.StatusOK)
+			f.Assert(f.ask(second, "GET", "/quote/x", "id-2", "", time.Second).status, qt.Equals, http.StatusOK)
+			f.store.LapseAll()
+			f.store.SetFault(standin.Healthy)
+			f.store.Configure(2, single("moved", "quotes", "idempotent"))
+			for _, vm := range []*vm{v, second} {
+				f.eventually(3*time.Second, "version 2", func() bool { return f.ask(vm, "GET", "/moved/x", "id", "", time.Second).status == http.StatusOK })
+			}
+			f.eventually(4*time.Second, "both VMs registered", func() bool { return len(f.store.Items("briarstand/vms/")) == 2 })
+		})
+	}
+}
+
+// Guards against requests that are cut off while a VM stops, and against
+// callers that are still sent to it.
+func TestShutdown(t *testing.T) {
+	f := newFixture(t)
+	b := f.backend("q1", "quotes", "bytes")
+	b.SetBehavior(standin.Behavior{Work: 100 * time.Millisecond})
+	f.store.Configure(1, single("quote", "quotes", "idempotent"))
+	v, other := f.startWith("vm1", true, 6*time.Second), f.start("vm2", true)
+	kept := &http.Client{Timeout: 5 * time.Second}
+	defer kept.CloseIdleConnections()
+	stopped := time.Now()
+	v.stop()
+	var wg sync.WaitGroup
+	for i := range 30 {
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * 70 * time.Millisecond)
+			req, err := http.NewRequest("GET", "http://"+v.settings.CallerAddress+"/quote/x", nil)
+			f.Check(err, qt.IsNil)
+			req.Host = host
+			resp, err := kept.Do(req)
+			if f.Check(err, qt.IsNil) {
+				f.Check(resp.StatusCode, qt.Equals, http.StatusOK)
+				resp.Body.Close()
+			}
+		})
+	}
+	f.eventually(time.Second, "not ready", func() bool { return f.status(v, v.settings.ReadyAddress, "/readiness") == http.StatusServiceUnavailable })
+	f.eventually(time.Second, "others name it no more", func() bool {
+		resp, err := oneShot.Get("http://" + other.settings.ResolveAddress + "/resolve?zone=attica-a&region=attica")
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		data, err := io.ReadAll(resp.Body)
+		return err == nil && !strings.Contains(string(data), v.settings.CallerAddress) && strings.Contains(string(data), other.settings.CallerAddress)
+	})
+	wg.Wait()
+	err := <-v.done
+	v.done <- err
+	f.Assert(err, qt.IsNil)
+	f.Assert(time.Since(stopped) < v.settings.StopGrace, qt.IsTrue)
+}
+
+// Guards against work that goes on at backend servers after the caller left.
+func TestCallerLeaves(t *testing.T) {
+	f := newFixture(t)
+	b := f.backend("q1", "quotes", "bytes")
+	b.SetBehavior(standin.Behavior{Work: 3 * time.Second})
+	f.store.Configure(1, single("quote", "quotes", "non_idempotent"))
+	v := f.start("vm1", true)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	req := httptest.NewRequest("GET", "http://"+v.settings.CallerAddress+"/quote/x", nil).WithContext(ctx)
+	req.RequestURI, req.Host = "", host
+	start := time.Now()
+	_, err := oneShot.Do(req)
+	f.Assert(err, qt.IsNotNil)
+	f.eventually(700*time.Millisecond-time.Since(start), "request ended", func() bool { return strings.Contains(f.logs.String(), "caller_left") })
+}
--- a/forward/policy.go
+++ b/forward/policy.go
@@ -20,6 +20,9 @@
 	// HedgeLatest is the part of the time until an answer is due after which a
 	// hedge is sent in any case.
 	HedgeLatest float64
+	// RetryReserve is how many tokens of a service's budget hedges leave for
+	// retries: a hedge saves time, a retry saves a part.
+	RetryReserve float64
 	// TimeoutMargin is how long before the timeout of a route or the end of the
 	// caller's wait a request is given up.
 	TimeoutMargin time.Duration
@@ -36,6 +39,7 @@
 		HedgeMin:      4 * time.Millisecond,
 		HedgeFallback: 35 * time.Millisecond,
 		HedgeLatest:   0.5,
+		RetryReserve:  0.5,
 		TimeoutMargin: 20 * time.Millisecond,
 		RetryAfter:    200 * time.Millisecond,
 	}
--- a/forward/run.go
+++ b/forward/run.go
@@ -189,7 +189,7 @@
 			continue
 		}
 		l.hedgeAt = 0
-		if !r.hasOther(l) || !r.engine.budget(l.service).TakeSpare() {
+		if !r.hasOther(l) || !r.engine.budget(l.service).TakeKeeping(r.engine.cfg.Policy.RetryReserve) {
 			continue
 		}
 		if r.send(i) {
--- a/limit/budget.go
+++ b/limit/budget.go
@@ -106,17 +106,35 @@
 // hedges of sub-requests that are hardly late.
 func (b *Budget) TakeAmple() bool { return b.take(4) }
 
+// TakeKeeping is Take where at least keep tokens remain. Hedges use it with a
+// shared budget, whose burst is only a few tokens.
+func (b *Budget) TakeKeeping(keep float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.takeAbove(b.refill(), int64(keep*tokenUnit))
+}
+
 // take removes a token if that leaves the bucket at (part-1)/part of its
 // highest level or above.
 func (b *Budget) take(part int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	burst := b.refill()
+	return b.takeAbove(burst, burst*(part-1)/part)
+}
+
+// refill brings the level up to date and returns the highest level.
+func (b *Budget) refill() (burst int64) {
 	now := time.Now()
 	b.advance(now)
-	burst := b.burst(now)
+	return b.burst(now)
+}
+
+// takeAbove removes a token if that leaves at least keep thousandths.
+func (b *Budget) takeAbove(burst, keep int64) bool {
 	// A level gained under high load must not outlast that load.
 	b.level = min(b.level, burst)
-	if b.level < tokenUnit+burst*(part-1)/part {
+	if b.level < tokenUnit+keep {
 		return false
 	}
 	b.level -= tokenUnit
