Test the decisions of the HTTP path

Cause: routing, discovery, budgets, schedules and merging had no tests. Found by TestRegistryRules: a server that was forgotten while it drained and then listed as draining again got work for another two seconds; one that was never seen ready now gets none. Found by TestAsyncWriterNeverBlocks: lines dropped last were not reported.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -172,15 +172,18 @@
 // next returns the conclusion about a listed server.
 func (r *Registry) next(old *member, s Server, now time.Time) *member {
 	m := &member{server: s, status: Ready}
+	known := old != nil && old.server.sameRun(s)
 	if s.Draining {
-		m.status = Leaving
-		m.until = now.Add(r.cfg.LastResort)
-	}
-	if old != nil && old.server.sameRun(s) {
-		m.backend = old.backend
-		if old.status == Leaving && m.status == Leaving {
+		// Nobody knows for how long a server has drained that was not seen ready.
+		m.status, m.until = Leaving, now
+		if known && old.status == Ready {
+			m.until = now.Add(r.cfg.LastResort)
+		} else if known {
 			m.until = old.until
 		}
+	}
+	if known {
+		m.backend = old.backend
 		return m
 	}
 	b := s.Backend
--- /dev/null
+++ b/discovery/discovery_test.go
@@ -0,0 +1,111 @@
+package discovery
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/briarstand/briarstand/config"
+)
+
+const hold = 2 * time.Second
+
+var start = time.Unix(1000, 0)
+
+func server(id string, draining bool, startedMS int64) Server {
+	return Server{Backend: config.Backend{ID: id, Address: "10.0.0.1:1", Draining: draining}, Service: "s", StartedMS: startedMS}
+}
+
+func ids(backends []*config.Backend) []string {
+	got := []string{}
+	for _, b := range backends {
+		got = append(got, b.ID)
+	}
+	return got
+}
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// Guards against work for a server that drains or is gone while its service has
+// another, and against none at all where it is the last one for a short time.
+func TestLeavingAndLapsed(t *testing.T) {
+	c := qt.New(t)
+	r := NewRegistry(Config{LastResort: hold})
+	r.Update(map[string]Server{"a": server("a", false, 1), "b": server("b", false, 1)}, start)
+	c.Assert(ids(r.Replicas("s").Usable(start)), qt.DeepEquals, []string{"a", "b"})
+	r.Update(map[string]Server{"a": server("a", true, 1), "b": server("b", false, 1)}, at(time.Second))
+	c.Assert(ids(r.Replicas("s").Usable(at(time.Second))), qt.DeepEquals, []string{"b"})
+	r.Update(map[string]Server{"a": server("a", true, 1)}, at(1500*time.Millisecond))
+	c.Assert(ids(r.Replicas("s").Usable(at(1600*time.Millisecond))), qt.DeepEquals, []string{"a", "b"})
+	c.Assert(ids(r.Replicas("s").Usable(at(3100*time.Millisecond))), qt.DeepEquals, []string{"b"}, qt.Commentf("a drains since 1 s"))
+	c.Assert(ids(r.Replicas("s").Usable(at(3600*time.Millisecond))), qt.HasLen, 0)
+	_, usable := r.Usable("b", at(3600*time.Millisecond))
+	c.Assert(usable, qt.IsFalse)
+}
+
+// Guards against a drain that starts anew with each record of the server, so
+// that it would get work for as long as it reports.
+func TestDrainIsNotExtended(t *testing.T) {
+	c := qt.New(t)
+	r := NewRegistry(Config{LastResort: hold})
+	for d := time.Duration(0); d <= 3*time.Second; d += 100 * time.Millisecond {
+		r.Update(map[string]Server{"a": server("a", true, 1)}, at(d))
+	}
+	c.Assert(ids(r.Replicas("s").Usable(at(hold))), qt.HasLen, 0)
+}
+
+// Guards against connections of an earlier run being used for a server that
+// came back under its old id, and against new ones for one that only lapsed.
+func TestRuns(t *testing.T) {
+	c := qt.New(t)
+	r := NewRegistry(Config{LastResort: hold})
+	r.Update(map[string]Server{"a": server("a", false, 1)}, start)
+	first := r.Replicas("s").Ready[0]
+	r.Update(map[string]Server{}, at(time.Second))
+	r.Update(map[string]Server{"a": server("a", false, 1)}, at(2*time.Second))
+	c.Assert(r.Replicas("s").Ready[0] == first, qt.IsTrue)
+	r.Update(map[string]Server{"a": server("a", false, 2)}, at(3*time.Second))
+	c.Assert(r.Replicas("s").Ready[0] == first, qt.IsFalse)
+}
+
+// Guards the rules of use over any sequence of records: a server that is not
+// ready is never used beside a ready one, nor longer than the bound.
+func TestRegistryRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := NewRegistry(Config{LastResort: hold})
+		now := start
+		since := map[string]time.Time{} // when a server was last listed as ready
+		for range 50 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			listed := map[string]Server{}
+			ready := 0
+			for _, id := range []string{"a", "b", "c"} {
+				switch rapid.IntRange(0, 2).Draw(t, id) {
+				case 0:
+					listed[id] = server(id, false, 1)
+					ready++
+				case 1:
+					listed[id] = server(id, true, 1)
+				}
+			}
+			for id, s := range listed {
+				if !s.Draining {
+					since[id] = now
+				}
+			}
+			r.Update(listed, now)
+			later := now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "later")) * time.Millisecond)
+			usable := r.Replicas("s").Usable(later)
+			if ready > 0 && len(usable) != ready {
+				t.Fatalf("%d ready, %d usable", ready, len(usable))
+			}
+			for _, b := range usable {
+				if s, ok := listed[b.ID]; (!ok || s.Draining) && later.Sub(since[b.ID]) > hold+1500*time.Millisecond {
+					t.Fatalf("%s used %v after it was last ready", b.ID, later.Sub(since[b.ID]))
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/forward/policy_test.go
@@ -0,0 +1,61 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/briarstand/briarstand/route"
+)
+
+// Guards against answers that miss the goal although enough parts were in, and
+// requests that are held past the caller's wait or the route's timeout.
+func TestSchedule(t *testing.T) {
+	p := DefaultPolicy()
+	for _, test := range []struct {
+		goal, timeout, wait, answerBy, giveUp time.Duration
+	}{
+		{100 * time.Millisecond, time.Second, time.Second, 85 * time.Millisecond, 980 * time.Millisecond},
+		{100 * time.Millisecond, time.Second, 60 * time.Millisecond, 54 * time.Millisecond, 54 * time.Millisecond},
+		{20 * time.Millisecond, time.Second, 0, 10 * time.Millisecond, 980 * time.Millisecond},
+		{0, 500 * time.Millisecond, 2 * time.Second, 480 * time.Millisecond, 480 * time.Millisecond},
+		{0, 0, 0, defaultTimeout - 20*time.Millisecond, defaultTimeout - 20*time.Millisecond},
+	} {
+		s := p.Schedule(&route.Route{Goal: test.goal, Timeout: test.timeout}, test.wait)
+		qt.Check(t, s, qt.Equals, Schedule{AnswerBy: test.answerBy, GiveUp: test.giveUp})
+	}
+}
+
+// Guards against hedges that come too late to help, and too early to be needed.
+func TestHedgeDelay(t *testing.T) {
+	p := DefaultPolicy()
+	answerBy := 80 * time.Millisecond
+	qt.Check(t, p.HedgeDelay(0, false, answerBy), qt.Equals, p.HedgeFallback)
+	qt.Check(t, p.HedgeDelay(12*time.Millisecond, true, answerBy), qt.Equals, 12*time.Millisecond)
+	qt.Check(t, p.HedgeDelay(time.Millisecond, true, answerBy), qt.Equals, p.HedgeMin)
+	qt.Check(t, p.HedgeDelay(300*time.Millisecond, true, answerBy), qt.Equals, 40*time.Millisecond)
+}
+
+// Guards against a second run of a request that is not idempotent.
+func TestMayRepeat(t *testing.T) {
+	once := &route.Route{MaxAttempts: 2}
+	again := &route.Route{MaxAttempts: 2, Idempotent: true}
+	for _, test := range []struct {
+		name      string
+		route     *route.Route
+		end       attemptEnd
+		sent, ran int
+		want      bool
+	}{
+		{"lost, not idempotent", once, endMayHaveRun, 1, 1, false},
+		{"refused, not idempotent", once, endNotRun, 1, 0, true},
+		{"lost, idempotent", again, endMayHaveRun, 1, 1, true},
+		{"lost twice", again, endMayHaveRun, 2, 2, false},
+		{"refused and lost", again, endMayHaveRun, 2, 1, true},
+		{"refused three times", again, endNotRun, 3, 0, false},
+		{"served", again, endServed, 1, 1, false},
+	} {
+		qt.Check(t, mayRepeat(test.route, test.end, test.sent, test.ran), qt.Equals, test.want, qt.Commentf(test.name))
+	}
+}
--- /dev/null
+++ b/limit/share_test.go
@@ -0,0 +1,72 @@
+package limit
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards the allowance that all VMs share: in any window, VMs that hedge and
+// retry as much as they can stay below it, also where some of them start anew.
+func TestSharedBudgetStaysInAllowance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		const (
+			vms      = 18
+			slack    = 126.0
+			permille = 160
+			window   = 10 * time.Second
+			step     = 100 * time.Millisecond
+			perStep  = 1 // requests to the service per VM and step
+		)
+		share := Share{Burst: slack / vms * 0.8 * 0.6, PerSecond: slack / vms * 0.8 * 0.4 / window.Seconds()}
+		budgets := make([]*Budget, vms)
+		for i := range budgets {
+			budgets[i] = NewSharedBudget(permille, share)
+		}
+		var extras, requests []int
+		for n := range 600 {
+			if n == 300 { // all are replaced at once
+				for i := range budgets {
+					budgets[i] = NewSharedBudget(permille, share)
+				}
+			}
+			taken := 0
+			for _, b := range budgets {
+				b.Sent(perStep)
+				taken += takeAll(b)
+			}
+			extras, requests = append(extras, taken), append(requests, vms*perStep)
+			time.Sleep(step)
+		}
+		size := int(window / step)
+		for from := 0; from+size <= len(extras); from++ {
+			sumExtras, sumRequests := 0, 0
+			for i := from; i < from+size; i++ {
+				sumExtras += extras[i]
+				sumRequests += requests[i]
+			}
+			c.Assert(float64(sumExtras) <= 0.2*float64(sumRequests)+slack, qt.IsTrue, qt.Commentf("%d extra for %d from %d", sumExtras, sumRequests, from))
+		}
+	})
+}
+
+// Guards against hedges that leave no token for a retry.
+func TestTakeKeeping(t *testing.T) {
+	c := qt.New(t)
+	b := NewSharedBudget(0, Share{Burst: 4})
+	c.Assert(b.TakeKeeping(1), qt.IsTrue)
+	c.Assert(b.TakeKeeping(1), qt.IsFalse)
+	c.Assert(b.Take(), qt.IsTrue)
+	c.Assert(b.Take(), qt.IsFalse)
+}
+
+// Guards against a level above the share of a fleet that has grown.
+func TestSetShare(t *testing.T) {
+	c := qt.New(t)
+	b := NewSharedBudget(0, Share{Burst: 10})
+	b.SetShare(Share{Burst: 2})
+	c.Assert(takeAll(b), qt.Equals, 2)
+}
--- a/telemetry/async.go
+++ b/telemetry/async.go
@@ -40,15 +40,15 @@
 	defer close(a.done)
 	reported := uint64(0)
 	for line := range a.queue {
-		if line == nil {
-			return
-		}
 		// There is no place to report that the log itself cannot be written.
 		_, _ = w.Write(line)
 		if n := a.dropped.Load(); n != reported && len(a.queue) == 0 {
 			_, _ = fmt.Fprintf(w, "{\"level\":\"warn\",\"msg\":\"log lines dropped\",\"total\":%d}\n", n)
 			reported = n
 		}
+		if line == nil {
+			return
+		}
 	}
 }
 
