Test connections, attempts and the relay against failing peers

Cause: the transport, the engine and the relay had no tests of their own. Ruled out: TestConnectionLimit failed once because the waiting attempt and the two that held connections ended in the same moment, so that it dialled with no time left; it was not sent, as it said. The test now ends it first.

--- /dev/null
+++ b/forward/engine_test.go
@@ -0,0 +1,301 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/briarstand/briarstand/balance"
+	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/discovery"
+	"github.com/briarstand/briarstand/limit"
+	"github.com/briarstand/briarstand/relay"
+	"github.com/briarstand/briarstand/route"
+	"github.com/briarstand/briarstand/upstream"
+)
+
+// behavior says how a fake backend server answers an attempt.
+type behavior struct {
+	after   time.Duration // never if negative
+	verdict upstream.Verdict
+	unsent  bool
+}
+
+// fakeTransport answers attempts on the clock of the test.
+type fakeTransport struct {
+	mu        sync.Mutex
+	behaviors map[string]behavior
+	sent      []string
+	abandoned int
+	wg        sync.WaitGroup
+}
+
+type fakeCall struct {
+	once sync.Once
+	done chan struct{}
+}
+
+func (c *fakeCall) Abandon() { c.once.Do(func() { close(c.done) }) }
+
+func (f *fakeTransport) Free(*config.Backend) bool { return true }
+
+func (f *fakeTransport) Send(b *config.Backend, _ *upstream.Request, deadline time.Time, tag int, results chan<- upstream.Result) upstream.Attempt {
+	f.mu.Lock()
+	do, ok := f.behaviors[b.ID]
+	f.sent = append(f.sent, b.ID)
+	f.mu.Unlock()
+	if !ok {
+		do = behavior{after: 8 * time.Millisecond, verdict: upstream.Served}
+	}
+	call := &fakeCall{done: make(chan struct{})}
+	f.wg.Go(func() { results <- f.end(b, do, deadline, tag, call) })
+	return call
+}
+
+func (f *fakeTransport) end(b *config.Backend, do behavior, deadline time.Time, tag int, call *fakeCall) upstream.Result {
+	after := do.after
+	if after < 0 || after > time.Until(deadline) {
+		after = time.Until(deadline)
+		do.verdict = 0
+	}
+	select {
+	case <-time.After(after):
+	case <-call.done:
+		f.mu.Lock()
+		f.abandoned++
+		f.mu.Unlock()
+		do.verdict = 0
+	}
+	if do.unsent {
+		return upstream.Result{Tag: tag, Err: &upstream.UnsentError{Backend: b.ID, Err: io.EOF}}
+	}
+	if do.verdict == 0 {
+		return upstream.Result{Tag: tag, Err: &upstream.BrokenError{Backend: b.ID, Err: io.EOF}}
+	}
+	return upstream.Result{Tag: tag, Reply: &upstream.Reply{
+		Status: 200, Verdict: do.verdict, Signature: b.ID, Body: []byte(strings.Repeat(b.ID[len(b.ID)-1:], topkRecord)),
+	}}
+}
+
+const topkRecord = 16
+
+// shards returns a registry with two replicas of each of n shards.
+func shards(n int) (*discovery.Registry, []string) {
+	r := discovery.NewRegistry(discovery.Config{LastResort: time.Second})
+	listed := map[string]discovery.Server{}
+	var services []string
+	for i := range n {
+		service := fmt.Sprintf("s%02d", i)
+		services = append(services, service)
+		for _, replica := range []string{"a", "b"} {
+			id := service + replica
+			listed[id] = discovery.Server{Backend: config.Backend{ID: id, Zone: replica}, Service: service}
+		}
+	}
+	r.Update(listed, time.Now())
+	return r, services
+}
+
+func newTestEngine(f *fakeTransport, r Replicas, share limit.Share, far Relay) *Engine {
+	e := NewEngine(Config{
+		Transport: f, Replicas: r, Picker: balance.NewPicker(balance.Config{}), Latencies: balance.NewLatencies(balance.LatencyConfig{}),
+		Policy: DefaultPolicy(), BudgetPermille: 160, Logger: log.New(io.Discard), Relay: far,
+	})
+	e.SetShare(share)
+	return e
+}
+
+func query(services []string, minCoverage float64) Job {
+	return Job{
+		Route: &route.Route{
+			Name: "find", Idempotent: true, Shards: services, Goal: 100 * time.Millisecond, Timeout: time.Second,
+			MaxAttempts: 2, Limit: 100, MinCoverage: minCoverage,
+		},
+		Request: &upstream.Request{ID: "1"}, Wait: time.Second, Arrived: time.Now(),
+	}
+}
+
+// Guards the load of pauses: with a replica of some shards silent, a query is
+// answered whole and in time through hedges, and each silent replica costs one.
+func TestHedgesAgainstPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		registry, services := shards(20)
+		f := &fakeTransport{behaviors: map[string]behavior{}}
+		for _, s := range services[:5] {
+			f.behaviors[s+"a"] = behavior{after: 120 * time.Millisecond, verdict: upstream.Served}
+		}
+		e := newTestEngine(f, registry, limit.Share{Burst: 10, PerSecond: 10}, nil)
+		for range 50 {
+			start := time.Now()
+			a := e.Run(context.Background(), query(services, 0.89))
+			c.Assert(a.Outcome, qt.Equals, Answered)
+			c.Assert(a.Missing, qt.Equals, 0)
+			c.Assert(time.Since(start) < 85*time.Millisecond, qt.IsTrue)
+			c.Assert(a.Hedges <= 5, qt.IsTrue)
+			time.Sleep(200 * time.Millisecond)
+		}
+		f.wg.Wait()
+	})
+}
+
+// Guards the load of lost shards: enough parts are answered at the goal, too few
+// are not passed off as an answer, and a query that cannot reach enough is
+// refused at once.
+func TestLostShards(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		registry, services := shards(20)
+		f := &fakeTransport{behaviors: map[string]behavior{}}
+		silent := func(n int) {
+			for _, s := range services[:n] {
+				f.behaviors[s+"a"], f.behaviors[s+"b"] = behavior{after: -1}, behavior{after: -1}
+			}
+		}
+		e := newTestEngine(f, registry, limit.Share{Burst: 100}, nil)
+		silent(2)
+		start := time.Now()
+		a := e.Run(context.Background(), query(services, 0.89))
+		c.Assert(a.Outcome, qt.Equals, Answered)
+		c.Assert(a.Missing, qt.Equals, 2)
+		c.Assert(a.Signatures, qt.HasLen, 18)
+		c.Assert(len(a.Body), qt.Equals, 18*topkRecord)
+		c.Assert(time.Since(start), qt.Equals, 85*time.Millisecond)
+		silent(3)
+		a = e.Run(context.Background(), query(services, 0.89))
+		c.Assert(a.Outcome, qt.Equals, Unanswered)
+		f.wg.Wait()
+
+		registry, _ = shards(17)
+		start = time.Now()
+		a = newTestEngine(f, registry, limit.Share{Burst: 100}, nil).Run(context.Background(), query(services, 0.89))
+		c.Assert(a.Outcome, qt.Equals, Refused)
+		c.Assert(time.Since(start), qt.Equals, time.Duration(0))
+	})
+}
+
+// Guards the budget: with nothing left, failures and late replies cause no
+// further attempts.
+func TestEmptyBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		registry, services := shards(20)
+		f := &fakeTransport{behaviors: map[string]behavior{}}
+		for _, s := range services {
+			f.behaviors[s+"a"] = behavior{after: time.Millisecond, verdict: upstream.Failed}
+			f.behaviors[s+"b"] = behavior{after: 50 * time.Millisecond, verdict: upstream.Served}
+		}
+		e := newTestEngine(f, registry, limit.Share{Burst: 0.5}, nil)
+		a := e.Run(context.Background(), query(services, 0.05))
+		c.Assert(a.Attempts, qt.Equals, 20)
+		f.wg.Wait()
+	})
+}
+
+// Guards against work for a caller that has left.
+func TestCallerLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		registry, services := shards(4)
+		f := &fakeTransport{behaviors: map[string]behavior{}}
+		for _, s := range services {
+			f.behaviors[s+"a"], f.behaviors[s+"b"] = behavior{after: -1}, behavior{after: -1}
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+		defer cancel()
+		a := newTestEngine(f, registry, limit.Share{Burst: 100}, nil).Run(ctx, query(services, 1))
+		c.Assert(a.Outcome, qt.Equals, CallerLeft)
+		f.wg.Wait()
+		c.Assert(f.abandoned, qt.Equals, len(f.sent))
+	})
+}
+
+// fakeRelay sends the backends of zone "b" through a relay that answers as told.
+type fakeRelay struct {
+	transport *fakeTransport
+	silent    bool
+	groups    int
+}
+
+func (r *fakeRelay) Region(b *config.Backend) string {
+	if b.Zone == "b" {
+		return "far"
+	}
+	return ""
+}
+
+func (r *fakeRelay) Overhead(string) time.Duration { return 16 * time.Millisecond }
+
+func (r *fakeRelay) Send(_ string, g *relay.Group, results chan<- upstream.Result) upstream.Attempt {
+	r.groups++
+	call := &fakeCall{done: make(chan struct{})}
+	r.transport.wg.Go(func() {
+		if r.silent {
+			<-call.done
+			for _, tag := range g.Tags {
+				results <- upstream.Result{Tag: tag, Err: &upstream.BrokenError{Err: io.EOF}}
+			}
+			return
+		}
+		// The last part comes in a second batch.
+		var merged []upstream.Result
+		var body []byte
+		for i, tag := range g.Tags[:len(g.Tags)-1] {
+			merged = append(merged, upstream.Result{Tag: tag, Reply: &upstream.Reply{Verdict: upstream.Served, Signature: g.Backends[i].ID}})
+			body = append(body, strings.Repeat("r", topkRecord)...)
+		}
+		merged[0].Reply.Body = body
+		merged[0].Group = merged[1:]
+		time.Sleep(25 * time.Millisecond)
+		results <- merged[0]
+		time.Sleep(15 * time.Millisecond)
+		last := len(g.Tags) - 1
+		results <- upstream.Result{Tag: g.Tags[last], Reply: &upstream.Reply{
+			Verdict: upstream.Served, Signature: g.Backends[last].ID, Body: []byte(strings.Repeat("r", topkRecord)),
+		}}
+	})
+	return call
+}
+
+// Guards an answer through a relay: each part counts once, and the records are
+// those of the parts that are named, also where a hedge answered a part first.
+func TestRelayedParts(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			registry, services := shards(20)
+			f := &fakeTransport{behaviors: map[string]behavior{}}
+			far := &fakeRelay{transport: f, silent: silent}
+			e := newTestEngine(f, registry, limit.Share{Burst: 100, PerSecond: 100}, far)
+			for range 20 {
+				job := query(services, 0.89)
+				a := e.Run(context.Background(), job)
+				c.Assert(a.Outcome, qt.Equals, Answered)
+				c.Assert(a.Missing, qt.Equals, 0)
+				c.Assert(time.Since(job.Arrived) < 85*time.Millisecond, qt.IsTrue)
+				named := map[string]bool{}
+				for _, s := range a.Signatures {
+					named[s[:3]] = true
+				}
+				c.Assert(named, qt.HasLen, 20)
+				c.Assert(len(a.Body), qt.Equals, 20*topkRecord)
+				// The records are those of the replicas that are named: "r"
+				// stands for a relayed part and the last letter for others.
+				direct := slices.DeleteFunc(slices.Clone(a.Signatures), func(s string) bool { return strings.HasSuffix(s, "b") })
+				c.Assert(strings.Count(string(a.Body), strings.Repeat("a", topkRecord)), qt.Equals, len(direct))
+				time.Sleep(100 * time.Millisecond)
+			}
+			c.Assert(far.groups > 0, qt.IsTrue)
+			f.wg.Wait()
+		})
+	}
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -22,7 +22,7 @@
 
 // Transport sends attempts; upstream.Client implements it.
 type Transport interface {
-	Send(b *config.Backend, req *upstream.Request, deadline time.Time, tag int, results chan<- upstream.Result) *upstream.Call
+	relay.Transport
 	Free(b *config.Backend) bool
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -76,7 +76,7 @@
 
 // Transport sends attempts at the relay; upstream.Client implements it.
 type Transport interface {
-	Send(b *config.Backend, req *upstream.Request, deadline time.Time, tag int, results chan<- upstream.Result) *upstream.Call
+	Send(b *config.Backend, req *upstream.Request, deadline time.Time, tag int, results chan<- upstream.Result) upstream.Attempt
 }
 
 // Backends finds the backend server with an id that may get work; it is
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,206 @@
+package relay
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/membership"
+	"github.com/briarstand/briarstand/topk"
+	"github.com/briarstand/briarstand/upstream"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeTransport answers by the id of the backend server: "late", "refuse",
+// "lost", "hang", or at once.
+type fakeTransport struct {
+	mu        sync.Mutex
+	sent      []string
+	abandoned int
+}
+
+type fakeCall struct {
+	once sync.Once
+	done chan struct{}
+}
+
+func (c *fakeCall) Abandon() { c.once.Do(func() { close(c.done) }) }
+
+func record(id string) []byte { return []byte(strings.Repeat(id[:1], topk.RecordSize)) }
+
+func (f *fakeTransport) Send(b *config.Backend, _ *upstream.Request, _ time.Time, tag int, results chan<- upstream.Result) upstream.Attempt {
+	f.mu.Lock()
+	f.sent = append(f.sent, b.ID)
+	f.mu.Unlock()
+	call := &fakeCall{done: make(chan struct{})}
+	go func() {
+		served := &upstream.Reply{Verdict: upstream.Served, Signature: "sig-" + b.ID, Body: record(b.ID)}
+		switch b.ID {
+		case "late":
+			time.Sleep(100 * time.Millisecond)
+		case "refuse":
+			results <- upstream.Result{Tag: tag, Reply: &upstream.Reply{Verdict: upstream.NotRun}}
+			return
+		case "lost":
+			results <- upstream.Result{Tag: tag, Err: &upstream.BrokenError{Backend: b.ID, Err: io.EOF}}
+			return
+		case "hang":
+			<-call.done
+			f.mu.Lock()
+			f.abandoned++
+			f.mu.Unlock()
+			results <- upstream.Result{Tag: tag, Err: &upstream.BrokenError{Backend: b.ID, Err: io.EOF}}
+			return
+		}
+		results <- upstream.Result{Tag: tag, Reply: served}
+	}()
+	return call
+}
+
+type anyBackend struct{}
+
+func (anyBackend) Usable(id string, _ time.Time) (*config.Backend, bool) {
+	return &config.Backend{ID: id}, id != "gone"
+}
+
+// relayed starts a relay and returns a client that uses it.
+func relayed(t *testing.T, handler http.Handler) *Client {
+	web := httptest.NewServer(handler)
+	client := NewClient("self", "near", map[string]string{"z": "far"})
+	client.SetMembers([]membership.Member{{ID: "vm", Region: "far", PeerAddress: web.Listener.Addr().String(), State: membership.Alive}})
+	t.Cleanup(func() {
+		client.http.CloseIdleConnections()
+		web.CloseClientConnections()
+		web.Close()
+	})
+	return client
+}
+
+func newHandler(f *fakeTransport) *Handler {
+	return &Handler{Transport: f, Backends: anyBackend{}, Logger: log.New(io.Discard)}
+}
+
+func group(ids ...string) *Group {
+	g := &Group{Request: &upstream.Request{ID: "1"}, Limit: 10, Deadline: time.Now().Add(2 * time.Second), Flush: 20 * time.Millisecond}
+	for i, id := range ids {
+		g.Backends = append(g.Backends, &config.Backend{ID: id, Zone: "z"})
+		g.Tags = append(g.Tags, 100+i)
+	}
+	return g
+}
+
+// Guards a whole exchange: what is in comes together and in time, a late part
+// comes by itself, and refusals keep their meaning.
+func TestExchange(t *testing.T) {
+	c := qt.New(t)
+	f := &fakeTransport{}
+	client := relayed(t, newHandler(f))
+	c.Assert(client.Region(&config.Backend{Zone: "z"}), qt.Equals, "far")
+	results := make(chan upstream.Result, 10)
+	start := time.Now()
+	client.Send("far", group("a", "late", "b", "refuse", "lost", "gone"), results)
+	first := <-results
+	c.Assert(time.Since(start) < 80*time.Millisecond, qt.IsTrue)
+	byTag := map[int]upstream.Result{}
+	body := ""
+	for _, r := range append(first.Group, first) {
+		byTag[r.Tag] = r
+		if r.Reply != nil {
+			body += string(r.Reply.Body)
+		}
+	}
+	c.Assert(byTag, qt.HasLen, 5)
+	c.Assert(body, qt.Equals, string(record("b"))+string(record("a")))
+	c.Assert(byTag[100].Reply.Signature, qt.Equals, "sig-a")
+	c.Assert(byTag[103].Reply.Verdict, qt.Equals, upstream.NotRun)
+	c.Assert(upstream.NotSent(byTag[104].Err), qt.IsFalse)
+	c.Assert(upstream.NotSent(byTag[105].Err), qt.IsTrue)
+	late := <-results
+	c.Assert(late.Tag, qt.Equals, 101)
+	c.Assert(string(late.Reply.Body), qt.Equals, string(record("late")))
+	c.Assert(f.sent, qt.ContentEquals, []string{"a", "late", "b", "refuse", "lost"})
+}
+
+// Guards against work that goes on at the relay after the origin has left.
+func TestAbandoned(t *testing.T) {
+	c := qt.New(t)
+	f := &fakeTransport{}
+	client := relayed(t, newHandler(f))
+	results := make(chan upstream.Result, 10)
+	attempt := client.Send("far", group("hang", "hang"), results)
+	time.Sleep(50 * time.Millisecond)
+	attempt.Abandon()
+	for range 2 {
+		c.Assert((<-results).Err, qt.IsNotNil)
+	}
+	end := time.Now().Add(time.Second)
+	for time.Now().Before(end) {
+		f.mu.Lock()
+		n := f.abandoned
+		f.mu.Unlock()
+		if n == 2 {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("attempts still run at the relay")
+}
+
+// Guards against attempts without an end when a relay fails, "not sent" for
+// those that may have run, and the use of a relay that has just failed.
+func TestFailingRelay(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		handler http.HandlerFunc
+		unsent  bool
+	}{
+		{"refuses", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }, true},
+		{"breaks off", func(w http.ResponseWriter, _ *http.Request) {
+			_ = json.NewEncoder(w).Encode(batch{Parts: []part{{Index: 1, Verdict: upstream.Served, Signature: "s"}}})
+		}, false},
+		{"no answer", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			client := relayed(t, test.handler)
+			results := make(chan upstream.Result, 10)
+			client.Send("far", group("a", "b"), results)
+			failed := 0
+			for range 2 {
+				if res := <-results; res.Err != nil {
+					failed++
+					c.Assert(upstream.NotSent(res.Err), qt.Equals, test.unsent, qt.Commentf("%v", res.Err))
+				}
+			}
+			c.Assert(failed > 0, qt.IsTrue)
+			time.Sleep(10 * time.Millisecond)
+			c.Assert(client.Region(&config.Backend{Zone: "z"}), qt.Equals, "")
+			client.Send("far", group("a"), results)
+			c.Assert(errors.Is((<-results).Err, ErrNoRelay), qt.IsTrue)
+		})
+	}
+}
+
+// Guards against a VM that leaves, or one of the same region, being a relay.
+func TestRelays(t *testing.T) {
+	c := qt.New(t)
+	client := NewClient("self", "near", map[string]string{"z": "far", "y": "near"})
+	client.SetMembers([]membership.Member{
+		{ID: "leaving", Region: "far", PeerAddress: "a:1", State: membership.Leaving},
+		{ID: "here", Region: "near", PeerAddress: "b:1", State: membership.Alive},
+	})
+	c.Assert(client.Region(&config.Backend{Zone: "z"}), qt.Equals, "")
+	c.Assert(client.Region(&config.Backend{Zone: "y"}), qt.Equals, "")
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -62,7 +62,7 @@
 	handler *Handler
 	req     *request
 	start   time.Time
-	calls   []*upstream.Call
+	calls   []upstream.Attempt
 	ended   []bool
 	open    int
 	results chan upstream.Result
@@ -75,7 +75,7 @@
 func (s *session) sendAll() {
 	deadline := s.start.Add(time.Duration(s.req.LeftMS) * time.Millisecond)
 	req := &upstream.Request{Method: s.req.Method, Head: s.req.Head, Body: s.req.Body, ID: s.req.ID}
-	s.calls, s.ended = make([]*upstream.Call, len(s.req.Backends)), make([]bool, len(s.req.Backends))
+	s.calls, s.ended = make([]upstream.Attempt, len(s.req.Backends)), make([]bool, len(s.req.Backends))
 	for i, id := range s.req.Backends {
 		b, ok := s.handler.Backends.Usable(id, s.start)
 		if !ok {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -153,9 +153,9 @@
 	return newConn(nc), nil
 }
 
-// Call is one attempt in progress.
-type Call struct {
-	Backend *config.Backend
+// call is one attempt in progress.
+type call struct {
+	backend *config.Backend
 	ctx     context.Context
 	cancel  context.CancelFunc
 	grace   time.Duration
@@ -164,9 +164,8 @@
 	gaveUp  bool
 }
 
-// Abandon says that the reply is no longer needed. An attempt that was not
-// written is dropped; otherwise the reply is read for a short time.
-func (a *Call) Abandon() {
+// Abandon implements Attempt. An attempt that was not written is dropped; otherwise the reply is read for a short time.
+func (a *call) Abandon() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.gaveUp {
@@ -182,7 +181,7 @@
 }
 
 // start hands the connection to the attempt, unless it was abandoned.
-func (a *Call) start(conn *conn, deadline time.Time) bool {
+func (a *call) start(conn *conn, deadline time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.gaveUp {
@@ -194,7 +193,7 @@
 }
 
 // finish takes the connection back from the attempt.
-func (a *Call) finish() {
+func (a *call) finish() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.conn = nil
@@ -202,19 +201,19 @@
 
 // Send starts an attempt. The result arrives at results exactly once, also
 // after Abandon; results must have room for it.
-func (c *Client) Send(b *config.Backend, req *Request, deadline time.Time, tag int, results chan<- Result) *Call {
+func (c *Client) Send(b *config.Backend, req *Request, deadline time.Time, tag int, results chan<- Result) Attempt {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	call := &Call{Backend: b, ctx: ctx, cancel: cancel, grace: c.cfg.ReplyGrace}
+	a := &call{backend: b, ctx: ctx, cancel: cancel, grace: c.cfg.ReplyGrace}
 	go func() {
 		defer cancel()
-		reply, err := c.attempt(call, req, deadline)
+		reply, err := c.attempt(a, req, deadline)
 		results <- Result{Tag: tag, Reply: reply, Err: err}
 	}()
-	return call
+	return a
 }
 
-func (c *Client) attempt(call *Call, req *Request, deadline time.Time) (*Reply, error) {
-	b := call.Backend
+func (c *Client) attempt(call *call, req *Request, deadline time.Time) (*Reply, error) {
+	b := call.backend
 	p := c.pool(b)
 	conn, err := c.acquire(call.ctx, p)
 	if err != nil {
--- /dev/null
+++ b/upstream/client_test.go
@@ -0,0 +1,314 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"github.com/briarstand/briarstand/config"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// plain takes every 200 as served.
+type plain struct{}
+
+func (plain) AppendAttempt(head []byte, _ time.Duration, backendID string) []byte {
+	return append(head, "X-Backend: "+backendID+"\r\n"...)
+}
+
+func (plain) Judge(reply *Reply, _ *Request) {
+	reply.Verdict = Failed
+	if reply.Status == http.StatusOK {
+		reply.Verdict = Served
+	}
+}
+
+// rawServer answers each request with what answer writes.
+type rawServer struct {
+	net.Listener
+	answer   func(n int, c net.Conn, req *http.Request) (keep bool)
+	mu       sync.Mutex
+	requests []string
+	conns    int
+	open     []net.Conn
+}
+
+func newRawServer(t *testing.T, answer func(n int, c net.Conn, req *http.Request) bool) *rawServer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	s := &rawServer{Listener: l, answer: answer}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns++
+			s.open = append(s.open, c)
+			s.mu.Unlock()
+			wg.Go(func() { s.serve(c) })
+		}
+	})
+	t.Cleanup(func() {
+		l.Close()
+		s.mu.Lock()
+		for _, c := range s.open {
+			c.Close()
+		}
+		s.mu.Unlock()
+		wg.Wait()
+	})
+	return s
+}
+
+func (s *rawServer) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.requests = append(s.requests, req.Method+" "+req.RequestURI)
+		n := len(s.requests)
+		s.mu.Unlock()
+		if !s.answer(n, c, req) {
+			return
+		}
+	}
+}
+
+func (s *rawServer) count() (requests, conns int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.requests), s.conns
+}
+
+func ok(c net.Conn) bool {
+	fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	return true
+}
+
+func get(body string) *Request {
+	r := &Request{Method: http.MethodGet, Head: []byte("GET /x HTTP/1.1\r\nHost: a\r\n"), ID: "1"}
+	if body != "" {
+		r.Method, r.Body = http.MethodPost, []byte(body)
+		r.Head = fmt.Appendf(nil, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n", len(body))
+	}
+	return r
+}
+
+func (s *rawServer) backend() *config.Backend {
+	return &config.Backend{ID: "b", Address: s.Addr().String()}
+}
+
+func do(c *Client, b *config.Backend, req *Request, wait time.Duration) Result {
+	results := make(chan Result, 1)
+	c.Send(b, req, time.Now().Add(wait), 0, results)
+	return <-results
+}
+
+func newTestClient(t *testing.T, b *config.Backend, limit int) *Client {
+	c := NewClient(Config{Protocol: plain{}})
+	c.Update(map[*config.Backend]int{b: limit})
+	t.Cleanup(func() { c.Update(nil) })
+	return c
+}
+
+// Guards against a request that is silently sent again when its connection
+// dies: it may have run.
+func TestNoSilentRepeat(t *testing.T) {
+	c := qt.New(t)
+	s := newRawServer(t, func(n int, c net.Conn, _ *http.Request) bool { return n != 2 && ok(c) })
+	b := s.backend()
+	client := newTestClient(t, b, 2)
+	c.Assert(do(client, b, get(""), time.Second).Err, qt.IsNil)
+	res := do(client, b, get(""), time.Second)
+	var broken *BrokenError
+	c.Assert(errors.As(res.Err, &broken), qt.IsTrue, qt.Commentf("%v", res.Err))
+	requests, _ := s.count()
+	c.Assert(requests, qt.Equals, 2)
+}
+
+// Guards against a reply to an earlier request, or bytes that belong to none,
+// being taken for a reply.
+func TestBytesAfterReply(t *testing.T) {
+	c := qt.New(t)
+	s := newRawServer(t, func(n int, c net.Conn, _ *http.Request) bool {
+		ok(c)
+		time.Sleep(5 * time.Millisecond)
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong")
+		return true
+	})
+	b := s.backend()
+	client := newTestClient(t, b, 2)
+	for range 3 {
+		res := do(client, b, get(""), time.Second)
+		c.Assert(res.Err, qt.IsNil)
+		c.Assert(string(res.Reply.Body), qt.Equals, "ok")
+		time.Sleep(20 * time.Millisecond)
+	}
+	_, conns := s.count()
+	c.Assert(conns, qt.Equals, 3)
+}
+
+// Guards against replies that end early, have no end, or are no replies.
+func TestIncompleteReplies(t *testing.T) {
+	for _, test := range []struct {
+		raw  string
+		body string
+		ok   bool
+	}{
+		{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", "", false},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n", "", false},
+		{"HTTP/1.1 200 OK\r\n\r\nto the end", "to the end", true},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", "whole", true},
+		{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "ok", true},
+		{"garbage\r\n\r\n", "", false},
+		{"", "", false},
+	} {
+		s := newRawServer(t, func(_ int, c net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(c, test.raw)
+			return false
+		})
+		b := s.backend()
+		res := do(newTestClient(t, b, 1), b, get(""), time.Second)
+		if qt.Check(t, res.Err == nil, qt.Equals, test.ok, qt.Commentf("%q: %v", test.raw, res.Err)) && test.ok {
+			qt.Check(t, string(res.Reply.Body), qt.Equals, test.body)
+		}
+		if !test.ok {
+			qt.Check(t, NotSent(res.Err), qt.IsFalse)
+		}
+	}
+}
+
+// Guards against "not sent" for a request that was, and the other way round.
+func TestNotSent(t *testing.T) {
+	c := qt.New(t)
+	closed := newRawServer(t, nil)
+	b := closed.backend()
+	closed.Close()
+	c.Assert(NotSent(do(newTestClient(t, b, 1), b, get("body"), time.Second).Err), qt.IsTrue)
+	silent := newRawServer(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		time.Sleep(200 * time.Millisecond)
+		return false
+	})
+	b = silent.backend()
+	c.Assert(NotSent(do(newTestClient(t, b, 1), b, get("body"), 100*time.Millisecond).Err), qt.IsFalse)
+}
+
+// Guards the limit of connections to a backend server, and against requests
+// that wait for one that is never freed.
+func TestConnectionLimit(t *testing.T) {
+	c := qt.New(t)
+	s := newRawServer(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		time.Sleep(20 * time.Millisecond)
+		return ok(c)
+	})
+	b := s.backend()
+	client := newTestClient(t, b, 2)
+	var wg sync.WaitGroup
+	for range 10 {
+		wg.Go(func() { c.Check(do(client, b, get(""), time.Second).Err, qt.IsNil) })
+	}
+	wg.Wait()
+	_, conns := s.count()
+	c.Assert(conns, qt.Equals, 2)
+	c.Assert(client.Free(b), qt.IsTrue)
+	results := make(chan Result, 3)
+	for i := range 2 {
+		client.Send(b, get(""), time.Now().Add(time.Second), i, results)
+	}
+	time.Sleep(5 * time.Millisecond) // both hold their connections
+	// Its time ends before either connection is free.
+	client.Send(b, get(""), time.Now().Add(5*time.Millisecond), 2, results)
+	failed := 0
+	for range 3 {
+		if res := <-results; errors.Is(res.Err, ErrNoConnection) {
+			failed++
+		}
+	}
+	c.Assert(failed, qt.Equals, 1)
+}
+
+// Guards against a new connection for each attempt whose reply nobody waits
+// for, and against work that goes on for long after it was abandoned.
+func TestAbandon(t *testing.T) {
+	c := qt.New(t)
+	s := newRawServer(t, func(n int, c net.Conn, _ *http.Request) bool {
+		if n == 1 {
+			time.Sleep(50 * time.Millisecond)
+			return ok(c)
+		}
+		time.Sleep(time.Second)
+		return false
+	})
+	b := s.backend()
+	client := newTestClient(t, b, 1)
+	results := make(chan Result, 1)
+	call := client.Send(b, get(""), time.Now().Add(5*time.Second), 0, results)
+	time.Sleep(10 * time.Millisecond)
+	call.Abandon()
+	c.Assert((<-results).Err, qt.IsNil)
+	start := time.Now()
+	call = client.Send(b, get(""), time.Now().Add(5*time.Second), 0, results)
+	time.Sleep(10 * time.Millisecond)
+	call.Abandon()
+	c.Assert((<-results).Err, qt.IsNotNil)
+	c.Assert(time.Since(start) < 500*time.Millisecond, qt.IsTrue)
+	_, conns := s.count()
+	c.Assert(conns, qt.Equals, 1)
+}
+
+// Guards against the rest of a long body being read as a request after a reply
+// that came early, and against a reply that waits for the body.
+func TestEarlyReply(t *testing.T) {
+	c := qt.New(t)
+	s := newRawServer(t, func(_ int, c net.Conn, req *http.Request) bool {
+		ok(c)
+		time.Sleep(20 * time.Millisecond)
+		_, err := io.Copy(io.Discard, req.Body)
+		return err == nil
+	})
+	b := s.backend()
+	client := newTestClient(t, b, 2)
+	long := strings.Repeat("GET /smuggled HTTP/1.1\r\n\r\n", 100000)
+	for range 2 {
+		res := do(client, b, get(long), 2*time.Second)
+		c.Assert(res.Err, qt.IsNil)
+		c.Assert(string(res.Reply.Body), qt.Equals, "ok")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.requests {
+		c.Assert(r, qt.Equals, "POST /x")
+	}
+}
+
+// Guards against a connection that is opened twice ahead of its use.
+func TestWarm(t *testing.T) {
+	c := qt.New(t)
+	s := newRawServer(t, func(_ int, c net.Conn, _ *http.Request) bool { return ok(c) })
+	b := s.backend()
+	client := newTestClient(t, b, 2)
+	c.Assert(client.Warm(context.Background(), b), qt.IsNil)
+	c.Assert(client.Warm(context.Background(), b), qt.IsNil)
+	c.Assert(do(client, b, get(""), time.Second).Err, qt.IsNil)
+	_, conns := s.count()
+	c.Assert(conns, qt.Equals, 1)
+}
