Answer queries 25 ms before the goal; gather at the start

Cause: half of the answers that were sent at 15 ms before the goal reached their caller too late: a new connection takes 12 ms, and a VM has a quarter of a core.

--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -140,7 +140,7 @@
 			a := e.Run(context.Background(), query(services, 0.89))
 			c.Assert(a.Outcome, qt.Equals, Answered)
 			c.Assert(a.Missing, qt.Equals, 0)
-			c.Assert(time.Since(start) < 85*time.Millisecond, qt.IsTrue)
+			c.Assert(time.Since(start) < 75*time.Millisecond, qt.IsTrue)
 			c.Assert(a.Hedges <= 5, qt.IsTrue)
 			time.Sleep(200 * time.Millisecond)
 		}
@@ -169,7 +169,7 @@
 		c.Assert(a.Missing, qt.Equals, 2)
 		c.Assert(a.Signatures, qt.HasLen, 18)
 		c.Assert(len(a.Body), qt.Equals, 18*topkRecord)
-		c.Assert(time.Since(start), qt.Equals, 85*time.Millisecond)
+		c.Assert(time.Since(start), qt.Equals, 75*time.Millisecond)
 		silent(3)
 		a = e.Run(context.Background(), query(services, 0.89))
 		c.Assert(a.Outcome, qt.Equals, Unanswered)
@@ -281,7 +281,7 @@
 				a := e.Run(context.Background(), job)
 				c.Assert(a.Outcome, qt.Equals, Answered)
 				c.Assert(a.Missing, qt.Equals, 0)
-				c.Assert(time.Since(job.Arrived) < 85*time.Millisecond, qt.IsTrue)
+				c.Assert(time.Since(job.Arrived) < 75*time.Millisecond, qt.IsTrue)
 				named := map[string]bool{}
 				for _, s := range a.Signatures {
 					named[s[:3]] = true
--- a/forward/policy.go
+++ b/forward/policy.go
@@ -31,10 +31,11 @@
 }
 
 // DefaultPolicy returns the policy in use. ReturnTime covers a latency to
-// callers of 3 ms each way and one more round trip for a new connection.
+// callers of 3 ms each way, one more round trip for a new connection, and the
+// work on a VM with a quarter of a core.
 func DefaultPolicy() Policy {
 	return Policy{
-		ReturnTime:    15 * time.Millisecond,
+		ReturnTime:    25 * time.Millisecond,
 		HedgeQuantile: 850,
 		HedgeMin:      4 * time.Millisecond,
 		HedgeFallback: 35 * time.Millisecond,
--- a/forward/policy_test.go
+++ b/forward/policy_test.go
@@ -16,7 +16,7 @@
 	for _, test := range []struct {
 		goal, timeout, wait, answerBy, giveUp time.Duration
 	}{
-		{100 * time.Millisecond, time.Second, time.Second, 85 * time.Millisecond, 980 * time.Millisecond},
+		{100 * time.Millisecond, time.Second, time.Second, 75 * time.Millisecond, 980 * time.Millisecond},
 		{100 * time.Millisecond, time.Second, 60 * time.Millisecond, 54 * time.Millisecond, 54 * time.Millisecond},
 		{20 * time.Millisecond, time.Second, 0, 10 * time.Millisecond, 980 * time.Millisecond},
 		{0, 500 * time.Millisecond, 2 * time.Second, 480 * time.Millisecond, 480 * time.Millisecond},
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -71,6 +71,7 @@
 	cfg      FollowerConfig
 	notify   sync.Mutex // serializes Changed
 	lost     atomic.Bool
+	wasLost  atomic.Bool // a call has failed since the start
 	backAt   atomic.Int64
 	heardAt  atomic.Int64
 	cancelMu sync.Mutex
@@ -238,13 +239,15 @@
 func (f *Follower) regained() {
 	f.heardAt.Store(time.Now().UnixNano())
 	if f.lost.CompareAndSwap(true, false) {
-		now := time.Now()
-		f.backAt.Store(now.UnixNano())
+		if f.wasLost.Load() {
+			f.backAt.Store(time.Now().UnixNano())
+		}
 		f.cfg.Logger.Info("store answers", "revision", f.cfg.Mirror.Revision())
 	}
 }
 
 func (f *Follower) markLost(err error) {
+	f.wasLost.Store(true)
 	if f.lost.CompareAndSwap(false, true) {
 		f.cfg.Logger.Warn("store does not answer", "revision", f.cfg.Mirror.Revision(), "error", err.Error())
 	}
