Explain a request from log lines

Cause: an on-call engineer has only logs. briarstand explain prints the story of a request id, with what its VM knew then, or counts causes.

--- /dev/null
+++ b/explain/explain.go
@@ -0,0 +1,220 @@
+// Package explain reads the log lines of entry VMs and tells what happened to a
+// request, or what requests fail of.
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Line is one log line.
+type Line struct {
+	Time    time.Time
+	VM      string
+	Message string
+	Level   string
+	// Fields holds the other fields, in the form in which they are printed.
+	Fields map[string]string
+}
+
+// Log holds the lines of one or several VMs in order of time.
+type Log struct {
+	Lines []Line
+	// Skipped counts lines that are no log lines of a VM.
+	Skipped int
+}
+
+// maxLine bounds a log line in bytes.
+const maxLine = 1 << 20
+
+// Read reads log lines. Text before the first brace of a line is left out, so
+// that lines with a prefix of a log collector can be read too.
+func Read(readers ...io.Reader) (*Log, error) {
+	log := &Log{}
+	for _, r := range readers {
+		scanner := bufio.NewScanner(r)
+		scanner.Buffer(nil, maxLine)
+		for scanner.Scan() {
+			if line, ok := parse(scanner.Bytes()); ok {
+				log.Lines = append(log.Lines, line)
+			} else {
+				log.Skipped++
+			}
+		}
+		if err := scanner.Err(); err != nil {
+			return nil, fmt.Errorf("read log lines: %w", err)
+		}
+	}
+	slices.SortStableFunc(log.Lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	return log, nil
+}
+
+func parse(text []byte) (Line, bool) {
+	i := bytes.IndexByte(text, '{')
+	if i < 0 {
+		return Line{}, false
+	}
+	var fields map[string]any
+	decoder := json.NewDecoder(bytes.NewReader(text[i:]))
+	decoder.UseNumber()
+	if err := decoder.Decode(&fields); err != nil {
+		return Line{}, false
+	}
+	l := Line{Fields: map[string]string{}}
+	for name, value := range fields {
+		v := fmt.Sprint(value)
+		switch name {
+		case "time":
+			t, err := time.Parse(time.RFC3339Nano, v)
+			if err != nil {
+				return Line{}, false
+			}
+			l.Time = t
+		case "vm":
+			l.VM = v
+		case "msg":
+			l.Message = v
+		case "level":
+			l.Level = v
+		default:
+			l.Fields[name] = v
+		}
+	}
+	return l, l.Message != "" && !l.Time.IsZero()
+}
+
+// NotFoundError reports a request without a line.
+type NotFoundError struct{ ID string }
+
+func (e *NotFoundError) Error() string {
+	return fmt.Sprintf("no line of request %s: it did not reach these VMs, or was one of the ordinary requests that are not all logged", e.ID)
+}
+
+// Request writes the story of a request: what the VM knew, what it decided, and
+// what came of it.
+func (l *Log) Request(w io.Writer, id string) error {
+	var own []Line
+	for _, line := range l.Lines {
+		if line.Fields["request_id"] == id {
+			own = append(own, line)
+		}
+	}
+	if len(own) == 0 {
+		return &NotFoundError{ID: id}
+	}
+	lines := append(l.background(own), own...)
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	end := own[len(own)-1].Time
+	for _, line := range lines {
+		if _, err := fmt.Fprintf(w, "%10s  %-20s %s\n", formatAge(line.Time.Sub(end)), line.VM, line.describe()); err != nil {
+			return fmt.Errorf("write story: %w", err)
+		}
+	}
+	return nil
+}
+
+// background returns what a VM last said, before the end of the request, of its
+// configuration, of the store and of the backend servers in the request's lines.
+func (l *Log) background(own []Line) []Line {
+	vm, end := own[0].VM, own[len(own)-1].Time
+	backends := map[string]bool{}
+	for _, line := range own {
+		if b := line.Fields["backend"]; b != "" {
+			backends[b] = true
+		}
+	}
+	last := map[string]Line{}
+	for _, line := range l.Lines {
+		if line.VM != vm || line.Time.After(end) {
+			continue
+		}
+		switch line.Message {
+		case "configuration in force", "started", "leaving":
+			last[line.Message] = line
+		case "store answers", "store does not answer":
+			last["store"] = line
+		case "backend server":
+			if b := line.Fields["backend"]; backends[b] {
+				last["backend "+b] = line
+			}
+		}
+	}
+	lines := make([]Line, 0, len(last))
+	for _, line := range last {
+		lines = append(lines, line)
+	}
+	return lines
+}
+
+func (l Line) describe() string {
+	var b strings.Builder
+	b.WriteString(l.Message)
+	names := make([]string, 0, len(l.Fields))
+	for name := range l.Fields {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		if v := l.Fields[name]; v != "" && name != "request_id" {
+			fmt.Fprintf(&b, " %s=%s", name, quote(v))
+		}
+	}
+	return b.String()
+}
+
+func quote(v string) string {
+	if strings.ContainsAny(v, " \t\"") {
+		return fmt.Sprintf("%q", v)
+	}
+	return v
+}
+
+func formatAge(d time.Duration) string { return fmt.Sprintf("%.1f ms", float64(d.Microseconds())/1000) }
+
+// Cause is a reason with the number of requests that ended for it.
+type Cause struct {
+	Outcome, Reason string
+	Requests        int
+	// Example is the id of one of the requests.
+	Example string
+}
+
+// Causes counts the requests that failed, came late or lack parts, commonest
+// first.
+func (l *Log) Causes() []Cause {
+	causes := map[[2]string]*Cause{}
+	for _, line := range l.Lines {
+		if line.Message != "request" {
+			continue
+		}
+		outcome, reason := line.Fields["outcome"], line.Fields["reason"]
+		if line.Fields["late"] == "true" {
+			outcome += ", late"
+		}
+		if outcome == "answered" && reason == "" {
+			continue
+		}
+		key := [2]string{outcome, reason}
+		c := causes[key]
+		if c == nil {
+			c = &Cause{Outcome: outcome, Reason: reason, Example: line.Fields["request_id"]}
+			causes[key] = c
+		}
+		c.Requests++
+	}
+	list := make([]Cause, 0, len(causes))
+	for _, c := range causes {
+		list = append(list, *c)
+	}
+	slices.SortFunc(list, func(a, b Cause) int {
+		return cmp.Or(cmp.Compare(b.Requests, a.Requests), cmp.Compare(a.Outcome, b.Outcome), cmp.Compare(a.Reason, b.Reason))
+	})
+	return list
+}
