Tell in the log which attempts were still waiting; forget earlier processes

Cause: on the incident's logs a request that timed out had no decision, and a story mixed what an earlier process of the VM knew with the present one.

--- a/entry/state.go
+++ b/entry/state.go
@@ -57,12 +57,17 @@
 	return s
 }
 
+// unknownAge stands for the age of records that the store never confirmed.
+const unknownAge = -time.Millisecond
+
 // age returns how long ago the store confirmed what the VM believes.
 func (s *state) age(now time.Time) time.Duration {
 	if f := s.follower.Load(); f != nil {
-		return f.Age(now)
+		if age, ok := f.Age(now); ok {
+			return age
+		}
 	}
-	return 0
+	return unknownAge
 }
 
 // refresh decodes what changed in the mirror and reports whether backend
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -136,7 +136,10 @@
 			continue
 		}
 		switch line.Message {
-		case "configuration in force", "started", "leaving":
+		case "started":
+			// What an earlier process knew is gone.
+			last = map[string]Line{line.Message: line}
+		case "configuration in force", "leaving":
 			last[line.Message] = line
 		case "store answers", "store does not answer":
 			last["store"] = line
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -8,7 +8,9 @@
 	qt "github.com/frankban/quicktest"
 )
 
-const lines = `  1.2 front-1 {"time":"2026-01-01T00:00:01Z","level":"info","msg":"configuration in force","vm":"vm1","version":7,"revision":30}
+const lines = `{"time":"2026-01-01T00:00:00Z","level":"info","msg":"leaving","vm":"vm1"}
+{"time":"2026-01-01T00:00:00.5Z","level":"info","msg":"started","vm":"vm1"}
+  1.2 front-1 {"time":"2026-01-01T00:00:01Z","level":"info","msg":"configuration in force","vm":"vm1","version":7,"revision":30}
 {"time":"2026-01-01T00:00:02Z","level":"warn","msg":"store does not answer","vm":"vm1","revision":31}
 {"time":"2026-01-01T00:00:02.5Z","level":"info","msg":"backend server","vm":"vm1","backend":"b1","service":"s","from":"unknown","to":"ready"}
 {"time":"2026-01-01T00:00:02.6Z","level":"info","msg":"backend server","vm":"vm1","backend":"b2","service":"s","from":"unknown","to":"ready"}
@@ -22,7 +24,7 @@
 `
 
 // Guards the way from an id to its cause: the lines of the request in order, and
-// what its VM knew then, but not what others knew.
+// what its VM knew then, but not what others or an earlier process knew.
 func TestRequest(t *testing.T) {
 	c := qt.New(t)
 	log, err := Read(strings.NewReader(lines))
@@ -31,6 +33,7 @@
 	var b strings.Builder
 	c.Assert(log.Request(&b, "id-1"), qt.IsNil)
 	c.Assert(b.String(), qt.Equals, strings.Join([]string{
+		`-2510.0 ms  vm1                  started`,
 		`-2010.0 ms  vm1                  configuration in force revision=30 version=7`,
 		`-1010.0 ms  vm1                  store does not answer revision=31`,
 		` -510.0 ms  vm1                  backend server backend=b1 from=unknown service=s to=ready`,
--- a/forward/run.go
+++ b/forward/run.go
@@ -367,6 +367,9 @@
 	for i := range r.legs {
 		l := &r.legs[i]
 		ran += l.mayHaveRun
+		if !l.done && l.running > 0 {
+			r.decided("no_reply", l.service, l.tried[len(l.tried)-1], "still waiting when the request was given up")
+		}
 		if l.reason != "" {
 			reason = l.reason
 		}
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -99,8 +99,12 @@
 // StoreLost reports whether the last call to the store failed.
 func (f *Follower) StoreLost() bool { return f.lost.Load() }
 
-// Age returns how long ago the store last confirmed the mirror's revision.
-func (f *Follower) Age(now time.Time) time.Duration { return now.Sub(time.Unix(0, f.heardAt.Load())) }
+// Age returns how long ago the store last confirmed the mirror's revision. ok
+// is false if it never did.
+func (f *Follower) Age(now time.Time) (age time.Duration, ok bool) {
+	heard := f.heardAt.Load()
+	return now.Sub(time.Unix(0, heard)), heard != 0
+}
 
 // Settling reports whether the store answers again only since a short time.
 func (f *Follower) Settling(now time.Time) bool {
