--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -142,6 +142,7 @@
 	d.stop()
 	d.background.Wait()
 	d.client.Update(nil)
+	d.relay.Close()
 	d.logger.Info("stopped")
 	return nil
 }
@@ -264,7 +265,7 @@
 func (d *Daemon) apply() {
 	vms := d.shareOut()
 	d.client.Update(d.state.connectionLimits(vms))
-	d.relay.SetMembers(d.state.fleet.Load().members)
+	d.relay.SetMembers(d.work, d.state.fleet.Load().members)
 	d.warm()
 }
 
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -77,6 +77,7 @@
 func peerHandler(m *mirror.Mirror, relayed http.Handler) http.Handler {
 	r := chi.NewRouter()
 	r.Method(http.MethodPost, relay.Path, relayed)
+	r.Get(relay.Path, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	r.Get(peerPath, func(w http.ResponseWriter, req *http.Request) {
 		after, err := strconv.ParseInt(req.URL.Query().Get("after"), 10, 64)
 		if err != nil {
--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -201,6 +201,22 @@
 	})
 }
 
+// Guards against a part that is left out although nothing has reached a backend
+// server yet: the next attempt is the first, and takes nothing of the budget.
+func TestNotSentNeedsNoBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		registry, services := shards(10)
+		f := &fakeTransport{behaviors: map[string]behavior{}}
+		for _, s := range services {
+			f.behaviors[s+"a"] = behavior{unsent: true}
+		}
+		a := newTestEngine(f, registry, limit.Share{Burst: 0.5}, nil).Run(context.Background(), query(services, 1))
+		c.Assert(a.Outcome, qt.Equals, Answered)
+		f.wg.Wait()
+	})
+}
+
 // Guards against work for a caller that has left.
 func TestCallerLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/forward/policy.go
+++ b/forward/policy.go
@@ -109,8 +109,9 @@
 type attemptEnd int
 
 const (
-	endServed attemptEnd = iota + 1
-	endNotRun            // it provably did not run
+	endServed  attemptEnd = iota + 1
+	endNotSent            // nothing reached the backend server
+	endNotRun             // the backend server refused it
 	endMayHaveRun
 )
 
@@ -123,7 +124,7 @@
 		return false
 	}
 	switch end {
-	case endNotRun:
+	case endNotSent, endNotRun:
 		return true
 	case endMayHaveRun:
 		return r.Idempotent
--- a/forward/run.go
+++ b/forward/run.go
@@ -18,6 +18,7 @@
 	tried      []string
 	sent       int
 	mayHaveRun int // attempts that were not refused, with those in progress
+	arrived    int // attempts that reached a backend server, with those in progress
 	running    int
 	hedgeAt    time.Duration // 0 if no hedge is due
 	reply      *upstream.Reply
@@ -185,6 +186,7 @@
 	l.tried = append(l.tried, b.ID)
 	l.sent++
 	l.mayHaveRun++
+	l.arrived++
 	l.running++
 	l.hedgeAt = 0
 	if r.job.Route.Idempotent && l.sent < maxSends && l.mayHaveRun < r.job.Route.MaxAttempts {
@@ -266,7 +268,11 @@
 	l := &r.legs[a.leg]
 	l.running--
 	end := r.engine.observe(r.job.Route.Name, l.service, a, res)
-	if end == endNotRun {
+	switch end {
+	case endNotSent:
+		l.mayHaveRun--
+		l.arrived--
+	case endNotRun:
 		l.mayHaveRun--
 	}
 	if end == endServed {
@@ -292,7 +298,8 @@
 		r.giveUpLeg(l, "no other backend server")
 		return
 	}
-	if !r.engine.budget(l.service).Take() {
+	// The first attempt to arrive anywhere is no extra load.
+	if l.arrived > 0 && !r.engine.budget(l.service).Take() {
 		r.engine.counts.retriesDenied.Inc()
 		r.giveUpLeg(l, "budget for retries is empty")
 		return
@@ -456,9 +463,9 @@
 	var unsent *upstream.UnsentError
 	switch {
 	case errors.Is(res.Err, upstream.ErrAbandoned):
-		return endNotRun, backend.Cancelled
+		return endNotSent, backend.Cancelled
 	case errors.As(res.Err, &unsent):
-		return endNotRun, backend.Unsent
+		return endNotSent, backend.Unsent
 	case res.Err != nil:
 		return endMayHaveRun, backend.StreamBroken
 	}
--- a/relay/client.go
+++ b/relay/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -21,6 +22,13 @@
 const (
 	// dialTimeout bounds a connection to another VM: a few round trips.
 	dialTimeout = 300 * time.Millisecond
+	// warmTimeout bounds the request that opens a connection ahead of its use,
+	// and warmSpread spreads those of one VM.
+	warmTimeout = time.Second
+	warmSpread  = time.Second
+	// idleTimeout closes connections that were not used, sooner than the other
+	// VM does.
+	idleTimeout = 50 * time.Second
 	// overheadWeight is the weight of the newest time between regions in the
 	// average, and firstOverhead the time that is assumed before the first.
 	overheadWeight = 0.2
@@ -41,6 +49,8 @@
 	near     map[string][]*config.Backend // region to its VMs, as relays
 	suspects map[string]time.Time         // VM id to when it failed
 	overhead map[string]time.Duration     // region to the time that a relay adds
+	warmed   map[string]bool              // VM address to whether a connection was opened
+	warming  sync.WaitGroup
 }
 
 // NewClient returns a Client of a VM in a region. zones maps each zone to its
@@ -50,23 +60,60 @@
 	return &Client{
 		self: vmID, region: region, zones: zones,
 		http: &http.Client{Transport: &http.Transport{
-			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: 20 * time.Second, DisableCompression: true,
+			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout, DisableCompression: true,
 		}},
 		picker: balance.NewPicker(balance.Config{}), suspects: map[string]time.Time{}, overhead: map[string]time.Duration{},
+		warmed: map[string]bool{},
 	}
 }
 
-// SetMembers takes over the VMs.
-func (c *Client) SetMembers(members []membership.Member) {
+// SetMembers takes over the VMs, and opens a connection to each new one: a first
+// request on a new connection comes a round trip later, by when its parts would
+// be hedged. The context ends that.
+func (c *Client) SetMembers(ctx context.Context, members []membership.Member) {
 	near := map[string][]*config.Backend{}
+	addresses := map[string]bool{}
 	for _, m := range members {
 		if m.State == membership.Alive && m.ID != c.self && m.Region != c.region && m.PeerAddress != "" {
 			near[m.Region] = append(near[m.Region], &config.Backend{ID: m.ID, Address: m.PeerAddress})
+			addresses[m.PeerAddress] = true
 		}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.near = near
+	for address := range addresses {
+		if !c.warmed[address] {
+			c.warming.Go(func() { c.warm(ctx, address) })
+		}
+	}
+	c.warmed = addresses
+}
+
+// warm opens a connection to a VM. A failure shows at the first use.
+func (c *Client) warm(ctx context.Context, address string) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(rand.N(warmSpread)):
+	}
+	ctx, cancel := context.WithTimeout(ctx, warmTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+Path, nil)
+	if err != nil {
+		return
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return
+	}
+	resp.Body.Close()
+}
+
+// Close closes idle connections, after the context of SetMembers has ended.
+func (c *Client) Close() {
+	c.warming.Wait()
+	c.http.CloseIdleConnections()
 }
 
 // Distant reports whether a backend server is in another region.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -14,7 +14,7 @@
 	"github.com/briarstand/briarstand/upstream"
 )
 
-// Path is where a VM takes requests of other VMs.
+// Path is where a VM takes requests of other VMs; a GET only opens a connection.
 const Path = "/relay"
 
 // request asks a VM to send one request to several backend servers.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -79,9 +81,9 @@
 func relayed(t *testing.T, handler http.Handler) *Client {
 	web := httptest.NewServer(handler)
 	client := NewClient("self", "near", map[string]string{"z": "far"})
-	client.SetMembers([]membership.Member{{ID: "vm", Region: "far", PeerAddress: web.Listener.Addr().String(), State: membership.Alive}})
+	client.SetMembers(t.Context(), []membership.Member{{ID: "vm", Region: "far", PeerAddress: web.Listener.Addr().String(), State: membership.Alive}})
 	t.Cleanup(func() {
-		client.http.CloseIdleConnections()
+		client.Close()
 		web.CloseClientConnections()
 		web.Close()
 	})
@@ -197,10 +199,46 @@
 func TestRelays(t *testing.T) {
 	c := qt.New(t)
 	client := NewClient("self", "near", map[string]string{"z": "far", "y": "near"})
-	client.SetMembers([]membership.Member{
+	defer client.Close()
+	client.SetMembers(t.Context(), []membership.Member{
 		{ID: "leaving", Region: "far", PeerAddress: "a:1", State: membership.Leaving},
 		{ID: "here", Region: "near", PeerAddress: "b:1", State: membership.Alive},
 	})
 	c.Assert(client.Region(&config.Backend{Zone: "z"}), qt.Equals, "")
 	c.Assert(client.Region(&config.Backend{Zone: "y"}), qt.Equals, "")
 }
+
+// Guards against a first request that waits for its connection: its parts would
+// all be hedged.
+func TestWarm(t *testing.T) {
+	c := qt.New(t)
+	var mu sync.Mutex
+	conns := 0
+	web := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			newHandler(&fakeTransport{}).ServeHTTP(w, r)
+		}
+	}))
+	web.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			mu.Lock()
+			conns++
+			mu.Unlock()
+		}
+	}
+	web.Start()
+	defer web.Close()
+	client := NewClient("self", "near", map[string]string{"z": "far"})
+	defer client.Close()
+	members := []membership.Member{{ID: "vm", Region: "far", PeerAddress: web.Listener.Addr().String(), State: membership.Alive}}
+	for range 3 {
+		client.SetMembers(context.Background(), members)
+	}
+	client.warming.Wait()
+	results := make(chan upstream.Result, 1)
+	client.Send("far", group("a"), results)
+	c.Assert((<-results).Err, qt.IsNil)
+	mu.Lock()
+	defer mu.Unlock()
+	c.Assert(conns, qt.Equals, 1)
+}
