Hedge stragglers, not queries that are heavy at every shard

Ruled out: relays (most had a kept connection and usual times, trial logged). Change: a sub-request is hedged once half of its siblings at the same distance are answered and it has taken half as long again, or at the latest time. TestHeavyQuery replays such a query.

--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -201,6 +201,33 @@
 	})
 }
 
+// Guards the load of heavy queries: where every shard takes long, hedges would
+// only add to it; a shard that is still late beside the others is hedged.
+func TestHeavyQuery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		registry, services := shards(20)
+		f := &fakeTransport{behaviors: map[string]behavior{}}
+		e := newTestEngine(f, registry, limit.Share{Burst: 100, PerSecond: 100}, nil)
+		for range 60 { // usual queries set the hedge delay
+			e.Run(context.Background(), query(services, 0.89))
+		}
+		for _, s := range services {
+			for i, replica := range []string{"a", "b"} {
+				f.behaviors[s+replica] = behavior{after: time.Duration(30+4*i) * time.Millisecond, verdict: upstream.Served}
+			}
+		}
+		a := e.Run(context.Background(), query(services, 0.89))
+		c.Assert(a.Missing, qt.Equals, 0)
+		c.Assert(a.Hedges, qt.Equals, 0)
+		f.behaviors[services[0]+"a"], f.behaviors[services[0]+"b"] = behavior{after: -1}, behavior{after: -1}
+		a = e.Run(context.Background(), query(services, 0.89))
+		c.Assert(a.Missing, qt.Equals, 1)
+		c.Assert(a.Hedges, qt.Equals, 1)
+		f.wg.Wait()
+	})
+}
+
 // Guards against a part that is left out although nothing has reached a backend
 // server yet: the next attempt is the first, and takes nothing of the budget.
 func TestNotSentNeedsNoBudget(t *testing.T) {
--- a/forward/first.go
+++ b/forward/first.go
@@ -13,6 +13,7 @@
 func (r *run) sendFirst() {
 	picked := make([]*config.Backend, len(r.legs))
 	groups := map[string][]int{}
+	r.siblings = map[distance]*siblings{near: {}, far: {}}
 	for i := range r.legs {
 		r.engine.budget(r.legs[i].service).Sent(1)
 		b, ok := r.pick(&r.legs[i])
@@ -21,6 +22,8 @@
 			continue
 		}
 		picked[i] = b
+		r.legs[i].distance = r.engine.distance(b)
+		r.siblings[r.legs[i].distance].total++
 		if r.engine.cfg.Relay != nil && r.job.Route.Scattered() {
 			if region := r.engine.cfg.Relay.Region(b); region != "" {
 				groups[region] = append(groups[region], i)
@@ -45,8 +48,10 @@
 
 // sendGroup starts an attempt of several legs through a VM in a region.
 func (r *run) sendGroup(region string, legs []int, picked []*config.Backend) {
+	overhead := r.engine.cfg.Relay.Overhead(region)
+	r.siblings[far].overhead = max(r.siblings[far].overhead, overhead)
 	flush := r.engine.cfg.Policy.RelayFlush(r.hedge)
-	hedge := flush + r.engine.cfg.Policy.RelayPatience(r.engine.cfg.Relay.Overhead(region))
+	hedge := flush + r.engine.cfg.Policy.RelayPatience(overhead)
 	g := &relay.Group{Request: r.job.Request, Limit: r.job.Route.Limit, Deadline: r.deadline, Flush: flush}
 	for _, i := range legs {
 		g.Backends = append(g.Backends, picked[i])
--- a/forward/policy.go
+++ b/forward/policy.go
@@ -39,7 +39,7 @@
 		HedgeQuantile: 850,
 		HedgeMin:      4 * time.Millisecond,
 		HedgeFallback: 35 * time.Millisecond,
-		HedgeLatest:   0.5,
+		HedgeLatest:   0.6,
 		RetryReserve:  0.5,
 		TimeoutMargin: 20 * time.Millisecond,
 		RetryAfter:    200 * time.Millisecond,
@@ -84,6 +84,19 @@
 	return min(max(quantile, p.HedgeMin), latest)
 }
 
+// StragglerAt returns when a sub-request is hedged that was planned to be hedged
+// at a time, given when half of the sub-requests at the same distance were
+// answered (0 while they are not), the time between regions that is part of it,
+// and the latest time. It answers queries that are heavy at every shard: there
+// all sub-requests are late, and hedges only add load.
+func (p Policy) StragglerAt(planned, half, overhead, latest time.Duration) time.Duration {
+	if half == 0 {
+		return latest
+	}
+	work := max(0, half-overhead)
+	return min(latest, max(planned, half+time.Duration(stragglerPart*float64(work))))
+}
+
 // RelayFlush returns when a relay sends the parts that are in although others
 // are late, given the delay of hedges.
 func (p Policy) RelayFlush(hedge time.Duration) time.Duration {
@@ -97,6 +110,11 @@
 }
 
 const (
+	// stragglerPart is how much longer than half of its siblings a sub-request
+	// takes before it is a straggler; replicas differ in speed by about as much.
+	stragglerPart = 0.5
+	// leastSiblings is how many sub-requests make a comparison.
+	leastSiblings = 3
 	// relayFlushPart leaves a part of the hedge delay for the way back.
 	relayFlushPart = 0.7
 	// relayOverheadFactor and relayMargin cover the spread of the time between
--- a/forward/run.go
+++ b/forward/run.go
@@ -21,6 +21,7 @@
 	arrived    int // attempts that reached a backend server, with those in progress
 	running    int
 	hedgeAt    time.Duration // 0 if no hedge is due
+	distance   distance      // of the first attempt
 	reply      *upstream.Reply
 	failure    *upstream.Reply // the last failure of a backend server
 	done       bool            // answered, or given up
@@ -50,9 +51,17 @@
 	answered int
 	hedge    time.Duration // of attempts in this VM's region
 	hedgeFar time.Duration // of attempts in other regions
+	siblings map[distance]*siblings
 	answer   Answer
 }
 
+// siblings are the legs whose first attempt went equally far.
+type siblings struct {
+	total, answered int
+	half            time.Duration // when half of them were answered
+	overhead        time.Duration // time between regions that relays add
+}
+
 // distance tells attempts in this VM's region from those in others, whose
 // latencies differ by the time between regions.
 type distance string
@@ -227,7 +236,7 @@
 func (r *run) sendHedges(now time.Duration) {
 	for i := range r.legs {
 		l := &r.legs[i]
-		if l.done || l.hedgeAt == 0 || now < l.hedgeAt {
+		if l.done || l.hedgeAt == 0 || now < r.hedgeTime(l) {
 			continue
 		}
 		l.hedgeAt = 0
@@ -247,6 +256,17 @@
 	}
 }
 
+// hedgeTime returns when a leg is hedged, as far as is known now.
+func (r *run) hedgeTime(l *leg) time.Duration {
+	s := r.siblings[l.distance]
+	if s == nil || s.total < leastSiblings {
+		return l.hedgeAt
+	}
+	policy := r.engine.cfg.Policy
+	latest := time.Duration(policy.HedgeLatest * float64(r.schedule.AnswerBy))
+	return policy.StragglerAt(l.hedgeAt, s.half, s.overhead, max(latest, s.overhead+policy.HedgeMin))
+}
+
 // hasOther reports whether a backend server is left that was not tried, before
 // a token of the budget is spent on it.
 func (r *run) hasOther(l *leg) bool {
@@ -315,6 +335,11 @@
 func (r *run) take(l *leg, a *attempt, reply *upstream.Reply) {
 	if l.reply == nil {
 		r.answered++
+		if s := r.siblings[l.distance]; s != nil {
+			if s.answered++; s.half == 0 && 2*s.answered >= s.total {
+				s.half = time.Since(r.job.Arrived)
+			}
+		}
 	} else if !a.relayed {
 		return
 	}
@@ -353,7 +378,7 @@
 	}
 	for i := range r.legs {
 		if l := &r.legs[i]; !l.done && l.hedgeAt > 0 {
-			wake = min(wake, l.hedgeAt)
+			wake = min(wake, r.hedgeTime(l))
 		}
 	}
 	return wake
