Give no more work to replicas that make no progress

Change: the time without any reply while requests are in flight counts as a replica's latency if it is above the average.

--- a/balance/picker.go
+++ b/balance/picker.go
@@ -95,6 +95,9 @@
 	penalty   decayed
 	withdrawn decayed      // part of recent requests that were withdrawn
 	connected atomic.Int64 // nanoseconds since the picker's epoch; 0 if unknown
+	// progress is when a request last ended, or when the first of those in
+	// flight was sent, in nanoseconds since the picker's epoch.
+	progress atomic.Int64
 }
 
 // NewPicker returns a Picker without observations.
@@ -219,7 +222,7 @@
 // lower is better. A replica without an observed latency is taken to be as fast
 // as the other.
 func (p *Picker) scores(a, b *state, now time.Duration) (scoreA, scoreB float64) {
-	latencyA, latencyB := p.latency(a, now), p.latency(b, now)
+	latencyA, latencyB := max(p.latency(a, now), a.stalled(now)), max(p.latency(b, now), b.stalled(now))
 	if latencyA == 0 {
 		latencyA = latencyB
 	}
@@ -232,6 +235,16 @@
 	return latencyA * p.pressure(a, now), latencyB * p.pressure(b, now)
 }
 
+// stalled returns for how long, in microseconds, requests have been in flight
+// without one of them ending, 0 if none is. A replica that pauses would
+// otherwise get work by its good latency until its first late reply.
+func (s *state) stalled(now time.Duration) float64 {
+	if s.inFlight.Load() <= 0 {
+		return 0
+	}
+	return float64(max(0, now-time.Duration(s.progress.Load())) / time.Microsecond)
+}
+
 // latency returns the average latency in microseconds, 0 if none is known.
 func (p *Picker) latency(s *state, now time.Duration) float64 {
 	value, tick := s.latency.load()
@@ -307,7 +320,12 @@
 }
 
 // Started tells that a sub-request was sent.
-func (p *Picker) Started(backendID string) { p.state(backendID).inFlight.Add(1) }
+func (p *Picker) Started(backendID string) {
+	s := p.state(backendID)
+	if s.inFlight.Add(1) == 1 {
+		s.progress.Store(int64(p.now()))
+	}
+}
 
 // Finished tells how a sub-request ended, and how long after Started. It must
 // follow each Started once.
@@ -317,6 +335,7 @@
 		return
 	}
 	s.inFlight.Add(-1)
+	s.progress.Store(int64(p.now()))
 	now := tickAt(p.now())
 	p.countWithdrawn(s, now, latency, status)
 	switch status {
--- a/balance/picker_test.go
+++ b/balance/picker_test.go
@@ -272,3 +272,31 @@
 		l.LatencyQuantile("svc", 950)
 	}
 }
+
+// Guards the load of pauses: a replica that has answered nothing for longer than
+// another takes gets no more work, however fast it was before, and gets work
+// again once it answers.
+func TestStalledReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p := seeded(Config{})
+		all := backends(2)
+		slow := map[string]time.Duration{"s1": 20 * time.Millisecond}
+		drive(p, config.ChoiceAdaptive, all, 200, latencies(slow))
+		p.Started("s0") // it pauses now
+		picked := func() (paused int) {
+			for range 20 {
+				b, _ := p.Pick(config.ChoiceAdaptive, all, nil)
+				if b.ID == "s0" {
+					paused++
+				}
+			}
+			return paused
+		}
+		c.Assert(picked(), qt.Equals, 20)
+		time.Sleep(30 * time.Millisecond)
+		c.Assert(picked(), qt.Equals, 0)
+		p.Finished("s0", 2*time.Millisecond, backend.OK)
+		c.Assert(picked(), qt.Equals, 20)
+	})
+}
