--- a/cli/entrycli/entrycli.go
+++ b/cli/entrycli/entrycli.go
@@ -42,6 +42,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "path of the platform's settings `FILE`", Sources: cli.EnvVars(platform.SettingsVariable), Required: true},
 			&cli.IntFlag{Name: "admin-port", Usage: "`PORT` for metrics on the VM's address, 0 for none", Sources: cli.EnvVars("BRIARSTAND_ADMIN_PORT")},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings file and end"},
 			&cli.StringFlag{Name: "log-level", Usage: "least `LEVEL` of log lines: debug, info, warn, error", Value: "info"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error { return serve(ctx, cmd, out) },
@@ -62,6 +63,10 @@
 	if err != nil {
 		return err
 	}
+	if cmd.Bool("check") {
+		fmt.Fprintf(out, "%s: settings of VM %s are valid\n", cmd.String("settings"), set.VMID)
+		return nil
+	}
 	lines := telemetry.NewAsyncWriter(out, logQueue)
 	defer lines.Close()
 	logger := telemetry.NewLogger(lines, level, telemetry.FieldVM, set.VMID)
@@ -69,7 +74,9 @@
 	defer stopReload()
 	ctx, stop := process.UntilSignal(ctx, logger)
 	defer stop()
-	return entry.New(set.Entry(cmd.Int("admin-port")), platform.New(set), logger).Run(ctx)
+	d := entry.New(set.Entry(cmd.Int("admin-port")), platform.New(set), logger)
+	d.Metrics().NewGauge("briarstand_entry_log_lines_dropped_total", func() float64 { return float64(lines.Dropped()) })
+	return d.Run(ctx)
 }
 
 // onReload checks the settings file at each SIGHUP. Addresses and bounds of a
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -4,9 +4,14 @@
 	"fmt"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/briarstand/briarstand/discovery"
 )
 
+// Metrics returns the set that the admin address serves.
+func (d *Daemon) Metrics() *metrics.Set { return d.metrics }
+
 // registerMetrics adds the gauges of the daemon as a whole.
 func (d *Daemon) registerMetrics() {
 	set := d.metrics
