Ask the store again while no records are known; run the path with one command

And a store that never answered left no log line. Change: while nothing is known, a listing starts each 0.4 s beside the earlier ones. briarstand dev http runs stand-ins and entry VMs in one process. TestStartWhileStoreIsSilent fails without it.

--- a/cli/dev.go
+++ b/cli/dev.go
@@ -32,7 +32,7 @@
 			logLevelFlag("warn"),
 		},
 		Action:   a.dev,
-		Commands: []*cli.Command{a.devPlatformCommand(), a.devBackendCommand()},
+		Commands: []*cli.Command{a.devPlatformCommand(), a.devBackendCommand(), a.devHTTPCommand()},
 	}
 }
 
--- /dev/null
+++ b/cli/devhttp.go
@@ -0,0 +1,149 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/briarstand/briarstand/entry"
+	"github.com/briarstand/briarstand/platform"
+	"github.com/briarstand/briarstand/standin"
+	"github.com/briarstand/briarstand/telemetry"
+	"github.com/briarstand/briarstand/topk"
+)
+
+const (
+	devHost = "search.example"
+	// devWait bounds the start of the deployment and each request.
+	devWait = 5 * time.Second
+	// devStop is how long the daemons may take to end.
+	devStop = time.Second
+)
+
+func (a *app) devHTTPCommand() *cli.Command {
+	return &cli.Command{
+		Name: "http", Usage: "run entry VMs of the users' platform in this process",
+		Description: "Starts a stand-in of the users' platform, stand-ins of backend servers, and entry VMs on loopback\n" +
+			"addresses, asks a query over two shards and a request to one service, prints how to ask them with\n" +
+			"curl, and keeps running until it is interrupted, or ends with --once. Nothing is kept.",
+		Flags: []cli.Flag{
+			countFlag("vms", 2, 18, "entry VMs to run"),
+			&cli.BoolFlag{Name: "once", Usage: "end after the answers"},
+			logLevelFlag("warn"),
+		},
+		Action: a.devHTTP,
+	}
+}
+
+func (a *app) devHTTP(ctx context.Context, cmd *cli.Command) error {
+	if _, err := arguments(cmd); err != nil {
+		return err
+	}
+	level, err := log.ParseLevel(cmd.String("log-level"))
+	if err != nil {
+		return err
+	}
+	store := standin.NewStore()
+	defer store.Close()
+	for _, b := range devHTTPBackends() {
+		defer b.Close()
+		b.Register(store, "ready")
+	}
+	store.Configure(1,
+		standin.Route{
+			Name: "find", Host: devHost, Prefix: "/find/", Kind: "idempotent", TimeoutMS: 1000, GoalMS: 100, MaxAttempts: 2,
+			Gather: []string{"shard-1", "shard-2"}, Limit: 3, MinShare: 0.5,
+		},
+		standin.Route{Name: "quote", Host: devHost, Prefix: "/quote/", Kind: "idempotent", TimeoutMS: 3000, MaxAttempts: 2, Service: "quotes"})
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	var callers string
+	for i := range cmd.Int("vms") {
+		set, err := devHTTPSettings(fmt.Sprintf("vm-%d", i+1))
+		if err != nil {
+			return err
+		}
+		callers = set.CallerAddress
+		var adapter platform.Settings
+		adapter.Store.Address = store.Address()
+		d := entry.New(set, platform.New(&adapter), telemetry.NewLogger(a.Err, level, telemetry.FieldVM, set.VMID))
+		group.Go(func() error { return d.Run(ctx) })
+	}
+	for _, path := range []string{"/find/huts", "/quote/7"} {
+		status, body, err := a.askUntilServed(ctx, callers, path)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(a.Out, "curl -H 'Host: %s' http://%s%s\n%d %s\n", devHost, callers, path, status, strings.TrimSpace(body))
+	}
+	if cmd.Bool("once") {
+		cancel()
+	}
+	return group.Wait()
+}
+
+func devHTTPBackends() []*standin.Backend {
+	record := func(text string) string { return fmt.Sprintf("%-*s", topk.RecordSize, text) }
+	return []*standin.Backend{
+		standin.NewBackend("s1-a", "shard-1", "zone-a", []byte(record("hut 9")+record("hut 2"))),
+		standin.NewBackend("s1-b", "shard-1", "zone-a", []byte(record("hut 9")+record("hut 2"))),
+		standin.NewBackend("s2-a", "shard-2", "zone-a", []byte(record("hut 5"))),
+		standin.NewBackend("q-a", "quotes", "zone-a", []byte("a quote")),
+	}
+}
+
+func devHTTPSettings(id string) (entry.Settings, error) {
+	set := entry.Settings{
+		VMID: id, Zone: "zone-a", Region: "region-a", Zones: map[string]string{"zone-a": "region-a"},
+		DrainBound: 3 * time.Second, StopGrace: devStop, MaxAddressTTL: 5 * time.Second, MinLease: time.Second,
+		BudgetPermille: 200, BudgetSlack: 100, BudgetWindow: 10 * time.Second,
+	}
+	for _, address := range []*string{&set.CallerAddress, &set.ReadyAddress, &set.ResolveAddress, &set.PeerAddress} {
+		// The port is free again when the daemon takes it, except for a rare race
+		// that shows as an error at the start.
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return set, &entry.ListenError{Address: "127.0.0.1:0", Err: err}
+		}
+		*address = l.Addr().String()
+		l.Close()
+	}
+	return set, nil
+}
+
+// askUntilServed asks until a VM has read the configuration.
+func (a *app) askUntilServed(ctx context.Context, address, path string) (status int, body string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, devWait)
+	defer cancel()
+	for {
+		status, body, err = a.ask(ctx, address, path)
+		if err == nil && status == http.StatusOK || ctx.Err() != nil {
+			return status, body, err
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (a *app) ask(ctx context.Context, address, path string) (status int, body string, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return 0, "", fmt.Errorf("ask %s: %w", path, err)
+	}
+	req.Host = devHost
+	resp, err := a.http.Do(req)
+	if err != nil {
+		return 0, "", fmt.Errorf("ask %s: %w", path, err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data), err
+}
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -184,7 +184,7 @@
 	f.cancel = cancel
 	f.cancelMu.Unlock()
 	if list {
-		l, err := f.cfg.Store.List(ctx)
+		l, err := f.list(ctx)
 		if err != nil {
 			return false, err
 		}
@@ -204,6 +204,49 @@
 	return f.cfg.Mirror.Apply(c), nil
 }
 
+// list reads all records. While none are known it asks again before an earlier
+// call has ended: a VM that starts while the store is silent cannot serve before
+// the first answer, and a call from before the store's return gets none.
+func (f *Follower) list(ctx context.Context) (Listing, error) {
+	if f.cfg.Mirror.Revision() > 0 {
+		return f.cfg.Store.List(ctx)
+	}
+	type result struct {
+		listing Listing
+		err     error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan result, firstLists)
+	again := time.NewTimer(0)
+	defer again.Stop()
+	started, ended := 0, 0
+	for {
+		select {
+		case <-again.C:
+			started++
+			go func() {
+				l, err := f.cfg.Store.List(ctx)
+				results <- result{l, err}
+			}()
+			if started < firstLists {
+				again.Reset(firstListEvery)
+			}
+		case r := <-results:
+			if ended++; r.err == nil || ended == started {
+				return r.listing, r.err
+			}
+		}
+	}
+}
+
+const (
+	// firstLists is how many first listings are under way at most, and
+	// firstListEvery the pause between them: a slow store takes as long.
+	firstLists     = 4
+	firstListEvery = 400 * time.Millisecond
+)
+
 func (f *Follower) followPeers(ctx context.Context) {
 	failing := false
 	for ctx.Err() == nil {
@@ -251,8 +294,8 @@
 }
 
 func (f *Follower) markLost(err error) {
-	f.wasLost.Store(true)
-	if f.lost.CompareAndSwap(false, true) {
+	first := !f.wasLost.Swap(true)
+	if f.lost.CompareAndSwap(false, true) || first {
 		f.cfg.Logger.Warn("store does not answer", "revision", f.cfg.Mirror.Revision(), "error", err.Error())
 	}
 }
--- a/mirror/follower_test.go
+++ b/mirror/follower_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"io"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,32 +16,57 @@
 
 var errDown = errors.New("store is down")
 
-// fakeStore answers from a mirror of its own.
-type fakeStore struct {
-	content *Mirror
+// flags are the faults of a fakeStore.
+type flags struct {
 	// down makes every call fail, deaf makes watches wait for ever, and
 	// compacted fails the next watch.
 	down, deaf, compacted bool
-	watches, lists        int
+	// silent makes listings that start now last for the timeout of a call.
+	silent bool
+}
+
+// fakeStore answers from a mirror of its own.
+type fakeStore struct {
+	content        *Mirror
+	mu             sync.Mutex
+	flags          flags
+	watches, lists atomic.Int64
+}
+
+func (s *fakeStore) set(f flags) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.flags = f
+}
+
+func (s *fakeStore) get() flags {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.flags
 }
 
-func (s *fakeStore) List(context.Context) (Listing, error) {
-	s.lists++
-	if s.down {
+func (s *fakeStore) List(ctx context.Context) (Listing, error) {
+	s.lists.Add(1)
+	f := s.get()
+	if f.silent {
+		sleep(ctx, 1500*time.Millisecond)
+	}
+	if f.silent || f.down {
 		return Listing{}, errDown
 	}
 	return s.content.Listing(), nil
 }
 
 func (s *fakeStore) Watch(ctx context.Context, after int64, wait time.Duration) (Changes, error) {
-	s.watches++
-	if s.compacted {
-		s.compacted = false
+	s.watches.Add(1)
+	f := s.get()
+	if f.compacted {
+		f.compacted = false
+		s.set(f)
 		return Changes{}, ErrCompacted
 	}
 	end := time.Now().Add(wait)
-	deaf := s.deaf
-	for !s.down {
+	for !s.get().down {
 		var c Changes
 		l := s.content.Listing()
 		c.Revision = l.Revision
@@ -48,7 +75,7 @@
 				c.Changes = append(c.Changes, Change{Record: r})
 			}
 		}
-		if len(c.Changes) > 0 && !deaf || !deaf && !time.Now().Before(end) {
+		if !f.deaf && (len(c.Changes) > 0 || !time.Now().Before(end)) {
 			return c, nil
 		}
 		sleep(ctx, 10*time.Millisecond)
@@ -90,11 +117,11 @@
 		s.put("a", 1)
 		m := follow(t, s, nil)
 		time.Sleep(time.Second)
-		s.deaf = true
+		s.set(flags{deaf: true})
 		time.Sleep(DefaultWatchWait) // the last watch that hears ends
 		s.put("b", 2)
 		time.Sleep(100 * time.Millisecond)
-		s.deaf = false              // only the waiting watch stays deaf
+		s.set(flags{})              // only the waiting watch stays deaf
 		time.Sleep(4 * time.Second) // the time to catch up after trouble
 		c.Assert(m.Revision(), qt.Equals, int64(2))
 	})
@@ -109,13 +136,13 @@
 		s.put("a", 1)
 		m := follow(t, s, nil)
 		time.Sleep(time.Second)
-		s.compacted = true
+		s.set(flags{compacted: true})
 		s.put("b", 2)
 		time.Sleep(time.Second)
 		s.put("c", 3)
 		time.Sleep(time.Second)
 		c.Assert(m.Revision(), qt.Equals, int64(3))
-		c.Assert(s.lists, qt.Equals, 2)
+		c.Assert(s.lists.Load(), qt.Equals, int64(2))
 	})
 }
 
@@ -124,15 +151,15 @@
 func TestPeersWhileStoreIsDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		s := &fakeStore{content: New(), down: true}
+		s := &fakeStore{content: New(), flags: flags{down: true}}
 		p := &fakePeer{content: New()}
 		p.content.Apply(Changes{Changes: []Change{{Record: Record{Key: "a", Revision: 5}}}, Revision: 5})
 		m := follow(t, s, p)
 		time.Sleep(2 * time.Second)
 		c.Assert(m.Revision(), qt.Equals, int64(5))
-		c.Assert(s.lists <= 6, qt.IsTrue, qt.Commentf("%d lists", s.lists))
+		c.Assert(s.lists.Load() <= 6, qt.IsTrue, qt.Commentf("%d lists", s.lists.Load()))
 		s.put("a", 3)
-		s.down = false
+		s.set(flags{})
 		time.Sleep(2 * time.Second)
 		c.Assert(m.Listing().Records, qt.HasLen, 1)
 		c.Assert(m.Listing().Records[0].Revision, qt.Equals, int64(5))
@@ -147,10 +174,10 @@
 		s.put("a", 1)
 		follow(t, s, nil)
 		time.Sleep(time.Second)
-		s.down = true
-		s.watches = 0
+		s.set(flags{down: true})
+		s.watches.Store(0)
 		time.Sleep(10 * time.Second)
-		c.Assert(s.watches <= 25, qt.IsTrue, qt.Commentf("%d watches", s.watches))
+		c.Assert(s.watches.Load() <= 25, qt.IsTrue, qt.Commentf("%d watches", s.watches.Load()))
 	})
 }
 
@@ -164,9 +191,9 @@
 		s.put("a", 1)
 		m := follow(t, s, nil)
 		time.Sleep(SettleTime + time.Second)
-		s.down = true
+		s.set(flags{down: true})
 		time.Sleep(3 * time.Second)
-		s.down = false
+		s.set(flags{})
 		time.Sleep(2 * time.Second) // answers again
 		for rev := int64(2); rev < 10; rev++ {
 			s.put("a", rev)
@@ -175,3 +202,18 @@
 		}
 	})
 }
+
+// Guards against a VM that starts while the store is silent, and still waits for
+// its first call when the store is back.
+func TestStartWhileStoreIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &fakeStore{content: New(), flags: flags{silent: true}}
+		s.put("a", 1)
+		m := follow(t, s, nil)
+		time.Sleep(700 * time.Millisecond)
+		s.set(flags{})
+		time.Sleep(firstListEvery + 10*time.Millisecond)
+		c.Assert(m.Revision(), qt.Equals, int64(1))
+	})
+}
