Open the daemon's sockets before it runs

Change: Daemon.Listen takes port 0 and Settings tells the addresses; the command waits for its daemons. Result: go test -race passes on entry and cli.

--- a/cli/devhttp.go
+++ b/cli/devhttp.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -67,17 +67,28 @@
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	var callers string
+	var adapter platform.Settings
+	adapter.Store.Address = store.Address()
 	for i := range cmd.Int("vms") {
-		set, err := devHTTPSettings(fmt.Sprintf("vm-%d", i+1))
-		if err != nil {
-			return err
-		}
-		callers = set.CallerAddress
-		var adapter platform.Settings
-		adapter.Store.Address = store.Address()
+		set := devHTTPSettings(fmt.Sprintf("vm-%d", i+1))
 		d := entry.New(set, platform.New(&adapter), telemetry.NewLogger(a.Err, level, telemetry.FieldVM, set.VMID))
+		if err = d.Listen(); err != nil {
+			break
+		}
+		callers = d.Settings().CallerAddress
 		group.Go(func() error { return d.Run(ctx) })
 	}
+	if err == nil {
+		err = a.showHTTP(ctx, callers)
+	}
+	if err != nil || cmd.Bool("once") {
+		cancel()
+	}
+	return errors.Join(err, group.Wait())
+}
+
+// showHTTP asks a VM and prints the answers.
+func (a *app) showHTTP(ctx context.Context, callers string) error {
 	for _, path := range []string{"/find/huts", "/quote/7"} {
 		status, body, err := a.askUntilServed(ctx, callers, path)
 		if err != nil {
@@ -85,10 +96,7 @@
 		}
 		fmt.Fprintf(a.Out, "curl -H 'Host: %s' http://%s%s\n%d %s\n", devHost, callers, path, status, strings.TrimSpace(body))
 	}
-	if cmd.Bool("once") {
-		cancel()
-	}
-	return group.Wait()
+	return nil
 }
 
 func devHTTPBackends() []*standin.Backend {
@@ -101,23 +109,14 @@
 	}
 }
 
-func devHTTPSettings(id string) (entry.Settings, error) {
-	set := entry.Settings{
+func devHTTPSettings(id string) entry.Settings {
+	const free = "127.0.0.1:0"
+	return entry.Settings{
 		VMID: id, Zone: "zone-a", Region: "region-a", Zones: map[string]string{"zone-a": "region-a"},
+		CallerAddress: free, ReadyAddress: free, ResolveAddress: free, PeerAddress: free,
 		DrainBound: 3 * time.Second, StopGrace: devStop, MaxAddressTTL: 5 * time.Second, MinLease: time.Second,
 		BudgetPermille: 200, BudgetSlack: 100, BudgetWindow: 10 * time.Second,
 	}
-	for _, address := range []*string{&set.CallerAddress, &set.ReadyAddress, &set.ResolveAddress, &set.PeerAddress} {
-		// The port is free again when the daemon takes it, except for a rare race
-		// that shows as an error at the start.
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return set, &entry.ListenError{Address: "127.0.0.1:0", Err: err}
-		}
-		*address = l.Addr().String()
-		l.Close()
-	}
-	return set, nil
 }
 
 // askUntilServed asks until a VM has read the configuration.
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -76,7 +76,9 @@
 	ordinary *rate.Limiter // log lines of requests without trouble
 	metrics  *metrics.Set
 	leaving  atomic.Bool
-	warmed   sync.Map // *config.Backend to struct{}
+	// listeners are set by Listen.
+	listeners []listener
+	warmed    sync.Map // *config.Backend to struct{}
 	// work ends after the drain, and background are the goroutines that then end.
 	work       context.Context
 	stop       context.CancelFunc
@@ -118,10 +120,10 @@
 	if d.settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(d.settings.MemoryBytes) * memoryPart))
 	}
-	servers, err := d.listen()
-	if err != nil {
+	if err := d.Listen(); err != nil {
 		return err
 	}
+	d.serve()
 	follower := mirror.NewFollower(mirror.FollowerConfig{
 		Mirror: d.state.mirror, Store: d.platform, Logger: d.logger, Changed: d.refresh, Gather: d.settings.DrainBound / gatherPart,
 		Peers: newPeers(d.state, d.settings.PeerAddress, d.settings.PeerSeeds),
@@ -138,7 +140,7 @@
 	d.logger.Info("started", "callers", d.settings.CallerAddress, "zone", d.settings.Zone)
 
 	<-ctx.Done()
-	d.drain(servers, reg)
+	d.drain(reg)
 	d.stop()
 	d.background.Wait()
 	d.client.Update(nil)
@@ -147,38 +149,62 @@
 	return nil
 }
 
-// servers are the HTTP servers of a daemon. admin is nil without an address.
-type servers struct{ callers, ready, resolve, peers, admin *http.Server }
+// listener is an HTTP server of a daemon with its socket.
+type listener struct {
+	address *string // in the settings
+	server  *http.Server
+	socket  net.Listener
+}
 
-func (d *Daemon) listen() (*servers, error) {
-	s := &servers{}
+// Listen opens the daemon's sockets, which Run does otherwise. Addresses with
+// port 0 get a free port; Settings tells it.
+func (d *Daemon) Listen() error {
+	if d.listeners != nil {
+		return nil
+	}
+	admin := telemetry.NewAdminHandler(telemetry.AdminConfig{Metrics: d.metrics, Process: true, Ready: d.readyError})
+	relayed := &relay.Handler{Transport: d.client, Backends: d.state.registry, Logger: d.logger}
+	// In the order in which they end: callers first, other VMs last.
 	for _, l := range []struct {
-		server  **http.Server
-		address string
+		address *string
 		handler http.Handler
 	}{
-		{&s.callers, d.settings.CallerAddress, d},
-		{&s.ready, d.settings.ReadyAddress, d.readyHandler()},
-		{&s.resolve, d.settings.ResolveAddress, d.resolveHandler()},
-		{&s.peers, d.settings.PeerAddress, peerHandler(d.state.mirror, &relay.Handler{Transport: d.client, Backends: d.state.registry, Logger: d.logger})},
-		{&s.admin, d.settings.AdminAddress, telemetry.NewAdminHandler(telemetry.AdminConfig{Metrics: d.metrics, Process: true, Ready: d.readyError})},
+		{&d.settings.CallerAddress, d},
+		{&d.settings.ResolveAddress, d.resolveHandler()},
+		{&d.settings.ReadyAddress, d.readyHandler()},
+		{&d.settings.PeerAddress, peerHandler(d.state.mirror, relayed)},
+		{&d.settings.AdminAddress, admin},
 	} {
-		if l.address == "" {
+		if *l.address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", l.address)
+		socket, err := net.Listen("tcp", *l.address)
 		if err != nil {
-			return nil, &ListenError{Address: l.address, Err: err}
+			for _, open := range d.listeners {
+				open.socket.Close()
+			}
+			d.listeners = nil
+			return &ListenError{Address: *l.address, Err: err}
 		}
-		server := &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: d.logger.StandardLog()}
-		*l.server = server
-		go func() {
-			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-				d.logger.Error("listener ended", "address", l.address, "error", err.Error())
+		*l.address = socket.Addr().String()
+		d.listeners = append(d.listeners, listener{address: l.address, socket: socket, server: &http.Server{
+			Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: d.logger.StandardLog(),
+		}})
+	}
+	return nil
+}
+
+// Settings returns the daemon's settings, after Listen with its addresses.
+func (d *Daemon) Settings() Settings { return d.settings }
+
+func (d *Daemon) serve() {
+	for _, l := range d.listeners {
+		d.background.Go(func() {
+			if err := l.server.Serve(l.socket); !errors.Is(err, http.ErrServerClosed) {
+				d.logger.Error("listener ended", "address", *l.address, "error", err.Error())
 			}
-		}()
+		})
 	}
-	return s, nil
 }
 
 func (d *Daemon) ready() bool { return d.readyError() == nil }
@@ -313,7 +339,7 @@
 
 // drain ends the daemon without cutting a request off: callers are sent
 // elsewhere first, then no connection is taken, then the last requests end.
-func (d *Daemon) drain(s *servers, reg *registration) {
+func (d *Daemon) drain(reg *registration) {
 	end := time.Now().Add(d.settings.StopGrace - stopMargin)
 	d.leaving.Store(true)
 	reg.leave()
@@ -321,12 +347,9 @@
 	time.Sleep(min(drainServe, time.Until(end)/2))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	for _, server := range []*http.Server{s.callers, s.resolve, s.ready, s.peers, s.admin} {
-		if server == nil {
-			continue
-		}
-		if err := server.Shutdown(ctx); err != nil {
-			d.logger.Warn("requests cut off at the end of the grace time", "address", server.Addr, "error", err.Error())
+	for _, l := range d.listeners {
+		if err := l.server.Shutdown(ctx); err != nil {
+			d.logger.Warn("requests cut off at the end of the grace time", "address", *l.address, "error", err.Error())
 		}
 	}
 }
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -83,13 +82,6 @@
 	done     chan error
 }
 
-func freeAddress(c *qt.C) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // start runs a daemon with a short grace time and waits until it is ready, if
 // wait is set.
 func (f *fixture) start(id string, wait bool, seeds ...string) *vm {
@@ -99,17 +91,17 @@
 func (f *fixture) startWith(id string, wait bool, grace time.Duration, seeds ...string) *vm {
 	set := entry.Settings{
 		VMID: id, Zone: "attica-a", Region: "attica",
-		CallerAddress: freeAddress(f.C), ReadyAddress: freeAddress(f.C), ResolveAddress: freeAddress(f.C), PeerAddress: freeAddress(f.C),
+		CallerAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", ResolveAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
 		PeerSeeds: seeds, DrainBound: 3 * time.Second, StopGrace: grace, MaxAddressTTL: 5 * time.Second, MinLease: time.Second,
 		BudgetPermille: 200, BudgetSlack: 1000, BudgetWindow: 10 * time.Second,
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	v := &vm{settings: set, stop: stop, done: make(chan error, 1)}
 	var s platform.Settings
 	s.Store.Address = f.store.Address()
-	go func() {
-		v.done <- entry.New(set, platform.New(&s), telemetry.NewLogger(f.logs, log.DebugLevel, telemetry.FieldVM, id)).Run(ctx)
-	}()
+	d := entry.New(set, platform.New(&s), telemetry.NewLogger(f.logs, log.DebugLevel, telemetry.FieldVM, id))
+	f.Assert(d.Listen(), qt.IsNil)
+	v := &vm{settings: d.Settings(), stop: stop, done: make(chan error, 1)}
+	go func() { v.done <- d.Run(ctx) }()
 	f.Cleanup(func() {
 		stop()
 		<-v.done
