Name dead VMs no longer than their lease; bound the time of a body

Cause: a VM whose lease had lapsed was named to callers for 3 s more, and each caller that is sent to it waits a second. Bodies had no time bound. Change: only right after an outage of the store are such VMs kept; leases last 3 s. A body has 5 s, then 408, as nothing was sent on.

--- a/entry/bounds_test.go
+++ b/entry/bounds_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/briarstand/briarstand/membership"
 	"github.com/briarstand/briarstand/mirror"
 )
 
@@ -18,3 +19,25 @@
 		qt.Check(t, mirror.SettleGather+max(lapseHold, lastResort(bound))+news <= bound, qt.IsTrue, qt.Commentf("%v", bound))
 	}
 }
+
+// Guards against callers that are sent to a VM that died, each of which waits a
+// second for its connection, and against VMs that are forgotten because their
+// records lapsed while the store was away.
+func TestVMsThatAreNotListed(t *testing.T) {
+	c := qt.New(t)
+	start := time.Unix(1000, 0)
+	both := map[string]membership.Member{"a": {ID: "a", State: membership.Alive}, "b": {ID: "b", State: membership.Alive}}
+	one := map[string]membership.Member{"a": both["a"]}
+	table := newVMTable("a")
+	c.Assert(table.update(both, start, 0).members, qt.HasLen, 2)
+	f := table.update(one, start.Add(time.Second), 0)
+	c.Assert(f.members, qt.HasLen, 1)
+	c.Assert(f.known, qt.HasLen, 2, qt.Commentf("its share of the budget may be spent"))
+	c.Assert(table.update(nil, start.Add(lapsedVMCount+2*time.Second), 0).known, qt.HasLen, 1)
+
+	table = newVMTable("a")
+	table.update(both, start, lapsedVMUse)
+	c.Assert(table.update(one, start.Add(time.Second), lapsedVMUse).members, qt.HasLen, 2)
+	c.Assert(table.update(one, start.Add(2*time.Second), 0).members, qt.HasLen, 2)
+	c.Assert(table.update(nil, start.Add(lapsedVMUse+2*time.Second), 0).members, qt.HasLen, 1)
+}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -461,3 +462,24 @@
 	f.Assert(err, qt.IsNotNil)
 	f.eventually(700*time.Millisecond-time.Since(start), "request ended", func() bool { return strings.Contains(f.logs.String(), "caller_left") })
 }
+
+// Guards against callers that hold a VM's memory with bodies that never end, and
+// against bodies above the limit.
+func TestBodies(t *testing.T) {
+	f := newFixture(t)
+	b := f.backend("b1", "book", "ok")
+	f.store.Configure(1, single("book", "book", "non_idempotent"))
+	v := f.start("vm1", true)
+	a := f.ask(v, "POST", "/book/x", "large", strings.Repeat("x", 262145), time.Second)
+	f.Assert(a.status, qt.Equals, http.StatusRequestEntityTooLarge)
+	conn, err := net.Dial("tcp", v.settings.CallerAddress)
+	f.Assert(err, qt.IsNil)
+	defer conn.Close()
+	fmt.Fprintf(conn, "POST /book/x HTTP/1.1\r\nHost: %s\r\nX-Request-Id: stalled\r\nContent-Length: 10\r\n\r\npart", host)
+	f.Assert(conn.SetReadDeadline(time.Now().Add(8*time.Second)), qt.IsNil)
+	head := make([]byte, 12)
+	_, err = io.ReadFull(conn, head)
+	f.Assert(err, qt.IsNil)
+	f.Assert(string(head), qt.Equals, "HTTP/1.1 408")
+	f.Assert(b.Runs(), qt.HasLen, 0)
+}
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// lapsedVMUse is how long a VM whose record is gone is still named to
-	// callers: records also lapse while the store is away.
+	// lapsedVMUse is how long a VM whose record is gone right after an outage of
+	// the store is still named to callers: it registers again if it lives.
 	lapsedVMUse = 3 * time.Second
 	// lapsedVMCount is how long such a VM counts for the shares of budgets; it
 	// may have spent its share in the current window.
@@ -35,14 +35,20 @@
 	member membership.Member
 	listed bool
 	seen   time.Time // when the record was last there
+	// namedUntil is until when callers are sent to a VM that is not listed.
+	namedUntil time.Time
 }
 
 func newVMTable(self string) *vmTable { return &vmTable{self: self, vms: map[string]*vmEntry{}} }
 
-// update takes over the listed VMs, or only lets time pass if they are nil.
-func (t *vmTable) update(listed map[string]membership.Member, now time.Time) *fleet {
+// update takes over the listed VMs, or only lets time pass if they are nil. A VM
+// that is no longer listed is named to callers for the time of hold.
+func (t *vmTable) update(listed map[string]membership.Member, now time.Time, hold time.Duration) *fleet {
 	if listed != nil {
 		for _, v := range t.vms {
+			if v.listed {
+				v.namedUntil = now.Add(hold)
+			}
 			v.listed = false
 		}
 		for id, m := range listed {
@@ -55,13 +61,12 @@
 		if v.listed {
 			v.seen = now
 		}
-		gone := now.Sub(v.seen)
-		if gone > lapsedVMCount {
+		if now.Sub(v.seen) > lapsedVMCount {
 			delete(t.vms, id)
 			continue
 		}
 		f.known = append(f.known, v.member)
-		if v.member.State == membership.Alive && gone <= lapsedVMUse {
+		if v.member.State == membership.Alive && (v.listed || now.Before(v.namedUntil)) {
 			f.members = append(f.members, v.member)
 		}
 	}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -56,15 +57,31 @@
 	if limit > 0 {
 		r.Body = http.MaxBytesReader(w, r.Body, limit)
 	}
-	return io.ReadAll(r.Body)
+	controller := http.NewResponseController(w)
+	if err := controller.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	return body, controller.SetReadDeadline(time.Time{})
 }
 
+// bodyTimeout bounds the time in which a caller sends a body; the largest takes
+// a fraction of a second on any link.
+const bodyTimeout = 5 * time.Second
+
 func (d *Daemon) rejectBody(w http.ResponseWriter, id string, err error) {
 	status := http.StatusBadRequest
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		status = http.StatusRequestEntityTooLarge
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		status = http.StatusRequestTimeout // nothing was sent on
+		w.Header().Set("Connection", "close")
+	}
 	d.logger.Warn("request", telemetry.FieldRequestID, id, "outcome", "body_not_read", "status", status, telemetry.FieldError, err.Error())
 	http.Error(w, "the body could not be read", status)
 }
--- a/entry/registration.go
+++ b/entry/registration.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// leaseTTL is how long this VM's record outlives its process. Callers turn
-	// to another address by themselves meanwhile.
-	leaseTTL = 4 * time.Second
+	// leaseTTL is how long this VM's record outlives its process. Meanwhile a
+	// caller that is sent here waits a second before it tries another address.
+	leaseTTL = 3 * time.Second
 	// leaseRenewals is how often a lease is renewed in its time.
 	leaseRenewals = 3
 	// registerRetry is the pause after a failed call.
--- a/entry/state.go
+++ b/entry/state.go
@@ -99,7 +99,7 @@
 		s.logger.Info("backend server", "backend", c.Server.ID, telemetry.FieldService, c.Server.Service, "address", c.Server.Address,
 			"from", c.From.String(), "to", c.To.String(), telemetry.FieldRevision, l.Revision)
 	}
-	s.fleet.Store(s.vms.update(members, now))
+	s.fleet.Store(s.vms.update(members, now, s.holdVM(now)))
 	if l.Revision > 0 {
 		s.primed.Store(true)
 	}
@@ -116,6 +116,14 @@
 	return s.lastResort
 }
 
+// holdVM returns how long a VM that is no longer listed is named to callers.
+func (s *state) holdVM(now time.Time) time.Duration {
+	if f := s.follower.Load(); f != nil && f.Settling(now) {
+		return lapsedVMUse
+	}
+	return 0
+}
+
 // lapseHold covers the time in which entries come back after an outage of the
 // store. With mirror.SettleGather it stays below the shortest drain bound of 3 s.
 const lapseHold = 2300 * time.Millisecond
@@ -124,7 +132,7 @@
 func (s *state) sweep(now time.Time) (changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.fleet.Store(s.vms.update(nil, now))
+	s.fleet.Store(s.vms.update(nil, now, 0))
 	if s.listed == nil {
 		return false
 	}
