--- a/backend/pool.go
+++ b/backend/pool.go
@@ -14,6 +14,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/internal/defaults"
 )
 
 // MaxBatch is the most sub-requests in one message.
@@ -80,13 +81,6 @@
 	UndeclaredGrace time.Duration
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 func (c PoolConfig) withDefaults() PoolConfig {
 	if c.Dial == nil {
 		c.Dial = (&net.Dialer{KeepAlive: c.PingInterval}).DialContext
@@ -103,19 +97,19 @@
 	if c.OnConnect == nil {
 		c.OnConnect = func(string) {}
 	}
-	setDefault(&c.MaxQueued, DefaultMaxQueued)
-	setDefault(&c.MaxInFlight, DefaultMaxInFlight)
-	setDefault(&c.MaxBodyBytes, DefaultMaxBodyBytes)
-	setDefault(&c.MaxReceiveBytes, DefaultMaxReceiveBytes)
-	setDefault(&c.ConnectTimeout, DefaultConnectTimeout)
-	setDefault(&c.ReplyGrace, DefaultReplyGrace)
-	setDefault(&c.SilenceTimeout, DefaultSilenceTimeout)
-	setDefault(&c.PingInterval, DefaultPingInterval)
-	setDefault(&c.PingTimeout, DefaultPingTimeout)
-	setDefault(&c.BackoffBase, DefaultBackoffBase)
-	setDefault(&c.BackoffMax, DefaultBackoffMax)
-	setDefault(&c.Tick, DefaultTick)
-	setDefault(&c.UndeclaredGrace, DefaultUndeclaredGrace)
+	defaults.Set(&c.MaxQueued, DefaultMaxQueued)
+	defaults.Set(&c.MaxInFlight, DefaultMaxInFlight)
+	defaults.Set(&c.MaxBodyBytes, DefaultMaxBodyBytes)
+	defaults.Set(&c.MaxReceiveBytes, DefaultMaxReceiveBytes)
+	defaults.Set(&c.ConnectTimeout, DefaultConnectTimeout)
+	defaults.Set(&c.ReplyGrace, DefaultReplyGrace)
+	defaults.Set(&c.SilenceTimeout, DefaultSilenceTimeout)
+	defaults.Set(&c.PingInterval, DefaultPingInterval)
+	defaults.Set(&c.PingTimeout, DefaultPingTimeout)
+	defaults.Set(&c.BackoffBase, DefaultBackoffBase)
+	defaults.Set(&c.BackoffMax, DefaultBackoffMax)
+	defaults.Set(&c.Tick, DefaultTick)
+	defaults.Set(&c.UndeclaredGrace, DefaultUndeclaredGrace)
 	return c
 }
 
--- a/balance/latency.go
+++ b/balance/latency.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/briarstand/briarstand/internal/defaults"
 )
 
 // Defaults of LatencyConfig.
@@ -45,8 +47,8 @@
 
 // NewLatencies returns an estimator without observations.
 func NewLatencies(cfg LatencyConfig) *Latencies {
-	setDefault(&cfg.Window, DefaultWindow)
-	setDefault(&cfg.Refresh, DefaultRefresh)
+	defaults.Set(&cfg.Window, DefaultWindow)
+	defaults.Set(&cfg.Refresh, DefaultRefresh)
 	if cfg.MinSamples == 0 {
 		cfg.MinSamples = DefaultMinSamples
 	}
--- a/balance/picker.go
+++ b/balance/picker.go
@@ -10,6 +10,7 @@
 
 	"github.com/briarstand/briarstand/backend"
 	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/internal/defaults"
 )
 
 // Defaults of Config.
@@ -73,12 +74,6 @@
 	HintAge time.Duration
 }
 
-func setDefault(field *time.Duration, value time.Duration) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // Picker chooses replicas by the VM's own observations. All methods are safe
 // for concurrent use.
 type Picker struct {
@@ -105,10 +100,10 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.Uint64
 	}
-	setDefault(&cfg.Forget, DefaultForget)
-	setDefault(&cfg.Penalty, DefaultPenalty)
-	setDefault(&cfg.SlowStart, DefaultSlowStart)
-	setDefault(&cfg.HintAge, DefaultHintAge)
+	defaults.Set(&cfg.Forget, DefaultForget)
+	defaults.Set(&cfg.Penalty, DefaultPenalty)
+	defaults.Set(&cfg.SlowStart, DefaultSlowStart)
+	defaults.Set(&cfg.HintAge, DefaultHintAge)
 	p := &Picker{cfg: cfg, epoch: time.Now()}
 	p.states.Store(&map[string]*state{})
 	return p
--- a/cli/devhttp_test.go
+++ b/cli/devhttp_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
 	"regexp"
 	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/briarstand/briarstand/entry"
 )
 
 // Guards the one command with which a newcomer runs the HTTP path.
@@ -24,3 +29,30 @@
 		"",
 	}, "\n"))
 }
+
+// Guards the picture that an operator gets of a VM.
+func TestStatus(t *testing.T) {
+	c := qt.New(t)
+	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c.Check(r.URL.Path, qt.Equals, "/state")
+		_ = json.NewEncoder(w).Encode(entry.Report{
+			VM: "vm1", ConfigVersion: 7, Revision: 30, RecordsAgeMS: 120, StoreLost: true, VMs: []string{"vm1", "vm2"},
+			Services: map[string]entry.ServiceReport{"quotes": {Ready: []string{"a", "b"}, Leaving: []string{"c"}, Budget: 2.5}},
+		})
+	}))
+	defer web.Close()
+	var out, errOut strings.Builder
+	code := Run(context.Background(), []string{"briarstand", "status", "--admin-address", web.Listener.Addr().String()}, Streams{In: strings.NewReader(""), Out: &out, Err: &errOut})
+	c.Assert(code, qt.Equals, ExitOK, qt.Commentf("%s", errOut.String()))
+	c.Assert(out.String(), qt.Equals, strings.Join([]string{
+		"VM              vm1, ready",
+		"configuration   version 7",
+		"records         revision 30, confirmed 120 ms ago",
+		"store           does not answer",
+		"VMs             vm1 vm2",
+		"",
+		"SERVICE               READY  LEAVING  BUDGET",
+		"quotes                    2        1     2.5",
+		"",
+	}, "\n"))
+}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -162,7 +162,9 @@
 	if d.listeners != nil {
 		return nil
 	}
-	admin := telemetry.NewAdminHandler(telemetry.AdminConfig{Metrics: d.metrics, Process: true, Ready: d.readyError})
+	admin := chi.NewRouter()
+	admin.Get(ReportPath, d.serveReport)
+	admin.Mount("/", telemetry.NewAdminHandler(telemetry.AdminConfig{Metrics: d.metrics, Process: true, Ready: d.readyError}))
 	relayed := &relay.Handler{Transport: d.client, Backends: d.state.registry, Logger: d.logger}
 	// In the order in which they end: callers first, other VMs last.
 	for _, l := range []struct {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -78,6 +78,7 @@
 
 // vm is a running daemon.
 type vm struct {
+	daemon   *entry.Daemon
 	settings entry.Settings
 	stop     context.CancelFunc
 	done     chan error
@@ -92,7 +93,7 @@
 func (f *fixture) startWith(id string, wait bool, grace time.Duration, seeds ...string) *vm {
 	set := entry.Settings{
 		VMID: id, Zone: "attica-a", Region: "attica",
-		CallerAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", ResolveAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
+		CallerAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", ResolveAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", AdminAddress: "127.0.0.1:0",
 		PeerSeeds: seeds, DrainBound: 3 * time.Second, StopGrace: grace, MaxAddressTTL: 5 * time.Second, MinLease: time.Second,
 		BudgetPermille: 200, BudgetSlack: 1000, BudgetWindow: 10 * time.Second,
 	}
@@ -101,7 +102,7 @@
 	s.Store.Address = f.store.Address()
 	d := entry.New(set, platform.New(&s), telemetry.NewLogger(f.logs, log.DebugLevel, telemetry.FieldVM, id))
 	f.Assert(d.Listen(), qt.IsNil)
-	v := &vm{settings: d.Settings(), stop: stop, done: make(chan error, 1)}
+	v := &vm{daemon: d, settings: d.Settings(), stop: stop, done: make(chan error, 1)}
 	go func() { v.done <- d.Run(ctx) }()
 	f.Cleanup(func() {
 		stop()
@@ -203,6 +204,14 @@
 	f.Assert(parts, qt.ContentEquals, []string{f.backends["a1"].Signature("id-2"), f.backends["b1"].Signature("id-2")})
 
 	f.Assert(f.ask(v, "GET", "/none/x", "id-3", "", time.Second).status, qt.Equals, http.StatusNotFound)
+	for _, path := range []string{"/metrics", "/readyz", entry.ReportPath} {
+		f.Assert(f.status(v, v.settings.AdminAddress, path), qt.Equals, http.StatusOK, qt.Commentf(path))
+	}
+	report := v.daemon.Report()
+	f.Assert(report.NotReady, qt.Equals, "")
+	f.Assert(report.ConfigVersion, qt.Equals, int64(7))
+	f.Assert(report.VMs, qt.DeepEquals, []string{"vm1"})
+	f.Assert(report.Services["quotes"].Ready, qt.DeepEquals, []string{"q1"})
 
 	var resolved struct {
 		Addrs []string `json:"addrs"`
--- /dev/null
+++ b/entry/report.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/briarstand/briarstand/membership"
+)
+
+// ReportPath is where the admin address serves a Report.
+const ReportPath = "/state"
+
+// Report is what a VM believes, for operators.
+type Report struct {
+	VM string `json:"vm"`
+	// NotReady says why the VM takes no callers; empty if it does.
+	NotReady      string `json:"not_ready,omitempty"`
+	ConfigVersion int64  `json:"config_version"`
+	// Revision is the store's revision that the VM has reached, RecordsAgeMS how
+	// long ago the store confirmed it in milliseconds; negative if it never did.
+	Revision     int64 `json:"revision"`
+	RecordsAgeMS int64 `json:"records_age_ms"`
+	StoreLost    bool  `json:"store_lost"`
+	// VMs are the ids of the VMs that callers are sent to.
+	VMs      []string                 `json:"vms"`
+	Services map[string]ServiceReport `json:"services"`
+}
+
+// ServiceReport is what a VM believes of one service.
+type ServiceReport struct {
+	// Ready and Leaving are ids of backend servers.
+	Ready   []string `json:"ready"`
+	Leaving []string `json:"leaving,omitempty"`
+	// Budget is the number of tokens for hedges and retries.
+	Budget float64 `json:"budget"`
+}
+
+// Report returns what the VM believes now.
+func (d *Daemon) Report() Report {
+	r := Report{
+		VM: d.settings.VMID, Revision: d.state.mirror.Revision(), RecordsAgeMS: d.state.age(time.Now()).Milliseconds(),
+		Services: map[string]ServiceReport{}, VMs: []string{},
+	}
+	if err := d.readyError(); err != nil {
+		r.NotReady = err.Error()
+	}
+	if t := d.state.table.Load(); t != nil {
+		r.ConfigVersion = t.Version
+	}
+	f := d.state.follower.Load()
+	r.StoreLost = f == nil || f.StoreLost()
+	for _, m := range d.members() {
+		if m.State == membership.Alive {
+			r.VMs = append(r.VMs, m.ID)
+		}
+	}
+	budgets := d.engine.Budgets()
+	for service, replicas := range d.state.registry.Services() {
+		s := ServiceReport{Budget: budgets[service], Ready: []string{}}
+		for _, b := range replicas.Ready {
+			s.Ready = append(s.Ready, b.ID)
+		}
+		for _, l := range replicas.LastResort {
+			s.Leaving = append(s.Leaving, l.Backend.ID)
+		}
+		r.Services[service] = s
+	}
+	return r
+}
+
+func (d *Daemon) serveReport(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(d.Report()); err != nil {
+		d.logger.Info("report not delivered", "error", err.Error())
+	}
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -100,6 +100,16 @@
 	})
 }
 
+// Budgets returns the tokens for hedges and retries of each service in use.
+func (e *Engine) Budgets() map[string]float64 {
+	levels := map[string]float64{}
+	e.budgets.Range(func(service, b any) bool {
+		levels[service.(string)] = b.(*limit.Budget).Level()
+		return true
+	})
+	return levels
+}
+
 func (e *Engine) budget(service string) *limit.Budget {
 	if b, ok := e.budgets.Load(service); ok {
 		return b.(*limit.Budget)
--- a/limit/budget.go
+++ b/limit/budget.go
@@ -106,6 +106,14 @@
 // hedges of sub-requests that are hardly late.
 func (b *Budget) TakeAmple() bool { return b.take(4) }
 
+// Level returns the tokens in the bucket.
+func (b *Budget) Level() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	burst := b.refill()
+	return float64(min(b.level, burst)) / tokenUnit
+}
+
 // TakeKeeping is Take where at least keep tokens remain. Hedges use it with a
 // shared budget, whose burst is only a few tokens.
 func (b *Budget) TakeKeeping(keep float64) bool {
--- a/load/load.go
+++ b/load/load.go
@@ -15,6 +15,7 @@
 	"connectrpc.com/connect"
 
 	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+	"github.com/briarstand/briarstand/internal/defaults"
 )
 
 // Defaults of Config.
@@ -90,26 +91,19 @@
 		if s.Service == "" || !(s.Rate > 0) || s.Limit < 0 || s.Timeout < 0 {
 			return c, &ConfigError{fmt.Sprintf("streams[%d]", i), "needs a service and a positive rate; limit and timeout must not be negative"}
 		}
-		setDefault(&s.Limit, DefaultLimit)
-		setDefault(&s.Timeout, DefaultTimeout)
+		defaults.Set(&s.Limit, DefaultLimit)
+		defaults.Set(&s.Timeout, DefaultTimeout)
 		streams[i] = s
 	}
 	c.Streams = streams
-	setDefault(&c.MaxOutstanding, DefaultMaxOutstanding)
-	setDefault(&c.Attempts, DefaultAttempts)
+	defaults.Set(&c.MaxOutstanding, DefaultMaxOutstanding)
+	defaults.Set(&c.Attempts, DefaultAttempts)
 	if c.Dial == nil {
 		c.Dial = (&net.Dialer{}).DialContext
 	}
 	return c, nil
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // runner is one run.
 type runner struct {
 	cfg       Config
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/briarstand/briarstand/internal/defaults"
 	"github.com/briarstand/briarstand/kvstore"
 )
 
@@ -57,15 +58,15 @@
 }
 
 func (c *Config) setDefaults() {
-	setDefault(&c.ProbeInterval, DefaultProbeInterval)
-	setDefault(&c.ProbeTimeout, DefaultProbeTimeout)
-	setDefault(&c.SuspicionTime, DefaultSuspicionTime)
-	setDefault(&c.TombstoneTime, DefaultTombstoneTime)
-	setDefault(&c.SyncInterval, DefaultSyncInterval)
-	setDefault(&c.ListInterval, DefaultListInterval)
-	setDefault(&c.SeedInterval, DefaultSeedInterval)
-	setDefault(&c.Indirect, DefaultIndirect)
-	setDefault(&c.MaxUpdates, DefaultMaxUpdates)
+	defaults.Set(&c.ProbeInterval, DefaultProbeInterval)
+	defaults.Set(&c.ProbeTimeout, DefaultProbeTimeout)
+	defaults.Set(&c.SuspicionTime, DefaultSuspicionTime)
+	defaults.Set(&c.TombstoneTime, DefaultTombstoneTime)
+	defaults.Set(&c.SyncInterval, DefaultSyncInterval)
+	defaults.Set(&c.ListInterval, DefaultListInterval)
+	defaults.Set(&c.SeedInterval, DefaultSeedInterval)
+	defaults.Set(&c.Indirect, DefaultIndirect)
+	defaults.Set(&c.MaxUpdates, DefaultMaxUpdates)
 	if c.Logger == nil {
 		c.Logger = slog.New(slog.DiscardHandler)
 	}
@@ -74,12 +75,6 @@
 	}
 }
 
-func setDefault[T int | time.Duration](v *T, def T) {
-	if *v <= 0 {
-		*v = def
-	}
-}
-
 // Membership is the member table of one VM together with its failure detector.
 type Membership struct {
 	cfg  Config
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+
+	"github.com/briarstand/briarstand/internal/defaults"
 )
 
 // Defaults of FollowerConfig.
@@ -78,19 +80,13 @@
 	cancel   context.CancelFunc // ends the waiting watch
 }
 
-func setDefault(field *time.Duration, value time.Duration) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // NewFollower returns a Follower; Run does the work.
 func NewFollower(cfg FollowerConfig) *Follower {
-	setDefault(&cfg.WatchWait, DefaultWatchWait)
-	setDefault(&cfg.Gather, DefaultGather)
-	setDefault(&cfg.RetryMin, DefaultRetryMin)
-	setDefault(&cfg.RetryMax, DefaultRetryMax)
-	setDefault(&cfg.PeerEvery, DefaultPeerEvery)
+	defaults.Set(&cfg.WatchWait, DefaultWatchWait)
+	defaults.Set(&cfg.Gather, DefaultGather)
+	defaults.Set(&cfg.RetryMin, DefaultRetryMin)
+	defaults.Set(&cfg.RetryMax, DefaultRetryMax)
+	defaults.Set(&cfg.PeerEvery, DefaultPeerEvery)
 	f := &Follower{cfg: cfg}
 	f.lost.Store(true) // until the first answer
 	return f
--- a/peer/client.go
+++ b/peer/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+	"github.com/briarstand/briarstand/internal/defaults"
 	"github.com/briarstand/briarstand/membership"
 	"github.com/briarstand/briarstand/rollout"
 	"google.golang.org/protobuf/encoding/protojson"
@@ -67,9 +68,9 @@
 // probes another member every second, so a kept connection would be idle until
 // the whole fleet was probed.
 func NewClient(cfg ClientConfig) *Client {
-	setDefault(&cfg.CallTimeout, DefaultCallTimeout)
-	setDefault(&cfg.RelayTimeout, DefaultRelayTimeout)
-	setDefault(&cfg.MaxCalls, DefaultMaxCalls)
+	defaults.Set(&cfg.CallTimeout, DefaultCallTimeout)
+	defaults.Set(&cfg.RelayTimeout, DefaultRelayTimeout)
+	defaults.Set(&cfg.MaxCalls, DefaultMaxCalls)
 	c := &Client{cfg: cfg, counters: newCounters(cfg.Metrics), calls: make(chan struct{}, cfg.MaxCalls)}
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	c.control = &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
@@ -96,12 +97,6 @@
 	return c
 }
 
-func setDefault[T int | time.Duration](v *T, def T) {
-	if *v <= 0 {
-		*v = def
-	}
-}
-
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 // Close closes idle connections.
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/internal/defaults"
 	"github.com/briarstand/briarstand/kvstore"
 	"github.com/briarstand/briarstand/membership"
 )
@@ -79,16 +80,16 @@
 }
 
 func (c *Config) setDefaults() {
-	setDefault(&c.FreshnessWindow, DefaultFreshnessWindow)
-	setDefault(&c.SettleTime, 2*c.Membership.ProbeInterval())
-	setDefault(&c.PollInterval, DefaultPollInterval)
-	setDefault(&c.TakeoverStep, DefaultTakeoverStep)
-	setDefault(&c.WatcherStep, DefaultWatcherStep)
-	setDefault(&c.RoundTimeout, DefaultRoundTimeout)
-	setDefault(&c.MaxListAge, DefaultMaxListAge)
-	setDefault(&c.Fanout, DefaultFanout)
-	setDefault(&c.Watchers, DefaultWatchers)
-	setDefault(&c.Announce, DefaultAnnounce)
+	defaults.Set(&c.FreshnessWindow, DefaultFreshnessWindow)
+	defaults.Set(&c.SettleTime, 2*c.Membership.ProbeInterval())
+	defaults.Set(&c.PollInterval, DefaultPollInterval)
+	defaults.Set(&c.TakeoverStep, DefaultTakeoverStep)
+	defaults.Set(&c.WatcherStep, DefaultWatcherStep)
+	defaults.Set(&c.RoundTimeout, DefaultRoundTimeout)
+	defaults.Set(&c.MaxListAge, DefaultMaxListAge)
+	defaults.Set(&c.Fanout, DefaultFanout)
+	defaults.Set(&c.Watchers, DefaultWatchers)
+	defaults.Set(&c.Announce, DefaultAnnounce)
 	if c.Logger == nil {
 		c.Logger = slog.New(slog.DiscardHandler)
 	}
@@ -97,12 +98,6 @@
 	}
 }
 
-func setDefault[T int | time.Duration](v *T, def T) {
-	if *v <= 0 {
-		*v = def
-	}
-}
-
 // Status is how far a revision is in force.
 type Status struct {
 	Service  string
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/internal/defaults"
 )
 
 // Defaults of Config.
@@ -63,14 +64,9 @@
 		d := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}}
 		cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
 	}
-	for _, d := range []struct {
-		field *time.Duration
-		value time.Duration
-	}{{&cfg.DialTimeout, DefaultDialTimeout}, {&cfg.IdleTimeout, DefaultIdleTimeout}, {&cfg.ReplyGrace, DefaultReplyGrace}} {
-		if *d.field == 0 {
-			*d.field = d.value
-		}
-	}
+	defaults.Set(&cfg.DialTimeout, DefaultDialTimeout)
+	defaults.Set(&cfg.IdleTimeout, DefaultIdleTimeout)
+	defaults.Set(&cfg.ReplyGrace, DefaultReplyGrace)
 	c := &Client{cfg: cfg}
 	c.pools.Store(&map[*config.Backend]*pool{})
 	return c
