--- a/cli/script_test.go
+++ b/cli/script_test.go
@@ -22,6 +22,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/briarstand/briarstand/cli/entrycli"
 )
 
 // Each program runs as its own process: the test binary runs itself under the
@@ -36,6 +38,7 @@
 		"briarstandd": func() {
 			os.Exit(RunDaemon(context.Background(), os.Args, Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}))
 		},
+		"briarstand-entry": func() { os.Exit(entrycli.Run(context.Background(), os.Args, os.Stdout, os.Stderr)) },
 	})
 }
 
