Forget replicas, budgets and connections of what is gone

Cause: read as a newcomer, the marks of connections opened ahead, the picker's states and the budgets of a VM only grew, over every repartition. Ruled out: keeping budgets only for services in use: versions that drop and name a service in turn would refill its budget. Also: a test that all VMs start again beside the records of lost ones.

--- a/balance/picker.go
+++ b/balance/picker.go
@@ -144,11 +144,17 @@
 			declared[svc.Backends[i].ID] = true
 		}
 	}
+	p.Keep(declared)
+}
+
+// Keep forgets all backend servers but those with the ids, and those that have
+// something in flight.
+func (p *Picker) Keep(ids map[string]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	next := map[string]*state{}
 	for id, s := range *p.states.Load() {
-		if declared[id] || s.inFlight.Load() != 0 {
+		if ids[id] || s.inFlight.Load() != 0 {
 			next[id] = s
 		}
 	}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -78,7 +78,8 @@
 	leaving  atomic.Bool
 	// listeners are set by Listen.
 	listeners []listener
-	warmed    sync.Map // *config.Backend to struct{}
+	applying  sync.Mutex // serializes apply
+	warmed    map[*config.Backend]bool
 	// work ends after the drain, and background are the goroutines that then end.
 	work       context.Context
 	stop       context.CancelFunc
@@ -289,12 +290,32 @@
 	}
 }
 
-// apply passes on what the VM believes to the parts that depend on it.
+// apply passes on what the VM believes to the parts that depend on it, and lets
+// them forget what is gone.
 func (d *Daemon) apply() {
-	vms := d.shareOut()
-	d.client.Update(d.state.connectionLimits(vms))
+	d.applying.Lock()
+	defer d.applying.Unlock()
+	limits := d.state.connectionLimits(d.shareOut())
+	d.client.Update(limits)
 	d.relay.SetMembers(d.work, d.state.fleet.Load().members)
-	d.warm()
+	ids := map[string]bool{}
+	for b := range limits {
+		ids[b.ID] = true
+	}
+	d.picker.Keep(ids)
+	table := d.state.table.Load()
+	if table == nil {
+		return
+	}
+	used := table.InUse()
+	d.warm(used)
+	// A budget is kept while its service has servers: versions of the
+	// configuration may drop and name it in quick succession, and a new budget
+	// would have tokens that the old one had spent.
+	for service := range d.state.registry.Services() {
+		used[service] = true
+	}
+	d.engine.Keep(used)
 }
 
 // shareOut sets this VM's share of the budget and returns the number of VMs.
@@ -309,23 +330,21 @@
 	return vms
 }
 
-// warm opens a first connection to each backend server in use.
-func (d *Daemon) warm() {
-	table := d.state.table.Load()
-	if table == nil {
-		return
-	}
-	used := table.InUse()
+// warm opens a first connection to each new backend server of the services.
+func (d *Daemon) warm(services map[string]bool) {
+	warmed := map[*config.Backend]bool{}
 	for service, replicas := range d.state.registry.Services() {
-		if !used[service] {
+		if !services[service] {
 			continue
 		}
 		for _, b := range replicas.Ready {
-			if _, done := d.warmed.LoadOrStore(b, struct{}{}); !done {
+			if !d.warmed[b] {
 				d.background.Go(func() { d.warmOne(b) })
 			}
+			warmed[b] = true
 		}
 	}
+	d.warmed = warmed
 }
 
 func (d *Daemon) warmOne(b *config.Backend) {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -492,3 +492,30 @@
 	f.Assert(string(head), qt.Equals, "HTTP/1.1 408")
 	f.Assert(b.Runs(), qt.HasLen, 0)
 }
+
+// Guards the return after all VMs were lost at once: new processes serve within
+// the bound of recovery, each with one listing and one lease, although the store
+// still holds the records of the lost ones.
+func TestAllVMsStartAgain(t *testing.T) {
+	f := newFixture(t)
+	f.backend("q1", "quotes", "bytes")
+	f.store.Configure(1, single("quote", "quotes", "idempotent"))
+	for i := range 6 {
+		f.store.Put(fmt.Sprint("briarstand/vms/lost", i), fmt.Appendf(nil, `{"i":"lost%d","z":"attica-a","r":"attica","c":"127.0.0.1:1","p":"127.0.0.1:1","s":"alive"}`, i))
+	}
+	start := time.Now()
+	var vms []*vm
+	for i := range 6 {
+		vms = append(vms, f.start(fmt.Sprint("vm", i), false))
+	}
+	const recovery = 12 * time.Second
+	for i, v := range vms {
+		f.eventually(recovery-time.Since(start), "served again", func() bool {
+			return f.status(v, v.settings.ReadyAddress, "/readiness") == http.StatusOK &&
+				f.ask(v, "GET", "/quote/x", fmt.Sprint("id-", i), "", time.Second).status == http.StatusOK
+		})
+	}
+	calls := f.store.Calls()
+	f.Assert(calls["/kv-range"], qt.Equals, len(vms))
+	f.Assert(calls["/kv-lease"], qt.Equals, len(vms))
+}
--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -342,3 +342,16 @@
 		})
 	}
 }
+
+// Guards against budgets of services that no configuration names any more, which
+// would add up over repartitions.
+func TestKeepBudgets(t *testing.T) {
+	c := qt.New(t)
+	registry, services := shards(4)
+	e := newTestEngine(&fakeTransport{}, registry, limit.Share{Burst: 2}, nil)
+	for _, s := range services {
+		e.budget(s).Sent(1)
+	}
+	e.Keep(map[string]bool{services[0]: true})
+	c.Assert(e.Budgets(), qt.HasLen, 1)
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -100,6 +100,16 @@
 	})
 }
 
+// Keep forgets the budgets of all services but those given.
+func (e *Engine) Keep(services map[string]bool) {
+	e.budgets.Range(func(service, _ any) bool {
+		if !services[service.(string)] {
+			e.budgets.Delete(service)
+		}
+		return true
+	})
+}
+
 // Budgets returns the tokens for hedges and retries of each service in use.
 func (e *Engine) Budgets() map[string]float64 {
 	levels := map[string]float64{}
--- a/mirror/follower_test.go
+++ b/mirror/follower_test.go
@@ -18,9 +18,9 @@
 
 // flags are the faults of a fakeStore.
 type flags struct {
-	// down makes every call fail, deaf makes watches wait for ever, and
+	// down makes every call fail, unserved makes watches wait for ever, and
 	// compacted fails the next watch.
-	down, deaf, compacted bool
+	down, unserved, compacted bool
 	// silent makes listings that start now last for the timeout of a call.
 	silent bool
 }
@@ -75,7 +75,7 @@
 				c.Changes = append(c.Changes, Change{Record: r})
 			}
 		}
-		if !f.deaf && (len(c.Changes) > 0 || !time.Now().Before(end)) {
+		if !f.unserved && (len(c.Changes) > 0 || !time.Now().Before(end)) {
 			return c, nil
 		}
 		sleep(ctx, 10*time.Millisecond)
@@ -110,18 +110,18 @@
 
 // Guards against a watch that the store no longer serves and does not end:
 // every VM then kept an old configuration for the whole wait of the watch.
-func TestDeafWatch(t *testing.T) {
+func TestUnservedWatch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		s := &fakeStore{content: New()}
 		s.put("a", 1)
 		m := follow(t, s, nil)
 		time.Sleep(time.Second)
-		s.set(flags{deaf: true})
+		s.set(flags{unserved: true})
 		time.Sleep(DefaultWatchWait) // the last watch that hears ends
 		s.put("b", 2)
 		time.Sleep(100 * time.Millisecond)
-		s.set(flags{})              // only the waiting watch stays deaf
+		s.set(flags{})              // only the waiting watch stays unserved
 		time.Sleep(4 * time.Second) // the time to catch up after trouble
 		c.Assert(m.Revision(), qt.Equals, int64(2))
 	})
