--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -133,6 +133,17 @@
 	return resp.StatusCode
 }
 
+// linesOf returns the log lines of a request, to explain a check that fails.
+func (f *fixture) linesOf(id string) string {
+	var lines []string
+	for line := range strings.SplitSeq(f.logs.String(), "\n") {
+		if strings.Contains(line, `"`+id+`"`) {
+			lines = append(lines, line)
+		}
+	}
+	return strings.Join(lines, "\n")
+}
+
 // oneShot opens a connection per request, as callers do for retries.
 var oneShot = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}
 
@@ -296,14 +307,14 @@
 		a := f.ask(v, "GET", "/find/x", fmt.Sprint("id-", i), "", time.Second)
 		f.Check(a.status, qt.Equals, http.StatusOK)
 		f.Check(a.header.Get("X-Missing-Parts"), qt.Equals, "0")
-		f.Check(time.Since(start) < 100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(start)))
+		f.Check(time.Since(start) < 100*time.Millisecond, qt.IsTrue, qt.Commentf("%v\n%s", time.Since(start), f.linesOf(fmt.Sprint("id-", i))))
 	}
 	other.SetBehavior(standin.Behavior{Hang: true})
 	start := time.Now()
 	a := f.ask(v, "GET", "/find/x", "both", "", time.Second)
 	f.Check(a.status, qt.Equals, http.StatusOK)
 	f.Check(a.header.Get("X-Missing-Parts"), qt.Equals, "1")
-	f.Check(time.Since(start) < 100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(start)))
+	f.Check(time.Since(start) < 100*time.Millisecond, qt.IsTrue, qt.Commentf("%v\n%s", time.Since(start), f.linesOf("both")))
 	a = f.ask(v, "GET", "/all/x", "none", "", 400*time.Millisecond)
 	f.Check(a.status, qt.Equals, http.StatusGatewayTimeout)
 }
