--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -100,7 +100,7 @@
 	d.engine = forward.NewEngine(forward.Config{
 		Transport: d.client, Replicas: d.state.registry, Picker: d.picker, Relay: d.relay, Distant: d.relay.Distant,
 		Latencies: balance.NewLatencies(balance.LatencyConfig{}), Policy: forward.DefaultPolicy(),
-		BudgetPermille: int(float64(set.BudgetPermille) * budgetPart), Logger: logger, Metrics: d.metrics,
+		BudgetPermille: int(float64(set.BudgetPermille) * budgetPart), Metrics: d.metrics,
 	})
 	d.registerMetrics()
 	d.shareOut()
--- a/entry/state.go
+++ b/entry/state.go
@@ -70,9 +70,8 @@
 	return unknownAge
 }
 
-// refresh decodes what changed in the mirror and reports whether backend
-// servers or the configuration changed.
-func (s *state) refresh(now time.Time) (changed bool) {
+// refresh decodes what changed in the mirror.
+func (s *state) refresh(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.mirror.Listing()
@@ -82,7 +81,7 @@
 	for _, r := range l.Records {
 		switch s.platform.Kind(r.Key) {
 		case ConfigurationRecord:
-			changed = s.takeTable(r) || changed
+			s.takeTable(r)
 		case ServerRecord:
 			if d := decode(s, s.servers, seenServers, r, s.platform.Server); d.ok {
 				s.listed[d.value.ID] = d.value
@@ -103,7 +102,6 @@
 	if l.Revision > 0 {
 		s.primed.Store(true)
 	}
-	return changed || len(changes) > 0
 }
 
 // hold returns how long a server that is no longer listed may get work when its
@@ -129,15 +127,13 @@
 const lapseHold = 2300 * time.Millisecond
 
 // sweep lets time pass for servers and VMs that are no longer listed.
-func (s *state) sweep(now time.Time) (changed bool) {
+func (s *state) sweep(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fleet.Store(s.vms.update(nil, now, 0))
-	if s.listed == nil {
-		return false
+	if s.listed != nil {
+		s.registry.Update(s.listed, now, s.hold(now))
 	}
-	changes := s.registry.Update(s.listed, now, s.hold(now))
-	return len(changes) > 0
 }
 
 func decode[T any](s *state, old, next map[string]decoded[T], r mirror.Record, parse func(mirror.Record) (T, error)) decoded[T] {
@@ -155,9 +151,9 @@
 
 // takeTable puts a new version of the configuration in force. One that cannot
 // be read leaves the last one in force.
-func (s *state) takeTable(r mirror.Record) bool {
+func (s *state) takeTable(r mirror.Record) {
 	if r.Revision <= s.config || r.Revision == s.badRev {
-		return false
+		return
 	}
 	table, err := s.platform.Table(r)
 	old := s.table.Load()
@@ -167,12 +163,11 @@
 	if err != nil {
 		s.badRev = r.Revision
 		s.logger.Error("configuration not taken", telemetry.FieldRevision, r.Revision, telemetry.FieldError, err.Error())
-		return false
+		return
 	}
 	s.config = r.Revision
 	s.table.Store(table)
 	s.logger.Info("configuration in force", "version", table.Version, telemetry.FieldRevision, r.Revision)
-	return true
 }
 
 // connectionLimits returns how many connections this VM may hold to each
--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -11,7 +11,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/charmbracelet/log"
 	qt "github.com/frankban/quicktest"
 
 	"github.com/briarstand/briarstand/balance"
@@ -108,7 +107,7 @@
 func newTestEngine(f *fakeTransport, r Replicas, share limit.Share, far Relay) *Engine {
 	e := NewEngine(Config{
 		Transport: f, Replicas: r, Picker: balance.NewPicker(balance.Config{}), Latencies: balance.NewLatencies(balance.LatencyConfig{}),
-		Policy: DefaultPolicy(), BudgetPermille: 160, Logger: log.New(io.Discard), Relay: far,
+		Policy: DefaultPolicy(), BudgetPermille: 160, Relay: far,
 	})
 	e.SetShare(share)
 	return e
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/charmbracelet/log"
 
 	"github.com/briarstand/briarstand/backend"
 	"github.com/briarstand/briarstand/balance"
@@ -66,7 +65,6 @@
 	// BudgetPermille is how many hedges and retries may be sent for a thousand
 	// requests, besides the share of the allowance set by SetShare.
 	BudgetPermille int
-	Logger         *log.Logger
 	// Metrics gets the counters; nil means a set of its own.
 	Metrics *metrics.Set
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -164,21 +164,6 @@
 	return 1
 }
 
-// send starts an attempt of a leg and reports whether there was a backend
-// server for it.
-func (r *run) send(i int) bool {
-	l := &r.legs[i]
-	b, ok := r.pick(l)
-	if !ok {
-		if l.running == 0 {
-			r.giveUpLeg(l, "no backend server left")
-		}
-		return false
-	}
-	r.sendTo(i, b)
-	return true
-}
-
 // sendTo starts an attempt at a backend server.
 func (r *run) sendTo(i int, b *config.Backend) {
 	hedge := r.hedge
@@ -240,7 +225,8 @@
 			continue
 		}
 		l.hedgeAt = 0
-		if !r.hasOther(l) {
+		other, ok := r.pick(l)
+		if !ok {
 			r.decided("hedge_denied", l.service, "", "no other backend server")
 			continue
 		}
@@ -249,10 +235,9 @@
 			r.decided("hedge_denied", l.service, "", "budget is empty")
 			continue
 		}
-		if r.send(i) {
-			r.answer.Hedges++
-			r.decided("hedge", l.service, l.tried[len(l.tried)-1], "no reply of "+l.tried[0])
-		}
+		r.sendTo(i, other)
+		r.answer.Hedges++
+		r.decided("hedge", l.service, other.ID, "no reply of "+l.tried[0])
 	}
 }
 
@@ -267,13 +252,6 @@
 	return policy.StragglerAt(l.hedgeAt, s.half, s.overhead, max(latest, s.overhead+policy.HedgeMin))
 }
 
-// hasOther reports whether a backend server is left that was not tried, before
-// a token of the budget is spent on it.
-func (r *run) hasOther(l *leg) bool {
-	_, ok := r.pick(l)
-	return ok
-}
-
 // handle takes a message into account, with all attempts that ended in it.
 func (r *run) handle(res upstream.Result) {
 	r.handleOne(res)
@@ -314,7 +292,8 @@
 		r.giveUpLeg(l, "attempts used up")
 		return
 	}
-	if !r.hasOther(l) {
+	other, ok := r.pick(l)
+	if !ok {
 		r.giveUpLeg(l, "no other backend server")
 		return
 	}
@@ -324,10 +303,9 @@
 		r.giveUpLeg(l, "budget for retries is empty")
 		return
 	}
-	if r.send(a.leg) {
-		r.answer.Retries++
-		r.decided("retry", l.service, l.tried[len(l.tried)-1], "the attempt before failed")
-	}
+	r.sendTo(a.leg, other)
+	r.answer.Retries++
+	r.decided("retry", l.service, other.ID, "the attempt before failed")
 }
 
 // take answers a leg. The reply of a relay goes before one that is there
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -110,11 +110,9 @@
 		if err != nil {
 			return nil, false, err
 		}
-		if n := c.reader.Buffered(); n > 0 {
-			// The reply itself is whole; what follows belongs to nothing.
-			return &Reply{Status: resp.StatusCode, Header: resp.Header, Body: body}, false, nil
-		}
-		return &Reply{Status: resp.StatusCode, Header: resp.Header, Body: body}, !resp.Close, nil
+		// The reply is whole; bytes that follow it belong to nothing.
+		reusable = !resp.Close && c.reader.Buffered() == 0
+		return &Reply{Status: resp.StatusCode, Header: resp.Header, Body: body}, reusable, nil
 	}
 }
 
