Take over changed settings in a running entry daemon; add settings check

Bounds that parts read each time (memory, grace, address TTL, budget) apply at once; addresses, places and the drain bound are named in the log line as applying from the next start. SIGHUP is caught before the settings are read. Ruled out: applying the drain bound at once, since the follower's pause and the registry's hold are fixed at their construction.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -88,7 +88,7 @@
 			"addresses to use and send their queries to these.\n\n" + exitCodeHelp,
 		Commands: []*cli.Command{
 			a.serviceCommand(), a.backendCommand(), a.rolloutCommand(), a.auditCommand(), a.vmCommand(),
-			a.resolveCommand(), a.queryCommand(), a.loadCommand(), a.devCommand(), a.explainCommand(), a.statusCommand(),
+			a.resolveCommand(), a.queryCommand(), a.loadCommand(), a.devCommand(), a.explainCommand(), a.statusCommand(), a.settingsCommand(),
 		},
 	}
 }
--- a/cli/devhttp.go
+++ b/cli/devhttp.go
@@ -114,8 +114,11 @@
 	return entry.Settings{
 		VMID: id, Zone: "zone-a", Region: "region-a", Zones: map[string]string{"zone-a": "region-a"},
 		CallerAddress: free, ReadyAddress: free, ResolveAddress: free, PeerAddress: free,
-		DrainBound: 3 * time.Second, StopGrace: devStop, MaxAddressTTL: 5 * time.Second, MinLease: time.Second,
-		BudgetPermille: 200, BudgetSlack: 100, BudgetWindow: 10 * time.Second,
+		DrainBound: 3 * time.Second, MinLease: time.Second,
+		Bounds: entry.Bounds{
+			StopGrace: devStop, MaxAddressTTL: 5 * time.Second,
+			BudgetPermille: 200, BudgetSlack: 100, BudgetWindow: 10 * time.Second,
+		},
 	}
 }
 
--- a/cli/entrycli/entrycli.go
+++ b/cli/entrycli/entrycli.go
@@ -59,48 +59,31 @@
 	if err != nil {
 		return fmt.Errorf("--log-level: %w", err)
 	}
-	set, err := platform.LoadSettings(cmd.String("settings"))
+	// Until it is caught, SIGHUP ends a process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	path := cmd.String("settings")
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("read settings: %w", err)
+	}
+	set, err := platform.ParseSettings(path, data)
 	if err != nil {
 		return err
 	}
 	if cmd.Bool("check") {
-		fmt.Fprintf(out, "%s: settings of VM %s are valid\n", cmd.String("settings"), set.VMID)
+		fmt.Fprintf(out, "%s: settings of VM %s are valid\n", path, set.VMID)
 		return nil
 	}
 	lines := telemetry.NewAsyncWriter(out, logQueue)
 	defer lines.Close()
 	logger := telemetry.NewLogger(lines, level, telemetry.FieldVM, set.VMID)
-	stopReload := onReload(logger, cmd.String("settings"))
-	defer stopReload()
 	ctx, stop := process.UntilSignal(ctx, logger)
 	defer stop()
 	d := entry.New(set.Entry(cmd.Int("admin-port")), platform.New(set), logger)
+	r := &reloader{path: path, adminPort: cmd.Int("admin-port"), daemon: d, logger: logger, last: data}
+	defer r.start(hangups)()
 	d.Metrics().NewGauge("briarstand_entry_log_lines_dropped_total", func() float64 { return float64(lines.Dropped()) })
 	return d.Run(ctx)
 }
-
-// onReload checks the settings file at each SIGHUP. Addresses and bounds of a
-// running process do not change; a new process takes them over.
-func onReload(logger *log.Logger, path string) (stop func()) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	done := make(chan struct{})
-	go func() {
-		for {
-			select {
-			case <-done:
-				return
-			case <-signals:
-				if _, err := platform.LoadSettings(path); err != nil {
-					logger.Error("settings not reloaded, the old ones stay", "file", path, "error", err.Error())
-					continue
-				}
-				logger.Info("settings checked, they apply from the next start", "file", path)
-			}
-		}
-	}()
-	return func() {
-		signal.Stop(signals)
-		close(done)
-	}
-}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,8 +43,7 @@
 	// warmSpread spreads the first connections of a VM to new backend servers,
 	// which cost a server a slot each.
 	warmSpread = 1200 * time.Millisecond
-	// budgetPart is the part of the shared budget that is handed out. The rest
-	// covers VMs that start and do not yet know the others.
+	// budgetPart is the part of the shared budget that is handed out.
 	budgetPart = 0.8
 	// burstPart is the part of a VM's share that may be spent at once.
 	burstPart = 0.6
@@ -65,6 +63,10 @@
 // Daemon answers callers on one entry VM.
 type Daemon struct {
 	settings Settings
+	// configured are the settings before Listen filled in ports.
+	configured Settings
+	// bounds are the settings that Reload may change.
+	bounds   atomic.Pointer[Bounds]
 	platform Platform
 	logger   *log.Logger
 	state    *state
@@ -89,10 +91,11 @@
 // New returns a Daemon; Run does the work.
 func New(set Settings, p Platform, logger *log.Logger) *Daemon {
 	d := &Daemon{
-		settings: set, platform: p, logger: logger, started: time.Now(), metrics: metrics.NewSet(),
+		settings: set, configured: set, platform: p, logger: logger, started: time.Now(), metrics: metrics.NewSet(),
 		ordinary: rate.NewLimiter(ordinaryLines, ordinaryLines),
 	}
 	d.work, d.stop = context.WithCancel(context.Background())
+	d.bounds.Store(&set.Bounds)
 	d.state = newState(p, set.VMID, logger, lastResort(set.DrainBound))
 	d.client = upstream.NewClient(upstream.Config{Protocol: p})
 	d.picker = balance.NewPicker(balance.Config{})
@@ -100,7 +103,7 @@
 	d.engine = forward.NewEngine(forward.Config{
 		Transport: d.client, Replicas: d.state.registry, Picker: d.picker, Relay: d.relay, Distant: d.relay.Distant,
 		Latencies: balance.NewLatencies(balance.LatencyConfig{}), Policy: forward.DefaultPolicy(),
-		BudgetPermille: int(float64(set.BudgetPermille) * budgetPart), Metrics: d.metrics,
+		BudgetPermille: handedOut(set.BudgetPermille), Metrics: d.metrics,
 	})
 	d.registerMetrics()
 	d.shareOut()
@@ -118,9 +121,7 @@
 
 // Run serves until the context ends, and then drains.
 func (d *Daemon) Run(ctx context.Context) error {
-	if d.settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(float64(d.settings.MemoryBytes) * memoryPart))
-	}
+	setMemoryLimit(d.settings.MemoryBytes)
 	if err := d.Listen(); err != nil {
 		return err
 	}
@@ -244,7 +245,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		ttl := min(addressTTL, d.settings.MaxAddressTTL)
+		ttl := min(addressTTL, d.bounds.Load().MaxAddressTTL)
 		if err := d.platform.ResolveAnswer(w, addresses, ttl); err != nil {
 			d.logger.Info("addresses not delivered", "error", err.Error())
 		}
@@ -324,12 +325,18 @@
 	if time.Since(d.started) < startTime {
 		vms = max(vms, startFleet)
 	}
-	slack := d.settings.BudgetSlack * budgetPart / float64(vms)
-	// In one window a VM spends at most a full bucket and what it gains.
-	d.engine.SetShare(limit.Share{Burst: slack * burstPart, PerSecond: slack * (1 - burstPart) / d.settings.BudgetWindow.Seconds()})
+	d.engine.SetShare(d.budgetShare(vms))
 	return vms
 }
 
+// budgetShare returns the share of one of so many VMs. In one window a VM spends
+// at most a full bucket and what it gains.
+func (d *Daemon) budgetShare(vms int) limit.Share {
+	bounds := d.bounds.Load()
+	slack := bounds.BudgetSlack * budgetPart / float64(vms)
+	return limit.Share{Burst: slack * burstPart, PerSecond: slack * (1 - burstPart) / bounds.BudgetWindow.Seconds()}
+}
+
 // warm opens a first connection to each new backend server of the services.
 func (d *Daemon) warm(services map[string]bool) {
 	warmed := map[*config.Backend]bool{}
@@ -361,7 +368,7 @@
 // drain ends the daemon without cutting a request off: callers are sent
 // elsewhere first, then no connection is taken, then the last requests end.
 func (d *Daemon) drain(reg *registration) {
-	end := time.Now().Add(d.settings.StopGrace - stopMargin)
+	end := time.Now().Add(d.bounds.Load().StopGrace - stopMargin)
 	d.leaving.Store(true)
 	reg.leave()
 	d.logger.Info("leaving", "serve_ms", drainServe.Milliseconds())
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -30,16 +30,21 @@
 	// PeerSeeds are peer addresses of other VMs, to be asked while the store
 	// does not answer and no VM is known.
 	PeerSeeds []string
-	// MemoryBytes is the memory that the process may use; 0 if unlimited.
-	MemoryBytes int64
 	// DrainBound is how soon a backend server that drains must get no more work.
 	DrainBound time.Duration
+	// MinLease is the shortest lease that the store grants.
+	MinLease time.Duration
+	Bounds
+}
+
+// Bounds are the settings that a running daemon takes over.
+type Bounds struct {
+	// MemoryBytes is the memory that the process may use; 0 if unlimited.
+	MemoryBytes int64
 	// StopGrace is how long after SIGTERM the process is killed.
 	StopGrace time.Duration
 	// MaxAddressTTL bounds how long callers may keep addresses.
 	MaxAddressTTL time.Duration
-	// MinLease is the shortest lease that the store grants.
-	MinLease time.Duration
 	// BudgetPermille is how many hedges and retries may be sent for a thousand
 	// requests to a service, and BudgetSlack how many more in a BudgetWindow by
 	// all VMs together.
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -95,8 +95,11 @@
 	set := entry.Settings{
 		VMID: id, Zone: "attica-a", Region: "attica",
 		CallerAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", ResolveAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", AdminAddress: "127.0.0.1:0",
-		PeerSeeds: seeds, DrainBound: 3 * time.Second, StopGrace: grace, MaxAddressTTL: 5 * time.Second, MinLease: time.Second,
-		BudgetPermille: 200, BudgetSlack: 1000, BudgetWindow: 10 * time.Second,
+		PeerSeeds: seeds, DrainBound: 3 * time.Second, MinLease: time.Second,
+		Bounds: entry.Bounds{
+			StopGrace: grace, MaxAddressTTL: 5 * time.Second,
+			BudgetPermille: 200, BudgetSlack: 1000, BudgetWindow: 10 * time.Second,
+		},
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	var s platform.Settings
--- a/entry/logs_test.go
+++ b/entry/logs_test.go
@@ -42,8 +42,11 @@
 	s.Store.Address = f.store.Address()
 	d := entry.New(entry.Settings{
 		VMID: "vm1", CallerAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", ResolveAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
-		DrainBound: 3 * time.Second, StopGrace: 600 * time.Millisecond, MaxAddressTTL: time.Second, MinLease: time.Second,
-		BudgetPermille: 200, BudgetSlack: 100, BudgetWindow: 10 * time.Second,
+		DrainBound: 3 * time.Second, MinLease: time.Second,
+		Bounds: entry.Bounds{
+			StopGrace: 600 * time.Millisecond, MaxAddressTTL: time.Second,
+			BudgetPermille: 200, BudgetSlack: 100, BudgetWindow: 10 * time.Second,
+		},
 	}, platform.New(&s), telemetry.NewLogger(lines, log.InfoLevel))
 	f.Assert(d.Listen(), qt.IsNil)
 	ctx, stop := context.WithCancel(context.Background())
--- /dev/null
+++ b/entry/reload.go
@@ -0,0 +1,41 @@
+package entry
+
+import (
+	"math"
+	"reflect"
+	"runtime/debug"
+)
+
+// Reload takes over the bounds of new settings and returns the names of the
+// other fields that differ: they apply from the next start.
+func (d *Daemon) Reload(set Settings) (atNextStart []string) {
+	bounds := set.Bounds
+	d.bounds.Store(&bounds)
+	setMemoryLimit(bounds.MemoryBytes)
+	d.engine.SetBudgetRate(handedOut(bounds.BudgetPermille))
+	d.shareOut()
+
+	atNextStart = []string{}
+	// Listen may have filled in the ports of the addresses in use.
+	old, now := reflect.ValueOf(d.configured), reflect.ValueOf(set)
+	for i := range now.NumField() {
+		field := now.Type().Field(i)
+		if !field.Anonymous && !reflect.DeepEqual(old.Field(i).Interface(), now.Field(i).Interface()) {
+			atNextStart = append(atNextStart, field.Name)
+		}
+	}
+	return atNextStart
+}
+
+// handedOut returns the part of the budget that VMs spend; the rest covers VMs
+// that start and do not yet know the others.
+func handedOut(permille int) int { return int(float64(permille) * budgetPart) }
+
+// setMemoryLimit bounds the heap by the memory that the process may use.
+func setMemoryLimit(bytes int64) {
+	limit := int64(math.MaxInt64)
+	if bytes > 0 {
+		limit = int64(float64(bytes) * memoryPart)
+	}
+	debug.SetMemoryLimit(limit)
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -63,7 +63,8 @@
 	Relay  Relay
 	Policy Policy
 	// BudgetPermille is how many hedges and retries may be sent for a thousand
-	// requests, besides the share of the allowance set by SetShare.
+	// requests, besides the share of the allowance set by SetShare, until
+	// SetBudgetRate changes it.
 	BudgetPermille int
 	// Metrics gets the counters; nil means a set of its own.
 	Metrics *metrics.Set
@@ -73,6 +74,7 @@
 type Engine struct {
 	cfg     Config
 	mu      sync.Mutex
+	rate    int // hedges and retries for a thousand requests
 	share   limit.Share
 	budgets sync.Map // service name to *limit.Budget
 	counts  *counters
@@ -83,7 +85,7 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewSet()
 	}
-	return &Engine{cfg: cfg, share: limit.Share{Burst: 1}, counts: newCounters(cfg.Metrics)}
+	return &Engine{cfg: cfg, rate: cfg.BudgetPermille, share: limit.Share{Burst: 1}, counts: newCounters(cfg.Metrics)}
 }
 
 // SetShare changes this VM's share of the allowance for hedges and retries of
@@ -98,6 +100,18 @@
 	})
 }
 
+// SetBudgetRate changes how many hedges and retries may be sent for a thousand
+// requests.
+func (e *Engine) SetBudgetRate(permille int) {
+	e.mu.Lock()
+	e.rate = permille
+	e.mu.Unlock()
+	e.budgets.Range(func(_, b any) bool {
+		b.(*limit.Budget).SetRate(permille)
+		return true
+	})
+}
+
 // Keep forgets the budgets of all services but those given.
 func (e *Engine) Keep(services map[string]bool) {
 	e.budgets.Range(func(service, _ any) bool {
@@ -124,7 +138,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	b, _ := e.budgets.LoadOrStore(service, limit.NewSharedBudget(e.cfg.BudgetPermille, e.share))
+	b, _ := e.budgets.LoadOrStore(service, limit.NewSharedBudget(e.rate, e.share))
 	return b.(*limit.Budget)
 }
 
