Apply the configuration's limits on idle time and headers to callers

Ruled out: changing the fields of http.Server while it runs, which it reads without a lock. Test: TestCallerLimits (fails without the listener: an idle connection stays).

--- /dev/null
+++ b/entry/callerconn.go
@@ -0,0 +1,137 @@
+package entry
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/briarstand/briarstand/route"
+)
+
+// callerListener bounds how long callers' connections stay idle and how long a
+// caller takes to send the headers of a request. The server's own bounds are
+// fixed at its start; these follow the configuration in force.
+type callerListener struct {
+	net.Listener
+	limits func() route.Limits
+}
+
+// Accept implements net.Listener.
+func (l *callerListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &callerConn{Conn: conn, limits: l.limits}
+	c.timer = time.AfterFunc(maxTimer, c.expire)
+	c.awaitRequest()
+	return c, nil
+}
+
+// maxTimer is the first setting of a timer that is set again at once.
+const maxTimer = time.Hour
+
+// callerConn is one connection of a caller.
+type callerConn struct {
+	net.Conn
+	limits func() route.Limits
+	timer  *time.Timer
+	// idle says that no byte of the next request has been read.
+	idle atomic.Bool
+	// until is when the connection is closed, as a time of monotonic; 0 while a
+	// request is answered. A timer that fires late is told apart by it.
+	until atomic.Int64
+}
+
+// awaitRequest starts the time in which a connection may be idle.
+func (c *callerConn) awaitRequest() {
+	c.idle.Store(true)
+	c.closeAfter(c.limits().IdleTimeout)
+}
+
+// answering ends the bounds until the request in progress is answered.
+func (c *callerConn) answering() {
+	c.idle.Store(false)
+	c.until.Store(0)
+	c.timer.Stop()
+}
+
+func (c *callerConn) closeAfter(d time.Duration) {
+	c.until.Store(monotonic() + int64(d))
+	c.timer.Reset(d)
+}
+
+func (c *callerConn) expire() {
+	until := c.until.Load()
+	if until != 0 && monotonic() >= until && c.until.CompareAndSwap(until, 0) {
+		c.Conn.Close()
+	}
+}
+
+// Read implements net.Conn. The first byte of a request starts the time for its
+// headers.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.idle.CompareAndSwap(true, false) {
+		c.closeAfter(c.limits().HeaderTimeout)
+	}
+	return n, err
+}
+
+// CloseWrite lets the server end a connection whose last answer the caller may
+// still be reading.
+func (c *callerConn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
+var processStart = time.Now()
+
+// monotonic is a time that steps of the time of day do not change.
+func monotonic() int64 { return int64(time.Since(processStart)) + 1 }
+
+// followCallerConn is told by the server when a request has been read, and when
+// it has been answered.
+func followCallerConn(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive, http.StateClosed:
+		c.answering()
+	case http.StateIdle:
+		c.awaitRequest()
+	}
+}
+
+// callerLimits returns the limits of the configuration in force, and the ones
+// that apply where it has none.
+func (d *Daemon) callerLimits() route.Limits {
+	var l route.Limits
+	if t := d.state.table.Load(); t != nil {
+		l = t.Limits
+	}
+	if l.HeaderTimeout <= 0 {
+		l.HeaderTimeout = readHeaderTimeout
+	}
+	if l.IdleTimeout <= 0 {
+		l.IdleTimeout = idleTimeout
+	}
+	return l
+}
+
+// headerBytes returns the size of a request's line and headers.
+func headerBytes(r *http.Request) int {
+	const perLine = len(": \r\n")
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + perLine + len("Host") + len(r.Host) + perLine
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + perLine
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/entry/callerconn_test.go
@@ -0,0 +1,88 @@
+package entry_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/briarstand/briarstand/standin"
+)
+
+// callerSocket is a caller's connection that is written to step by step.
+type callerSocket struct {
+	*fixture
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (f *fixture) dial(v *vm) *callerSocket {
+	conn, err := net.Dial("tcp", v.settings.CallerAddress)
+	f.Assert(err, qt.IsNil)
+	f.Cleanup(func() { conn.Close() })
+	return &callerSocket{fixture: f, Conn: conn, reader: bufio.NewReader(conn)}
+}
+
+// answers sends a request and returns the status.
+func (s *callerSocket) answers(path string) int {
+	_, err := fmt.Fprintf(s, "GET %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: id\r\nX-Deadline-Ms: 2000\r\n\r\n", path, host)
+	s.Assert(err, qt.IsNil)
+	resp, err := http.ReadResponse(s.reader, nil)
+	s.Assert(err, qt.IsNil)
+	_, err = io.Copy(io.Discard, resp.Body)
+	s.Assert(err, qt.IsNil)
+	return resp.StatusCode
+}
+
+// closed reports whether the VM closes the connection within a time.
+func (s *callerSocket) closed(within time.Duration) bool {
+	s.Assert(s.SetReadDeadline(time.Now().Add(within)), qt.IsNil)
+	_, err := s.reader.ReadByte()
+	s.Assert(s.SetReadDeadline(time.Time{}), qt.IsNil)
+	return !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// Guards against limits of the configuration that are not applied, also to
+// connections that were opened under an older version: idle connections, slow
+// and large headers. A request that takes longer than the limits is not cut off.
+func TestCallerLimits(t *testing.T) {
+	f := newFixture(t)
+	b := f.backend("b1", "quotes", "ok")
+	f.store.Configure(1, single("quote", "quotes", "idempotent"))
+	v := f.start("vm1", true)
+	old := f.dial(v)
+	f.Assert(old.answers("/quote/x"), qt.Equals, http.StatusOK)
+	f.store.ConfigureLimits(2, standin.Limits{HeaderBytes: 400, BodyBytes: 1000, HeaderTimeoutMS: 300, IdleTimeoutMS: 800},
+		single("quote", "quotes", "idempotent"), single("added", "quotes", "idempotent"))
+	f.eventually(2*time.Second, "version 2", func() bool { return f.ask(v, "GET", "/added/x", "id", "", time.Second).status == http.StatusOK })
+
+	// Four fifths of the idle time leave a connection open.
+	f.Assert(old.answers("/quote/x"), qt.Equals, http.StatusOK)
+	f.Assert(old.closed(640*time.Millisecond), qt.IsFalse)
+	b.SetBehavior(standin.Behavior{Work: 1200 * time.Millisecond})
+	f.Assert(old.answers("/quote/x"), qt.Equals, http.StatusOK)
+	b.SetBehavior(standin.Behavior{})
+	f.Assert(old.closed(2*time.Second), qt.IsTrue)
+
+	unused := f.dial(v)
+	f.Assert(unused.closed(2*time.Second), qt.IsTrue)
+
+	slow := f.dial(v)
+	_, err := io.WriteString(slow, "GET /quote/x HTTP/1.1\r\nHost:")
+	f.Assert(err, qt.IsNil)
+	start := time.Now()
+	f.Assert(slow.closed(2*time.Second), qt.IsTrue)
+	f.Assert(time.Since(start) < 700*time.Millisecond, qt.IsTrue)
+
+	large := f.dial(v)
+	f.Assert(large.answers("/quote/"+strings.Repeat("x", 200)), qt.Equals, http.StatusOK)
+	f.Assert(large.answers("/quote/"+strings.Repeat("x", 400)), qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
+}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -53,9 +53,8 @@
 	startTime  = 5 * time.Second
 	// memoryPart is the part of the allowed memory that the heap may use.
 	memoryPart = 0.7
-	// readHeaderTimeout bounds the headers of a request where the
-	// configuration's own limit is not known yet, and idleTimeout an idle
-	// connection, above what callers use.
+	// readHeaderTimeout bounds the headers of a request, and idleTimeout an idle
+	// connection, where the configuration has no limits of its own.
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 60 * time.Second
 )
@@ -191,9 +190,14 @@
 			return &ListenError{Address: *l.address, Err: err}
 		}
 		*l.address = socket.Addr().String()
-		d.listeners = append(d.listeners, listener{address: l.address, socket: socket, server: &http.Server{
-			Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: d.logger.StandardLog(),
-		}})
+		server := &http.Server{Handler: l.handler, ErrorLog: d.logger.StandardLog()}
+		if l.address == &d.settings.CallerAddress {
+			socket = &callerListener{Listener: socket, limits: d.callerLimits}
+			server.ConnState = followCallerConn
+		} else {
+			server.ReadHeaderTimeout, server.IdleTimeout = readHeaderTimeout, idleTimeout
+		}
+		d.listeners = append(d.listeners, listener{address: l.address, socket: socket, server: server})
 	}
 	return nil
 }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -36,6 +36,12 @@
 		http.Error(w, "no route for this host and path", http.StatusNotFound)
 		return
 	}
+	if limit := table.Limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
+		d.logger.Warn("request", telemetry.FieldRequestID, id, "outcome", "headers_too_large", "bytes", headerBytes(r), "limit", limit, "version", table.Version)
+		w.Header().Set("Connection", "close")
+		http.Error(w, "the headers are too large", http.StatusRequestHeaderFieldsTooLarge)
+		return
+	}
 	body, err := readBody(w, r, table.Limits.BodyBytes)
 	if err != nil {
 		d.rejectBody(w, id, err)
--- a/standin/operator.go
+++ b/standin/operator.go
@@ -25,8 +25,24 @@
 	Weight  float64 `json:"weight"`
 }
 
+// Limits bound what callers may send, and how long they may take.
+type Limits struct {
+	HeaderBytes     int `json:"header_bytes"`
+	BodyBytes       int `json:"body_bytes"`
+	HeaderTimeoutMS int `json:"header_timeout_ms"`
+	IdleTimeoutMS   int `json:"idle_timeout_ms"`
+}
+
+// DefaultLimits are the limits that Configure writes.
+var DefaultLimits = Limits{HeaderBytes: 16384, BodyBytes: 262144, HeaderTimeoutMS: 3000, IdleTimeoutMS: 15000}
+
 // Configure writes a configuration as the operator does.
 func (s *Store) Configure(version int64, routes ...Route) {
+	s.ConfigureLimits(version, DefaultLimits, routes...)
+}
+
+// ConfigureLimits writes a configuration with limits for callers.
+func (s *Store) ConfigureLimits(version int64, limits Limits, routes ...Route) {
 	services := map[string]bool{}
 	for _, r := range routes {
 		for _, g := range r.Gather {
@@ -45,7 +61,7 @@
 	}
 	value, err := json.Marshal(map[string]any{
 		"version": version, "routes": routes, "services": list,
-		"limits": map[string]any{"header_bytes": 16384, "body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"limits": limits,
 	})
 	if err != nil {
 		panic(err) // the routes have only plain values
