Send callers to the strong VMs of a fleet with VMs of different strength

Callers were spread over all: a query over 90 shards takes about 10 ms of processor time, 75 ms on a weak VM, and 138 VMs opened 52,000 connections for 88,000 sub-requests, 9,300 of them reset over the servers' limit. A VM's record has its processor time. Callers, relayed sub-requests and connections opened ahead go to the VMs with half of the strongest's or more, if these have a quarter of all processor time; budgets and connections are shared out so that they get nine tenths. Fleets of equal VMs are as before.

--- a/entry/bounds_test.go
+++ b/entry/bounds_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -41,3 +42,29 @@
 	c.Assert(table.update(one, start.Add(2*time.Second), 0).members, qt.HasLen, 2)
 	c.Assert(table.update(nil, start.Add(lapsedVMUse+2*time.Second), 0).members, qt.HasLen, 1)
 }
+
+// Guards against more than the whole being handed out of what all VMs draw on
+// together, and against the VMs that carry the requests getting little of it.
+func TestParts(t *testing.T) {
+	c := qt.New(t)
+	f := &fleet{}
+	c.Assert(f.part("a", 1), qt.Equals, 1.0, qt.Commentf("no VM is known yet"))
+	for i := range 138 {
+		cores := 0.134
+		if i < 12 {
+			cores = 0.8
+		}
+		f.known = append(f.known, membership.Member{ID: fmt.Sprint(i), Cores: cores})
+	}
+	sum := 0.0
+	for i := range f.known {
+		sum += f.part(fmt.Sprint(i), 1)
+	}
+	c.Assert(sum <= 1.0001, qt.IsTrue, qt.Commentf("%v", sum))
+	c.Assert(f.part("0", 1), qt.Equals, 0.9/12)
+	c.Assert(f.part("0", 24), qt.Equals, 0.9/24)
+	c.Assert(f.part("137", 1), qt.Equals, 0.1/126)
+	c.Assert(f.part("not listed yet", 1), qt.Equals, 0.1/126)
+	f.known = f.known[12:]
+	c.Assert(f.part("137", 1), qt.Equals, 1.0/126)
+}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -131,7 +132,7 @@
 	})
 	self := membership.Member{
 		ID: d.settings.VMID, Zone: d.settings.Zone, Region: d.settings.Region, CallerAddress: d.settings.CallerAddress,
-		PeerAddress: d.settings.PeerAddress, Incarnation: d.started.UnixNano(),
+		PeerAddress: d.settings.PeerAddress, Incarnation: d.started.UnixNano(), Cores: d.settings.Cores,
 	}
 	d.state.follower.Store(follower)
 	reg := newRegistration(d.platform, d.logger, self, d.settings.MinLease, follower.CheckStore)
@@ -244,7 +245,7 @@
 	r := chi.NewRouter()
 	r.Get(d.platform.ResolvePath(), func(w http.ResponseWriter, req *http.Request) {
 		near := d.platform.ResolveRequest(req)
-		addresses := resolve.Nearest(d.members(), near.Zone, near.Region, maxAddresses)
+		addresses := resolve.Nearest(resolve.Strong(d.members()), near.Zone, near.Region, maxAddresses)
 		if len(addresses) == 0 {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -270,6 +271,7 @@
 	if d.ready() {
 		members = append(members, membership.Member{
 			ID: d.settings.VMID, Zone: d.settings.Zone, Region: d.settings.Region, CallerAddress: d.settings.CallerAddress, State: membership.Alive,
+			Cores: d.settings.Cores,
 		})
 	}
 	return members
@@ -302,7 +304,9 @@
 	defer d.applying.Unlock()
 	limits := d.state.connectionLimits(d.shareOut())
 	d.client.Update(limits)
-	d.relay.SetMembers(d.work, d.state.fleet.Load().members)
+	strong := resolve.Strong(d.members())
+	self := slices.ContainsFunc(strong, func(m membership.Member) bool { return m.ID == d.settings.VMID })
+	d.relay.SetMembers(d.work, strong)
 	ids := map[string]bool{}
 	for b := range limits {
 		ids[b.ID] = true
@@ -313,7 +317,9 @@
 		return
 	}
 	used := table.InUse()
-	d.warm(used)
+	if self {
+		d.warm(used)
+	}
 	// A budget is kept while its service has servers: versions of the
 	// configuration may drop and name it in quick succession, and a new budget
 	// would have tokens that the old one had spent.
@@ -323,21 +329,23 @@
 	d.engine.Keep(used)
 }
 
-// shareOut sets this VM's share of the budget and returns the number of VMs.
-func (d *Daemon) shareOut() int {
-	vms := max(1, len(d.state.fleet.Load().known))
+// shareOut sets this VM's share of the budget and returns its part of what all
+// VMs draw on together.
+func (d *Daemon) shareOut() float64 {
+	least := 1
 	if time.Since(d.started) < startTime {
-		vms = max(vms, startFleet)
+		least = startFleet
 	}
-	d.engine.SetShare(d.budgetShare(vms))
-	return vms
+	part := d.state.fleet.Load().part(d.settings.VMID, least)
+	d.engine.SetShare(d.budgetShare(part))
+	return part
 }
 
-// budgetShare returns the share of one of so many VMs. In one window a VM spends
-// at most a full bucket and what it gains.
-func (d *Daemon) budgetShare(vms int) limit.Share {
+// budgetShare returns the share for a part. In one window a VM spends at most a
+// full bucket and what it gains.
+func (d *Daemon) budgetShare(part float64) limit.Share {
 	bounds := d.bounds.Load()
-	slack := bounds.BudgetSlack * budgetPart / float64(vms)
+	slack := bounds.BudgetSlack * budgetPart * part
 	return limit.Share{Burst: slack * burstPart, PerSecond: slack * (1 - burstPart) / bounds.BudgetWindow.Seconds()}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -30,6 +30,8 @@
 	// PeerSeeds are peer addresses of other VMs, to be asked while the store
 	// does not answer and no VM is known.
 	PeerSeeds []string
+	// Cores is the processor time that the VM has, in cores; 0 if unknown.
+	Cores float64
 	// DrainBound is how soon a backend server that drains must get no more work.
 	DrainBound time.Duration
 	// MinLease is the shortest lease that the store grants.
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/briarstand/briarstand/membership"
+	"github.com/briarstand/briarstand/resolve"
 )
 
 const (
@@ -25,6 +26,25 @@
 	known []membership.Member
 }
 
+// weakPart is the part of what all VMs draw on together that is left for the VMs
+// that callers are not sent to: they get few requests, from callers that still
+// hold their addresses.
+const weakPart = 0.1
+
+// part returns the part of what all VMs draw on together that one VM may use.
+// No fewer than least VMs are assumed.
+func (f *fleet) part(id string, least int) float64 {
+	strong := resolve.Strong(f.known)
+	weak := len(f.known) - len(strong)
+	switch {
+	case weak == 0:
+		return 1 / float64(max(1, len(strong), least))
+	case slices.ContainsFunc(strong, func(m membership.Member) bool { return m.ID == id }):
+		return (1 - weakPart) / float64(max(len(strong), least))
+	}
+	return weakPart / float64(max(weak, least))
+}
+
 // vmTable decides which VMs count, from when their records were last seen.
 type vmTable struct {
 	self string
--- a/entry/state.go
+++ b/entry/state.go
@@ -172,7 +172,7 @@
 
 // connectionLimits returns how many connections this VM may hold to each
 // backend server: its share of what the server accepts from all VMs.
-func (s *state) connectionLimits(vms int) map[*config.Backend]int {
+func (s *state) connectionLimits(part float64) map[*config.Backend]int {
 	table := s.table.Load()
 	limits := map[*config.Backend]int{}
 	for service, replicas := range s.registry.Services() {
@@ -180,7 +180,7 @@
 		if table != nil && table.Services[service].MaxConnections > 0 {
 			total = table.Services[service].MaxConnections
 		}
-		limit := max(1, int(float64(total)*connectionPart)/max(1, vms))
+		limit := max(1, int(float64(total)*connectionPart*part))
 		for _, b := range replicas.Ready {
 			limits[b] = limit
 		}
--- a/membership/member.go
+++ b/membership/member.go
@@ -60,6 +60,8 @@
 	// ConfigIndex is the highest revision that the VM is known to have in force.
 	ConfigIndex int64 `json:"x,omitempty"`
 	Fresh       bool  `json:"f,omitempty"`
+	// Cores is the processor time that the VM has, in cores; 0 if unknown.
+	Cores float64 `json:"w,omitempty"`
 }
 
 // View is an immutable picture of the table, ordered by id. It includes the VM
