Let the VMs of a zone follow one of them instead of the store

In each zone one VM, the first strong one, follows the store. The mirror keeps removals, so that changes and not everything go over the wire. A watch now waits for a quarter of the drain bound and is given up 0.7 s later, so that a source which lost the store is noticed within the bound (TestLastResortStaysInDrainBound); before it could stay unnoticed for 3.5 s. Ruled out: reads that may be stale, which cost a tenth (they may be seconds old).

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -119,6 +119,14 @@
 // changes of the store gather: each read of them is a paid call.
 const gatherPart = 4
 
+// watchPart is the part of the drain bound, as one in this number, for which a
+// watch of the store waits, and watchGrace how much later it is given up. A VM
+// that follows another one learns so soon that this one has lost the store.
+const (
+	watchPart  = 4
+	watchGrace = 700 * time.Millisecond
+)
+
 // Run serves until the context ends, and then drains.
 func (d *Daemon) Run(ctx context.Context) error {
 	setMemoryLimit(d.settings.MemoryBytes)
@@ -126,9 +134,10 @@
 		return err
 	}
 	d.serve()
+	others := newPeers(d.state, &d.settings)
 	follower := mirror.NewFollower(mirror.FollowerConfig{
-		Mirror: d.state.mirror, Store: d.platform, Logger: d.logger, Changed: d.refresh, Gather: d.settings.DrainBound / gatherPart,
-		Peers: newPeers(d.state, d.settings.PeerAddress, d.settings.PeerSeeds),
+		Mirror: d.state.mirror, Store: d.platform, Logger: d.logger, Changed: d.refresh, Peers: others, Source: others,
+		Gather: d.settings.DrainBound / gatherPart, WatchWait: d.settings.DrainBound / watchPart, WatchGrace: watchGrace,
 	})
 	self := membership.Member{
 		ID: d.settings.VMID, Zone: d.settings.Zone, Region: d.settings.Region, CallerAddress: d.settings.CallerAddress,
@@ -145,6 +154,7 @@
 	d.drain(reg)
 	d.stop()
 	d.background.Wait()
+	others.client.CloseIdleConnections()
 	d.client.Update(nil)
 	d.relay.Close()
 	d.logger.Info("stopped")
@@ -176,7 +186,7 @@
 		{&d.settings.CallerAddress, d},
 		{&d.settings.ResolveAddress, d.resolveHandler()},
 		{&d.settings.ReadyAddress, d.readyHandler()},
-		{&d.settings.PeerAddress, peerHandler(d.state.mirror, relayed)},
+		{&d.settings.PeerAddress, peerHandler(d.state, relayed)},
 		{&d.settings.AdminAddress, admin},
 	} {
 		if *l.address == "" {
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -45,6 +45,17 @@
 	return weakPart / float64(max(weak, least))
 }
 
+// source returns the VM of a zone that follows the store for the others there.
+// It is false if that is this VM, or if there is none.
+func (f *fleet) source(id, zone string) (membership.Member, bool) {
+	for _, m := range resolve.Strong(f.members) { // by id
+		if m.Zone == zone {
+			return m, m.ID != id
+		}
+	}
+	return membership.Member{}, false
+}
+
 // vmTable decides which VMs count, from when their records were last seen.
 type vmTable struct {
 	self string
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -18,7 +19,8 @@
 )
 
 const (
-	peerPath = "/records"
+	peerPath    = "/records"
+	changesPath = "/changes"
 	// peerTimeout bounds a read from another VM: a few round trips between
 	// regions and the transfer.
 	peerTimeout = 600 * time.Millisecond
@@ -29,14 +31,16 @@
 // peers reads the mirrors of other VMs over HTTP with JSON.
 type peers struct {
 	state  *state
-	self   string
+	vmID   string
+	zone   string
+	self   string // this VM's own peer address
 	seeds  []string
 	client *http.Client
 }
 
-func newPeers(s *state, self string, seeds []string) *peers {
-	return &peers{state: s, self: self, seeds: seeds, client: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{
-		IdleConnTimeout: 5 * time.Second, DisableCompression: true,
+func newPeers(s *state, set *Settings) *peers {
+	return &peers{state: s, vmID: set.VMID, zone: set.Zone, self: set.PeerAddress, seeds: set.PeerSeeds, client: &http.Client{Transport: &http.Transport{
+		DialContext: (&net.Dialer{Timeout: peerTimeout}).DialContext, IdleConnTimeout: 5 * time.Second, DisableCompression: true,
 	}}}
 }
 
@@ -50,31 +54,48 @@
 	if len(addresses) == 0 {
 		return l, false, &NoPeerError{}
 	}
-	address := addresses[rand.IntN(len(addresses))]
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+peerPath+"?after="+strconv.FormatInt(after, 10), nil)
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	ok, err = p.get(ctx, addresses[rand.IntN(len(addresses))], peerPath+"?after="+strconv.FormatInt(after, 10), &l)
+	return l, ok, err
+}
+
+// Follow implements mirror.Source.
+func (p *peers) Follow(ctx context.Context, after int64, wait time.Duration) (u mirror.Update, ok bool, err error) {
+	source, ok := p.state.fleet.Load().source(p.vmID, p.zone)
+	if !ok {
+		return u, false, nil
+	}
+	path := fmt.Sprintf("%s?after=%d&wait_ms=%d", changesPath, after, wait.Milliseconds())
+	ok, err = p.get(ctx, source.PeerAddress, path, &u)
+	return u, ok, err
+}
+
+// get reads JSON from another VM. ok is false if that VM has nothing to give.
+func (p *peers) get(ctx context.Context, address, path string, into any) (ok bool, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
-		return l, false, fmt.Errorf("VM at %s: %w", address, err)
+		return false, fmt.Errorf("VM at %s: %w", address, err)
 	}
 	resp, err := p.client.Do(req)
 	if err != nil {
-		return l, false, fmt.Errorf("VM at %s: %w", address, err)
+		return false, fmt.Errorf("VM at %s: %w", address, err)
 	}
 	defer resp.Body.Close()
 	switch resp.StatusCode {
 	case http.StatusNoContent:
-		return l, false, nil
+		return false, nil
 	case http.StatusOK:
-		err := json.NewDecoder(io.LimitReader(resp.Body, maxPeerReply)).Decode(&l)
-		if err != nil {
-			return l, false, fmt.Errorf("VM at %s: %w", address, err)
+		if err := json.NewDecoder(io.LimitReader(resp.Body, maxPeerReply)).Decode(into); err != nil {
+			return false, fmt.Errorf("VM at %s: %w", address, err)
 		}
-		return l, true, nil
+		return true, nil
 	}
-	return l, false, &PeerStatusError{Address: address, Status: resp.StatusCode}
+	return false, &PeerStatusError{Address: address, Status: resp.StatusCode}
 }
 
 // peerHandler gives this VM's records to others and relays for them.
-func peerHandler(m *mirror.Mirror, relayed http.Handler) http.Handler {
+func peerHandler(s *state, relayed http.Handler) http.Handler {
 	r := chi.NewRouter()
 	r.Method(http.MethodPost, relay.Path, relayed)
 	r.Get(relay.Path, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
@@ -84,13 +105,39 @@
 			http.Error(w, "after is not a number", http.StatusBadRequest)
 			return
 		}
-		if m.Revision() <= after {
+		if s.mirror.Revision() <= after {
 			w.WriteHeader(http.StatusNoContent)
 			return
 		}
-		w.Header().Set("Content-Type", "application/json")
-		// A failed write means that the other VM has gone.
-		_ = json.NewEncoder(w).Encode(m.Listing())
+		give(w, s.mirror.Listing())
+	})
+	r.Get(changesPath, func(w http.ResponseWriter, req *http.Request) {
+		after, err := strconv.ParseInt(req.URL.Query().Get("after"), 10, 64)
+		waitMS, err2 := strconv.ParseInt(req.URL.Query().Get("wait_ms"), 10, 64)
+		if err != nil || err2 != nil || waitMS < 0 || waitMS > maxFollowWait.Milliseconds() {
+			http.Error(w, "after or wait_ms is not allowed", http.StatusBadRequest)
+			return
+		}
+		f := s.follower.Load()
+		if f == nil {
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+		u, ok := f.Serve(req.Context(), after, time.Duration(waitMS)*time.Millisecond)
+		if !ok {
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+		give(w, u)
 	})
 	return r
 }
+
+// maxFollowWait bounds how long another VM may let a call wait.
+const maxFollowWait = 5 * time.Second
+
+func give(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write means that the other VM has gone.
+	_ = json.NewEncoder(w).Encode(value)
+}
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -16,9 +16,8 @@
 // Defaults of FollowerConfig.
 const (
 	// DefaultWatchWait is how long a watch waits for changes, and
-	// DefaultWatchGrace how much later it is given up. A store may stop serving a
-	// watch without ending it; both together stay below the 4 s within which a
-	// VM must have caught up after such trouble.
+	// DefaultWatchGrace how much later it is given up: a store may stop serving a
+	// watch without ending it.
 	DefaultWatchWait  = 2500 * time.Millisecond
 	DefaultWatchGrace = time.Second
 	// DefaultGather is the pause after a change, in which further changes
@@ -58,14 +57,15 @@
 type FollowerConfig struct {
 	Mirror *Mirror
 	Store  Store
-	// Peers may be nil.
+	// Peers and Source may be nil.
 	Peers  Peers
+	Source Source
 	Logger *log.Logger
 	// Changed is called after each change of the mirror, by one goroutine at a
 	// time.
 	Changed func()
 	// Zero durations take the defaults above.
-	WatchWait, Gather, RetryMin, RetryMax, PeerEvery time.Duration
+	WatchWait, WatchGrace, Gather, RetryMin, RetryMax, PeerEvery time.Duration
 }
 
 // Follower keeps a mirror up to date.
@@ -78,11 +78,16 @@
 	heardAt  atomic.Int64
 	cancelMu sync.Mutex
 	cancel   context.CancelFunc // ends the waiting watch
+	// direct says that the last answer came from the store itself.
+	direct atomic.Bool
+	// directUntil is until when the source is not asked. Only followStore uses it.
+	directUntil time.Time
 }
 
 // NewFollower returns a Follower; Run does the work.
 func NewFollower(cfg FollowerConfig) *Follower {
 	defaults.Set(&cfg.WatchWait, DefaultWatchWait)
+	defaults.Set(&cfg.WatchGrace, DefaultWatchGrace)
 	defaults.Set(&cfg.Gather, DefaultGather)
 	defaults.Set(&cfg.RetryMin, DefaultRetryMin)
 	defaults.Set(&cfg.RetryMax, DefaultRetryMax)
@@ -142,6 +147,10 @@
 		if list && f.cfg.Mirror.Revision() > 0 && f.lost.Load() {
 			list = false // another VM gave its records meanwhile
 		}
+		if f.followSource(ctx) {
+			f.direct.Store(false)
+			continue
+		}
 		changed, err := f.step(ctx, list)
 		if ctx.Err() != nil {
 			return
@@ -191,7 +200,7 @@
 		// A short first watch shows soon whether the store is back.
 		wait = f.cfg.Gather
 	}
-	ctx, stop := context.WithTimeout(ctx, wait+DefaultWatchGrace)
+	ctx, stop := context.WithTimeout(ctx, wait+f.cfg.WatchGrace)
 	defer stop()
 	c, err := f.cfg.Store.Watch(ctx, f.cfg.Mirror.Revision(), wait)
 	if err != nil {
@@ -280,6 +289,7 @@
 }
 
 func (f *Follower) regained() {
+	f.direct.Store(true)
 	f.heardAt.Store(time.Now().UnixNano())
 	if f.lost.CompareAndSwap(true, false) {
 		if f.wasLost.Load() {
--- a/mirror/follower_test.go
+++ b/mirror/follower_test.go
@@ -100,12 +100,19 @@
 // follow runs a follower of the store until the test ends.
 func follow(t *testing.T, s *fakeStore, p Peers) *Mirror {
 	m := New()
-	f := NewFollower(FollowerConfig{Mirror: m, Store: s, Peers: p, Logger: log.New(io.Discard), Changed: func() {}})
+	start(t, FollowerConfig{Mirror: m, Store: s, Peers: p})
+	return m
+}
+
+// start runs a follower until the test ends.
+func start(t *testing.T, cfg FollowerConfig) *Follower {
+	cfg.Logger, cfg.Changed = log.New(io.Discard), func() {}
+	f := NewFollower(cfg)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() { f.Run(ctx); close(done) }()
 	t.Cleanup(func() { cancel(); <-done })
-	return m
+	return f
 }
 
 // Guards against a watch that the store no longer serves and does not end:
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -4,12 +4,14 @@
 package mirror
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"maps"
 	"slices"
 	"strings"
 	"sync"
+	"time"
 )
 
 // Record is a key of the store as it was last written.
@@ -55,10 +57,19 @@
 	mu       sync.Mutex
 	records  map[string]Record
 	revision int64
+	// removed are the last removals, in the order in which they came, and floor
+	// the revision from which on they are complete.
+	removed []Record
+	floor   int64
+	changed chan struct{} // closed when the revision grows
 }
 
+// maxRemoved is how many removals a mirror keeps for other VMs, which are
+// behind by seconds at most.
+const maxRemoved = 1000
+
 // New returns an empty mirror at revision 0.
-func New() *Mirror { return &Mirror{records: map[string]Record{}} }
+func New() *Mirror { return &Mirror{records: map[string]Record{}, changed: make(chan struct{})} }
 
 // Revision returns the store revision that the mirror has reached, 0 before
 // the first listing.
@@ -85,8 +96,16 @@
 		next[r.Key] = r
 	}
 	changed = !maps.EqualFunc(m.records, next, func(a, b Record) bool { return a.Revision == b.Revision })
+	if m.revision == 0 {
+		m.floor = l.Revision
+	}
+	for key := range m.records {
+		if _, ok := next[key]; !ok {
+			m.remember(key, l.Revision)
+		}
+	}
 	m.records = next
-	m.revision = l.Revision
+	m.advance(l.Revision)
 	return changed, nil
 }
 
@@ -101,16 +120,80 @@
 		case ok && held.Revision >= change.Revision:
 		case change.Deleted && ok:
 			delete(m.records, change.Key)
+			m.remember(change.Key, change.Revision)
 			changed = true
 		case !change.Deleted && change.Revision > m.revision:
 			m.records[change.Key] = change.Record
 			changed = true
 		}
 	}
-	m.revision = max(m.revision, c.Revision)
+	m.advance(c.Revision)
 	return changed
 }
 
+func (m *Mirror) remember(key string, revision int64) {
+	m.removed = append(m.removed, Record{Key: key, Revision: revision})
+	if n := len(m.removed) - maxRemoved; n > 0 {
+		for _, r := range m.removed[:n] {
+			m.floor = max(m.floor, r.Revision)
+		}
+		m.removed = slices.Clone(m.removed[n:])
+	}
+}
+
+func (m *Mirror) advance(revision int64) {
+	if revision <= m.revision {
+		return
+	}
+	m.revision = revision
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Since returns what has changed after a revision. ok is false if removals since
+// then have been forgotten.
+func (m *Mirror) Since(after int64) (c Changes, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if after < m.floor {
+		return c, false
+	}
+	c.Revision = m.revision
+	for _, r := range m.records {
+		if r.Revision > after {
+			c.Changes = append(c.Changes, Change{Record: r})
+		}
+	}
+	for _, r := range m.removed {
+		if _, back := m.records[r.Key]; !back && r.Revision > after {
+			c.Changes = append(c.Changes, Change{Record: r, Deleted: true})
+		}
+	}
+	return c, true
+}
+
+// Wait returns when the mirror has passed a revision, wait has passed, or the
+// context has ended.
+func (m *Mirror) Wait(ctx context.Context, after int64, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		m.mu.Lock()
+		revision, changed := m.revision, m.changed
+		m.mu.Unlock()
+		if revision > after {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Listing returns all records, by key.
 func (m *Mirror) Listing() Listing {
 	m.mu.Lock()
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"reflect"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -13,7 +14,8 @@
 }
 
 // Guards against a record or a revision that goes back, whatever order changes
-// and listings arrive in, and against a removed record that comes back.
+// and listings arrive in, against a removed record that comes back, and against
+// another VM's copy that differs.
 func TestMirrorNeverGoesBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		history := []Change{}
@@ -36,8 +38,18 @@
 			}
 			snapshots = append(snapshots, l)
 		}
-		m := New()
+		m, follower := New(), New()
 		for range 40 {
+			if rapid.Bool().Draw(t, "follow") {
+				if c, ok := m.Since(follower.Revision()); ok {
+					follower.Apply(c)
+				} else if _, err := follower.Replace(m.Listing()); err != nil {
+					t.Fatal(err)
+				}
+				if got, want := follower.Listing(), m.Listing(); !reflect.DeepEqual(got, want) {
+					t.Fatalf("the follower has %v, want %v", got, want)
+				}
+			}
 			before := m.Revision()
 			if rapid.Bool().Draw(t, "listing") {
 				l := snapshots[rapid.IntRange(0, 30).Draw(t, "snapshot")]
--- /dev/null
+++ b/mirror/source_test.go
@@ -0,0 +1,82 @@
+package mirror
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// fakeSource passes calls on to the follower of another VM.
+type fakeSource struct {
+	follower *Follower
+	silent   atomic.Bool // calls get no reply
+}
+
+func (s *fakeSource) Follow(ctx context.Context, after int64, wait time.Duration) (Update, bool, error) {
+	if s.silent.Load() {
+		<-ctx.Done()
+		return Update{}, false, ctx.Err()
+	}
+	u, ok := s.follower.Serve(ctx, after, wait)
+	return u, ok, nil
+}
+
+// Guards the rate of paid calls with many VMs, and a VM whose source is frozen,
+// has lost the store or is back since a moment: it must learn of a change in
+// time by itself.
+func TestFollowAnotherVM(t *testing.T) {
+	const wait, grace = 750 * time.Millisecond, 700 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		content := New()
+		near, far := &fakeStore{content: content}, &fakeStore{content: content}
+		near.put("a", 1)
+		first := start(t, FollowerConfig{Mirror: New(), Store: near, WatchWait: wait, WatchGrace: grace})
+		source := &fakeSource{follower: first}
+		m := New()
+		second := start(t, FollowerConfig{Mirror: m, Store: far, Source: source, WatchWait: wait, WatchGrace: grace})
+		time.Sleep(5 * time.Second)
+		calls := func() int64 { return far.watches.Load() + far.lists.Load() }
+		before := calls()
+		near.put("b", 2)
+		time.Sleep(DefaultGather + 50*time.Millisecond)
+		c.Assert(m.Revision(), qt.Equals, int64(2))
+		time.Sleep(10 * time.Second)
+		c.Assert(calls(), qt.Equals, before)
+		age, ok := second.Age(time.Now())
+		c.Assert(ok && age < wait+sourceWait, qt.IsTrue, qt.Commentf("%v", age))
+
+		source.silent.Store(true)
+		near.put("c", 3)
+		time.Sleep(sourceWait + sourceGrace + 50*time.Millisecond)
+		c.Assert(m.Revision(), qt.Equals, int64(3))
+		source.silent.Store(false)
+		time.Sleep(sourceRetry + wait + grace)
+
+		// The store no longer serves the source, without a word.
+		near.set(flags{unserved: true})
+		time.Sleep(100 * time.Millisecond)
+		near.put("d", 4)
+		time.Sleep(wait + grace + sourceWait)
+		c.Assert(m.Revision(), qt.Equals, int64(4))
+
+		// Around an outage of the store each VM asks the store itself.
+		near.set(flags{})
+		time.Sleep(SettleTime + 2*DefaultRetryMax)
+		near.set(flags{down: true})
+		far.set(flags{down: true})
+		time.Sleep(2 * time.Second)
+		near.set(flags{})
+		time.Sleep(500 * time.Millisecond)
+		c.Assert(second.StoreLost(), qt.IsTrue)
+		far.set(flags{})
+		time.Sleep(DefaultRetryMax + wait)
+		c.Assert(second.Settling(time.Now()), qt.IsTrue)
+		_, ok = first.Serve(context.Background(), 0, 0)
+		c.Assert(ok, qt.IsFalse)
+	})
+}
