Take whole replies rather from backend servers of the own region

Cause: bytes between regions are the largest price that can be changed; replies of requests to one service are 3 kB, and more than half came from other regions. A near server is chosen unless its score (in flight, latency, failures) is 2.5 times that of a far one, so for up to one request in progress against none. Test: TestPickNear.

--- a/balance/picker.go
+++ b/balance/picker.go
@@ -44,6 +44,10 @@
 	leastShare = 0.1
 	// tieMargin is the relative difference of scores that counts as a tie.
 	tieMargin = 0.1
+	// nearPreference is how many times the score of a far replica a near one may
+	// have and still be chosen. A near replica with one request in progress is
+	// preferred to an idle far one, and one with two is not.
+	nearPreference = 2.5
 	// hintMargin is the difference of reported loads that decides a tie.
 	hintMargin = 0.05
 )
@@ -188,6 +192,24 @@
 	return p.better(a, untried(candidates, tried, second)), true
 }
 
+// PickNear is Pick with two groups of candidates. One of the near ones is chosen
+// unless the far one is much better: it costs traffic between regions.
+func (p *Picker) PickNear(choice config.ReplicaChoice, near, far []*config.Backend, tried []string) (*config.Backend, bool) {
+	a, ok := p.Pick(choice, near, tried)
+	if !ok {
+		return p.Pick(choice, far, tried)
+	}
+	b, ok := p.Pick(choice, far, tried)
+	if !ok {
+		return a, true
+	}
+	scoreNear, scoreFar := p.scores(p.state(a.ID), p.state(b.ID), p.now())
+	if scoreNear > nearPreference*scoreFar {
+		return b, true
+	}
+	return a, true
+}
+
 func (p *Picker) intN(n int) int { return int(p.cfg.Random() % uint64(n)) }
 
 // untried returns the candidate with the given index among those not tried.
--- a/balance/picker_test.go
+++ b/balance/picker_test.go
@@ -300,3 +300,51 @@
 		c.Assert(picked(), qt.Equals, 20)
 	})
 }
+
+// Guards against whole replies that cross regions without need, and against a
+// near replica that keeps the work although it is slow, failing or loaded.
+func TestPickNear(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		all := backends(4)
+		near, far := all[:2], all[2:]
+		share := func(p *Picker) (n float64) {
+			for range 200 {
+				b, ok := p.PickNear(config.ChoiceAdaptive, near, far, nil)
+				c.Assert(ok, qt.IsTrue)
+				if slices.Contains(near, b) {
+					n++
+				}
+			}
+			return n / 200
+		}
+		observed := func(slow map[string]time.Duration) *Picker {
+			p := seeded(Config{})
+			for _, b := range all {
+				for range 20 {
+					p.Started(b.ID)
+					latency, status := latencies(slow)(b.ID)
+					p.Finished(b.ID, latency, status)
+				}
+			}
+			return p
+		}
+		c.Assert(share(seeded(Config{})), qt.Equals, 1.0)
+		p := observed(nil)
+		c.Assert(share(p), qt.Equals, 1.0)
+		for _, b := range near {
+			p.Started(b.ID)
+		}
+		c.Assert(share(p), qt.Equals, 1.0, qt.Commentf("one request in progress"))
+		for _, b := range near {
+			p.Started(b.ID)
+		}
+		c.Assert(share(p), qt.Equals, 0.0, qt.Commentf("two requests in progress"))
+		slow := map[string]time.Duration{"s0": 9 * time.Millisecond, "s1": 9 * time.Millisecond}
+		c.Assert(share(observed(slow)), qt.Equals, 0.0)
+		b, ok := p.PickNear(config.ChoiceAdaptive, nil, far, []string{"s2"})
+		c.Assert(ok && b.ID == "s3", qt.IsTrue)
+		_, ok = p.PickNear(config.ChoiceAdaptive, near, nil, []string{"s0", "s1"})
+		c.Assert(ok, qt.IsFalse)
+	})
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -35,6 +35,7 @@
 // Picker chooses replicas; balance.Picker implements it.
 type Picker interface {
 	Pick(choice config.ReplicaChoice, candidates []*config.Backend, tried []string) (*config.Backend, bool)
+	PickNear(choice config.ReplicaChoice, near, far []*config.Backend, tried []string) (*config.Backend, bool)
 	Started(backendID string)
 	Finished(backendID string, latency time.Duration, status backend.Status)
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -193,16 +193,22 @@
 }
 
 // pick chooses the backend server of the next attempt, among those with a free
-// connection if there are any.
+// connection if there are any. A whole reply rather comes from this VM's region;
+// parts of a query are small when a relay has merged them, and the query is as
+// late as the last of them.
 func (r *run) pick(l *leg) (*config.Backend, bool) {
 	usable := r.engine.cfg.Replicas.Replicas(l.service).Usable(time.Now())
-	free := usable[:0:0]
+	var nearFree, farFree []*config.Backend
 	for _, b := range usable {
-		if r.engine.cfg.Transport.Free(b) {
-			free = append(free, b)
+		switch {
+		case !r.engine.cfg.Transport.Free(b):
+		case r.job.Route.Scattered() || r.engine.distance(b) == near:
+			nearFree = append(nearFree, b)
+		default:
+			farFree = append(farFree, b)
 		}
 	}
-	if b, ok := r.engine.cfg.Picker.Pick(config.ChoiceAdaptive, free, l.tried); ok {
+	if b, ok := r.engine.cfg.Picker.PickNear(config.ChoiceAdaptive, nearFree, farFree, l.tried); ok {
 		return b, true
 	}
 	return r.engine.cfg.Picker.Pick(config.ChoiceAdaptive, usable, l.tried)
