Hand out little of the budget until a starting VM knows the others

Cause: for its first 5 s a VM assumes 24 VMs at least; where 138 start under load, their first buckets (3.4 tokens a service each) are 469 attempts beside the allowance of 340 in 10 s. Until the others are known a bucket now has two tokens, and starts with one. Test: TestBudgetAtStart, with 138 VMs (fails without the bound).

--- a/entry/bounds_test.go
+++ b/entry/bounds_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"fmt"
+	"io"
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	qt "github.com/frankban/quicktest"
 
 	"github.com/briarstand/briarstand/membership"
 	"github.com/briarstand/briarstand/mirror"
+	"github.com/briarstand/briarstand/telemetry"
 )
 
 // Guards the drain bound: the time for which changes gather, the time for which
@@ -71,3 +74,15 @@
 	f.known = f.known[12:]
 	c.Assert(f.part("137", 1), qt.Equals, 1.0/126)
 }
+
+// Guards the budget of all VMs together when many start at once under load and
+// do not know each other yet: the first retries of each come before that.
+func TestBudgetAtStart(t *testing.T) {
+	const vms, slack = 138, 340 // the fleet of the largest deployment known, and its allowance
+	set := Settings{VMID: "vm1", Bounds: Bounds{BudgetPermille: 200, BudgetSlack: slack, BudgetWindow: 10 * time.Second}}
+	d := New(set, nil, telemetry.NewLogger(io.Discard, log.ErrorLevel, telemetry.FieldVM, "vm1"))
+	d.shareOut()
+	first := d.engine.Share()
+	// A bucket starts half full, and gains until the others are known.
+	qt.Assert(t, vms*(first.Burst/2+first.PerSecond) <= slack, qt.IsTrue, qt.Commentf("%+v", first))
+}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -49,8 +49,10 @@
 	// burstPart is the part of a VM's share that may be spent at once.
 	burstPart = 0.6
 	// startFleet is how many VMs a VM assumes at least until it has had time to
-	// see the others register.
+	// see the others register, and startBurst how many tokens of the budget of a
+	// service it may spend at once until then. It starts with half of them.
 	startFleet = 24
+	startBurst = 2
 	startTime  = 5 * time.Second
 	// memoryPart is the part of the allowed memory that the heap may use.
 	memoryPart = 0.7
@@ -342,12 +344,15 @@
 // shareOut sets this VM's share of the budget and returns its part of what all
 // VMs draw on together.
 func (d *Daemon) shareOut() float64 {
-	least := 1
-	if time.Since(d.started) < startTime {
-		least = startFleet
+	if time.Since(d.started) >= startTime {
+		part := d.state.fleet.Load().part(d.settings.VMID, 1)
+		d.engine.SetShare(d.budgetShare(part))
+		return part
 	}
-	part := d.state.fleet.Load().part(d.settings.VMID, least)
-	d.engine.SetShare(d.budgetShare(part))
+	part := d.state.fleet.Load().part(d.settings.VMID, startFleet)
+	share := d.budgetShare(part)
+	share.Burst = min(share.Burst, startBurst)
+	d.engine.SetShare(share)
 	return part
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -113,6 +113,13 @@
 	})
 }
 
+// Share returns this VM's share of the allowance.
+func (e *Engine) Share() limit.Share {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.share
+}
+
 // Keep forgets the budgets of all services but those given.
 func (e *Engine) Keep(services map[string]bool) {
 	e.budgets.Range(func(service, _ any) bool {
