Send no hedge before three tenths of the time until an answer is due

Ruled out: relayed parts (48 a query, about 75 bytes each). Test: TestHedgeDelay (its case of 12 ms changes with the decision).

--- a/forward/policy.go
+++ b/forward/policy.go
@@ -17,6 +17,9 @@
 	// HedgeMin and HedgeFallback are the least hedge delay, and the delay while
 	// too few latencies are known.
 	HedgeMin, HedgeFallback time.Duration
+	// HedgeEarliest is the part of the time until an answer is due before which
+	// no hedge is sent: there is time enough to see whether it is needed.
+	HedgeEarliest float64
 	// HedgeLatest is the part of the time until an answer is due after which a
 	// hedge is sent in any case.
 	HedgeLatest float64
@@ -39,6 +42,7 @@
 		HedgeQuantile: 850,
 		HedgeMin:      4 * time.Millisecond,
 		HedgeFallback: 35 * time.Millisecond,
+		HedgeEarliest: 0.3,
 		HedgeLatest:   0.6,
 		RetryReserve:  0.5,
 		TimeoutMargin: 20 * time.Millisecond,
@@ -81,7 +85,8 @@
 	if !known {
 		return min(p.HedgeFallback, latest)
 	}
-	return min(max(quantile, p.HedgeMin), latest)
+	earliest := time.Duration(p.HedgeEarliest * float64(answerBy))
+	return min(max(quantile, p.HedgeMin, earliest), latest)
 }
 
 // StragglerAt returns when a sub-request is hedged that was planned to be hedged
