Keep following a source whose watch was cut, and learn of outages from it

A source without the store is asked twice more, 0.1 s apart, before a VM turns to the store. A source that settles after an outage goes on giving its records and says since when the store is back, so that the others hold lapsed entries as long.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -60,6 +60,12 @@
 	return l, ok, err
 }
 
+// Available implements mirror.Source.
+func (p *peers) Available() bool {
+	_, ok := p.state.fleet.Load().source(p.vmID, p.zone)
+	return ok
+}
+
 // Follow implements mirror.Source.
 func (p *peers) Follow(ctx context.Context, after int64, wait time.Duration) (u mirror.Update, ok bool, err error) {
 	source, ok := p.state.fleet.Load().source(p.vmID, p.zone)
--- a/mirror/source.go
+++ b/mirror/source.go
@@ -13,14 +13,20 @@
 	Changes Changes  `json:"changes"`
 	// Age is how long ago the store confirmed the revision.
 	Age time.Duration `json:"age"`
+	// Back is how long the store has answered again after an outage, if records
+	// may still be missing for it.
+	Back time.Duration `json:"back,omitempty"`
 }
 
 // Source is the VM from which others in its zone take what the store says, so
 // that not each of them has to ask the store.
 type Source interface {
+	// Available reports whether there is such a VM. A VM that is the source of
+	// its zone has none.
+	Available() bool
 	// Follow returns what the source has learned after a revision, as soon as
-	// there is something or when wait has passed. ok is false if this VM has to
-	// follow the store itself.
+	// there is something or when wait has passed. ok is false if the source does
+	// not follow the store now.
 	Follow(ctx context.Context, after int64, wait time.Duration) (u Update, ok bool, err error)
 }
 
@@ -31,22 +37,33 @@
 	// sourceGrace is how much later the call is given up: a round trip in the
 	// zone, and a source that is busy.
 	sourceGrace = 300 * time.Millisecond
+	// sourceTries is how often a source that has just lost the store is asked
+	// again, and sourcePause the pause between: a watch that was cut is back at
+	// once.
+	sourceTries = 3
+	sourcePause = 100 * time.Millisecond
 	// sourceRetry is how long a VM follows the store itself after its source
 	// has failed.
 	sourceRetry = 3 * time.Second
 )
 
 // followSource takes one update from the source. It returns false if the store
-// is to be asked instead. Nothing is taken from a source around an outage of the
-// store: who asks the store itself knows which records may be missing.
+// is to be asked instead.
 func (f *Follower) followSource(ctx context.Context) bool {
-	now := time.Now()
-	if f.cfg.Source == nil || f.lost.Load() || f.Settling(now) || f.cfg.Mirror.Revision() == 0 || now.Before(f.directUntil) {
+	if f.cfg.Source == nil || !f.cfg.Source.Available() || f.lost.Load() || f.cfg.Mirror.Revision() == 0 || time.Now().Before(f.directUntil) {
 		return false
 	}
-	call, cancel := context.WithTimeout(ctx, sourceWait+sourceGrace)
-	defer cancel()
-	u, ok, err := f.cfg.Source.Follow(call, f.cfg.Mirror.Revision(), sourceWait)
+	var u Update
+	var ok bool
+	var err error
+	for try := 0; !ok && err == nil && try < sourceTries && ctx.Err() == nil; try++ {
+		if try > 0 {
+			sleep(ctx, sourcePause)
+		}
+		call, cancel := context.WithTimeout(ctx, sourceWait+sourceGrace)
+		u, ok, err = f.cfg.Source.Follow(call, f.cfg.Mirror.Revision(), sourceWait)
+		cancel()
+	}
 	if err != nil {
 		f.directUntil = time.Now().Add(sourceRetry)
 		if ctx.Err() == nil {
@@ -56,6 +73,9 @@
 	if err != nil || !ok {
 		return false
 	}
+	if u.Back > 0 {
+		f.backAt.Store(time.Now().Add(-u.Back).UnixNano())
+	}
 	changed := false
 	if u.Listing != nil {
 		if changed, err = f.cfg.Mirror.Replace(*u.Listing); err != nil {
@@ -73,15 +93,18 @@
 
 // Serve returns what the mirror has after a revision, for another VM, as soon as
 // there is something or when wait has passed. ok is false if this VM does not
-// follow the store itself, or only since a short time.
+// follow the store itself, or has lost it.
 func (f *Follower) Serve(ctx context.Context, after int64, wait time.Duration) (u Update, ok bool) {
 	f.cfg.Mirror.Wait(ctx, after, wait)
 	now := time.Now()
 	age, heard := f.Age(now)
-	if !heard || !f.direct.Load() || f.lost.Load() || f.Settling(now) {
+	if !heard || !f.direct.Load() || f.lost.Load() {
 		return u, false
 	}
 	u.Age = age
+	if f.Settling(now) {
+		u.Back = max(1, now.Sub(time.Unix(0, f.backAt.Load())))
+	}
 	var complete bool
 	if u.Changes, complete = f.cfg.Mirror.Since(after); !complete {
 		l := f.cfg.Mirror.Listing()
