Let a VM that the store turns away follow its source; know the fleet sooner

Cause: in an outage of the store all VMs ask it again and again, about 3 paid calls a second each; a VM that only it turns away had records as old as its peers' reads. A VM whose store is lost now asks its source between its own tries. A starting VM knows the others 1.5 s after its own record is listed, no longer 5 s after its start, and has three tokens a service until then: with two, a bucket that starts half full has none for a hedge (the reserve for retries is 0.5). Found by TestSlowShard, which failed in 3 of 12 runs with two tokens; it now waits for the usual budget, and prints the decisions of a query that lacks a part.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -48,12 +48,16 @@
 	budgetPart = 0.8
 	// burstPart is the part of a VM's share that may be spent at once.
 	burstPart = 0.6
-	// startFleet is how many VMs a VM assumes at least until it has had time to
-	// see the others register, and startBurst how many tokens of the budget of a
-	// service it may spend at once until then. It starts with half of them.
+	// startFleet is how many VMs a VM assumes at least until it knows the others,
+	// and startBurst how many tokens of the budget of a service it may spend at
+	// once until then. It starts with half of them.
 	startFleet = 24
-	startBurst = 2
-	startTime  = 5 * time.Second
+	startBurst = 3
+	// othersListed is how long after its own record a VM sees those of all that
+	// started with it: the time for which changes gather, and a busy start.
+	// startTime is how long it waits for its own.
+	othersListed = 1500 * time.Millisecond
+	startTime    = 5 * time.Second
 	// memoryPart is the part of the allowed memory that the heap may use.
 	memoryPart = 0.7
 	// readHeaderTimeout bounds the headers of a request, and idleTimeout an idle
@@ -77,6 +81,7 @@
 	picker   *balance.Picker
 	relay    *relay.Client
 	started  time.Time
+	listedAt atomic.Int64  // when this VM's record was first seen, in nanoseconds since started
 	ordinary *rate.Limiter // log lines of requests without trouble
 	metrics  *metrics.Set
 	leaving  atomic.Bool
@@ -344,18 +349,29 @@
 // shareOut sets this VM's share of the budget and returns its part of what all
 // VMs draw on together.
 func (d *Daemon) shareOut() float64 {
-	if time.Since(d.started) >= startTime {
-		part := d.state.fleet.Load().part(d.settings.VMID, 1)
+	fleet := d.state.fleet.Load()
+	if d.knowsFleet(fleet) {
+		part := fleet.part(d.settings.VMID, 1)
 		d.engine.SetShare(d.budgetShare(part))
 		return part
 	}
-	part := d.state.fleet.Load().part(d.settings.VMID, startFleet)
+	part := fleet.part(d.settings.VMID, startFleet)
 	share := d.budgetShare(part)
 	share.Burst = min(share.Burst, startBurst)
 	d.engine.SetShare(share)
 	return part
 }
 
+// knowsFleet reports whether the VM has had time to see the others register.
+func (d *Daemon) knowsFleet(f *fleet) bool {
+	up := time.Since(d.started)
+	if d.listedAt.Load() == 0 && f.lists(d.settings.VMID, d.started.UnixNano()) {
+		d.listedAt.Store(int64(up))
+	}
+	listed := time.Duration(d.listedAt.Load())
+	return up >= startTime || listed > 0 && up-listed >= othersListed
+}
+
 // budgetShare returns the share for a part. In one window a VM spends at most a
 // full bucket and what it gains.
 func (d *Daemon) budgetShare(part float64) limit.Share {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -353,11 +353,13 @@
 	other := f.backend("b2", "shard-b", record('b'))
 	f.store.Configure(1, scattered("find", 0.5, "shard-a", "shard-b"), scattered("all", 1, "shard-a", "shard-b"))
 	v := f.start("vm1", true)
+	// Until a VM knows the others it has few hedges.
+	f.eventually(6*time.Second, "knows the other VMs", v.daemon.KnowsFleet)
 	slow.SetBehavior(standin.Behavior{Hang: true})
 	for i := range 6 {
 		a, took, trace := f.timed(v, "/find/x", fmt.Sprint("id-", i))
 		f.Check(a.status, qt.Equals, http.StatusOK)
-		f.Check(a.header.Get("X-Missing-Parts"), qt.Equals, "0")
+		f.Check(a.header.Get("X-Missing-Parts"), qt.Equals, "0", qt.Commentf("%s", f.linesOf(fmt.Sprint("id-", i))))
 		f.Check(took < 100*time.Millisecond, qt.IsTrue, qt.Commentf("took %v\n%s%s", took, trace, f.linesOf(fmt.Sprint("id-", i))))
 	}
 	other.SetBehavior(standin.Behavior{Hang: true})
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -45,6 +45,11 @@
 	return weakPart / float64(max(weak, least))
 }
 
+// lists reports whether the record of an incarnation of a VM is known.
+func (f *fleet) lists(id string, incarnation int64) bool {
+	return slices.ContainsFunc(f.known, func(m membership.Member) bool { return m.ID == id && m.Incarnation == incarnation })
+}
+
 // source returns the VM of a zone that follows the store for the others there.
 // It is false if that is this VM, or if there is none.
 func (f *fleet) source(id, zone string) (membership.Member, bool) {
--- a/mirror/source.go
+++ b/mirror/source.go
@@ -50,7 +50,7 @@
 // followSource takes one update from the source. It returns false if the store
 // is to be asked instead.
 func (f *Follower) followSource(ctx context.Context) bool {
-	if f.cfg.Source == nil || !f.cfg.Source.Available() || f.lost.Load() || f.cfg.Mirror.Revision() == 0 || time.Now().Before(f.directUntil) {
+	if f.cfg.Source == nil || !f.cfg.Source.Available() || f.cfg.Mirror.Revision() == 0 || time.Now().Before(f.directUntil) {
 		return false
 	}
 	var u Update
@@ -85,6 +85,9 @@
 		changed = f.cfg.Mirror.Apply(u.Changes)
 	}
 	f.heardAt.Store(time.Now().Add(-u.Age).UnixNano())
+	if f.lost.CompareAndSwap(true, false) {
+		f.cfg.Logger.Info("store answers another VM, which is followed", "revision", f.cfg.Mirror.Revision())
+	}
 	if changed {
 		f.changed()
 	}
--- a/mirror/source_test.go
+++ b/mirror/source_test.go
@@ -112,3 +112,31 @@
 		c.Assert(second.Settling(time.Now()), qt.IsFalse)
 	})
 }
+
+// Guards against paid calls of a VM that the store turns away while it serves
+// the VM's source, and against its records growing old.
+func TestSourceWhileTurnedAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		content := New()
+		near, far := &fakeStore{content: content}, &fakeStore{content: content}
+		near.put("a", 1)
+		first := start(t, FollowerConfig{Mirror: New(), Store: near})
+		source := &fakeSource{follower: first}
+		m := New()
+		second := start(t, FollowerConfig{Mirror: m, Store: far, Source: source})
+		time.Sleep(5 * time.Second)
+		far.set(flags{down: true})
+		source.silent.Store(true)
+		time.Sleep(time.Second)
+		c.Assert(second.StoreLost(), qt.IsTrue)
+		source.silent.Store(false)
+		time.Sleep(sourceRetry + 2*DefaultRetryMax) // with the longest pause of the store's retries
+		c.Assert(second.StoreLost(), qt.IsFalse)
+		calls := far.watches.Load() + far.lists.Load()
+		near.put("b", 2)
+		time.Sleep(10 * time.Second)
+		c.Assert(m.Revision(), qt.Equals, int64(2))
+		c.Assert(far.watches.Load()+far.lists.Load(), qt.Equals, calls)
+	})
+}
