Avoid servers that cannot be reached; relay only through VMs that have answered

A server that refuses a connection or answers for another is now avoided for 1 s, where its service has others. - A relay held failed parts back until its flush, 57 ms after the request, so that their retries came late. A VM relays only for those on whose connection it has answered; such connections are opened within 0.2 s.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -78,6 +78,7 @@
 	rate    int // hedges and retries for a thousand requests
 	share   limit.Share
 	budgets sync.Map // service name to *limit.Budget
+	down    sync.Map // backend id to until when it is avoided, a time.Time
 	counts  *counters
 }
 
@@ -120,8 +121,36 @@
 	return e.share
 }
 
-// Keep forgets the budgets of all services but those given.
+// downFor is how long a backend server is avoided that could not be reached, or
+// whose address another one has now, if its service has others. Its entry lapses
+// after some seconds; until then each VM finds out once in this time.
+const downFor = time.Second
+
+// avoidDown returns the replicas that were reached lately, or all if there are
+// none.
+func (e *Engine) avoidDown(replicas []*config.Backend, now time.Time) []*config.Backend {
+	up := make([]*config.Backend, 0, len(replicas))
+	for _, b := range replicas {
+		if until, ok := e.down.Load(b.ID); !ok || now.After(until.(time.Time)) {
+			up = append(up, b)
+		}
+	}
+	if len(up) == 0 {
+		return replicas
+	}
+	return up
+}
+
+// Keep forgets the budgets of all services but those given, and backend servers
+// that are no longer avoided.
 func (e *Engine) Keep(services map[string]bool) {
+	now := time.Now()
+	e.down.Range(func(id, until any) bool {
+		if now.After(until.(time.Time)) {
+			e.down.Delete(id)
+		}
+		return true
+	})
 	e.budgets.Range(func(service, _ any) bool {
 		if !services[service.(string)] {
 			e.budgets.Delete(service)
--- a/forward/run.go
+++ b/forward/run.go
@@ -197,9 +197,10 @@
 // parts of a query are small when a relay has merged them, and the query is as
 // late as the last of them.
 func (r *run) pick(l *leg) (*config.Backend, bool) {
-	usable := r.engine.cfg.Replicas.Replicas(l.service).Usable(time.Now())
+	now := time.Now()
+	usable := r.engine.cfg.Replicas.Replicas(l.service).Usable(now)
 	var nearFree, farFree []*config.Backend
-	for _, b := range usable {
+	for _, b := range r.engine.avoidDown(usable, now) {
 		switch {
 		case !r.engine.cfg.Transport.Free(b):
 		case r.job.Route.Scattered() || r.engine.distance(b) == near:
@@ -459,6 +460,9 @@
 	latency := time.Since(a.start)
 	e.counts.attempt(service, &res, latency)
 	end, status := classify(res)
+	if upstream.Unreachable(res.Err) || res.Reply != nil && res.Reply.Verdict == upstream.OtherServer {
+		e.down.Store(a.backend.ID, time.Now().Add(downFor))
+	}
 	if end == endServed && !a.relayed {
 		e.cfg.Latencies.Observe(latencyKey(routeName, e.distance(a.backend)), latency)
 	}
--- a/relay/client.go
+++ b/relay/client.go
@@ -23,9 +23,10 @@
 	// dialTimeout bounds a connection to another VM: a few round trips.
 	dialTimeout = 300 * time.Millisecond
 	// warmTimeout bounds the request that opens a connection ahead of its use,
-	// and warmSpread spreads those of one VM.
-	warmTimeout = time.Second
-	warmSpread  = time.Second
+	// and warmSpread spreads those of one VM. They are short since a VM relays
+	// only after that.
+	warmTimeout = 500 * time.Millisecond
+	warmSpread  = 200 * time.Millisecond
 	// idleTimeout closes connections that were not used, sooner than the other
 	// VM does.
 	idleTimeout = 50 * time.Second
@@ -49,7 +50,7 @@
 	near     map[string][]*config.Backend // region to its VMs, as relays
 	suspects map[string]time.Time         // VM id to when it failed
 	overhead map[string]time.Duration     // region to the time that a relay adds
-	warmed   map[string]bool              // VM address to whether a connection was opened
+	warmed   map[string]warmState         // VM address to its first connection
 	warming  sync.WaitGroup
 }
 
@@ -63,7 +64,7 @@
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout, DisableCompression: true,
 		}},
 		picker: balance.NewPicker(balance.Config{}), suspects: map[string]time.Time{}, overhead: map[string]time.Duration{},
-		warmed: map[string]bool{},
+		warmed: map[string]warmState{},
 	}
 }
 
@@ -82,32 +83,62 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.near = near
+	for address := range c.warmed {
+		if !addresses[address] {
+			delete(c.warmed, address)
+		}
+	}
 	for address := range addresses {
-		if !c.warmed[address] {
-			c.warming.Go(func() { c.warm(ctx, address) })
+		if c.warmed[address] == cold {
+			c.warmed[address] = warming
+			c.warming.Go(func() { c.warmOne(ctx, address) })
 		}
 	}
-	c.warmed = addresses
 }
 
-// warm opens a connection to a VM. A failure shows at the first use.
-func (c *Client) warm(ctx context.Context, address string) {
+// warmState says whether a VM has answered on a connection of this one.
+type warmState int
+
+const (
+	cold warmState = iota
+	warming
+	warm
+)
+
+// warmOne opens a connection to a VM, which is tried again with the next change
+// or sweep of the members if it fails.
+func (c *Client) warmOne(ctx context.Context, address string) {
+	ok := c.open(ctx, address)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, known := c.warmed[address]; !known {
+		return
+	}
+	c.warmed[address] = cold
+	if ok {
+		c.warmed[address] = warm
+	}
+}
+
+// open opens a connection to a VM and reports whether the VM answered.
+func (c *Client) open(ctx context.Context, address string) bool {
 	select {
 	case <-ctx.Done():
-		return
+		return false
 	case <-time.After(rand.N(warmSpread)):
 	}
 	ctx, cancel := context.WithTimeout(ctx, warmTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+Path, nil)
 	if err != nil {
-		return
+		return false
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return
+		return false
 	}
 	resp.Body.Close()
+	return true
 }
 
 // Close closes idle connections, after the context of SetMembers has ended.
@@ -137,11 +168,12 @@
 	return region
 }
 
-// usable returns the VMs of a region that did not fail lately.
+// usable returns the VMs of a region that have answered and did not fail lately.
+// The record of a VM that has died stays for some time.
 func (c *Client) usable(region string) []*config.Backend {
 	var usable []*config.Backend
 	for _, vm := range c.near[region] {
-		if time.Since(c.suspects[vm.ID]) > suspectFor {
+		if c.warmed[vm.Address] == warm && time.Since(c.suspects[vm.ID]) > suspectFor {
 			usable = append(usable, vm)
 		}
 	}
@@ -313,7 +345,7 @@
 		res := upstream.Result{Tag: tag}
 		switch {
 		case p.Unsent:
-			res.Err = &upstream.UnsentError{Backend: "relayed", Err: &PartError{Text: p.Error}}
+			res.Err = &upstream.UnsentError{Backend: "relayed", Err: &PartError{Text: p.Error}, Down: p.Down}
 		case p.Error != "" || p.Verdict == 0:
 			res.Err = &upstream.BrokenError{Backend: "relayed", Err: &PartError{Text: p.Error}}
 		default:
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -49,9 +49,11 @@
 	Verdict upstream.Verdict `json:"v"`
 	// Signature is the backend server's signature of a served part.
 	Signature string `json:"s,omitempty"`
-	// Error says why there is no reply; Unsent that nothing was sent.
+	// Error says why there is no reply; Unsent that nothing was sent, and Down
+	// that no connection could be opened.
 	Error  string `json:"e,omitempty"`
 	Unsent bool   `json:"u,omitempty"`
+	Down   bool   `json:"d,omitempty"`
 }
 
 // StatusError reports a relay that did not take a request.
--- a/relay/server.go
+++ b/relay/server.go
@@ -38,11 +38,17 @@
 	defer s.abandon()
 	flush := time.NewTimer(time.Duration(req.FlushMS) * time.Millisecond)
 	defer flush.Stop()
+	// A failed part is sent at once, so that the origin can try elsewhere.
+	failed := len(s.pending.Parts) > 0
 	late := false
 	for s.open > 0 {
+		if failed && !s.write() {
+			return
+		}
+		failed = false
 		select {
 		case res := <-s.results:
-			s.take(res)
+			failed = !s.take(res)
 		case <-flush.C:
 			late = true
 		case <-r.Context().Done():
@@ -89,13 +95,15 @@
 	}
 }
 
-func (s *session) take(res upstream.Result) {
+// take notes the end of an attempt and reports whether it was served.
+func (s *session) take(res upstream.Result) bool {
 	s.open--
 	s.ended[res.Tag] = true
 	p := part{Index: res.Tag}
 	switch {
 	case res.Err != nil:
 		p.Error, p.Unsent = res.Err.Error(), upstream.NotSent(res.Err)
+		p.Down = upstream.Unreachable(res.Err)
 		s.handler.Logger.Debug("relayed attempt failed", telemetry.FieldRequestID, s.req.ID, "backend", s.req.Backends[res.Tag], telemetry.FieldError, p.Error)
 	case res.Reply.Verdict == upstream.Served:
 		p.Verdict, p.Signature = res.Reply.Verdict, res.Reply.Signature
@@ -104,6 +112,7 @@
 		p.Verdict = res.Reply.Verdict
 	}
 	s.pending.Parts = append(s.pending.Parts, p)
+	return p.Verdict == upstream.Served
 }
 
 // write sends the parts that are in and reports whether the origin takes them.
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -208,6 +208,12 @@
 	return a
 }
 
+// dialFailed reports whether a connection was refused or not set up in time.
+func dialFailed(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial" && !errors.Is(err, context.Canceled)
+}
+
 func (c *Client) attempt(call *call, req *Request, deadline time.Time) (*Reply, error) {
 	b := call.backend
 	p := c.pool(b)
@@ -231,7 +237,7 @@
 	if err != nil {
 		p.close(conn)
 		if !sent {
-			return nil, &UnsentError{Backend: b.ID, Err: err}
+			return nil, &UnsentError{Backend: b.ID, Err: err, Down: dialFailed(err)}
 		}
 		return nil, &BrokenError{Backend: b.ID, Err: err}
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -81,6 +81,8 @@
 type UnsentError struct {
 	Backend string
 	Err     error
+	// Down says that no connection to the backend server could be opened.
+	Down bool
 }
 
 func (e *UnsentError) Error() string {
@@ -130,3 +132,10 @@
 	// Abandon says that the reply is no longer needed.
 	Abandon()
 }
+
+// Unreachable reports whether no connection to the backend server could be
+// opened.
+func Unreachable(err error) bool {
+	var unsent *UnsentError
+	return errors.As(err, &unsent) && unsent.Down
+}
