Know a server that refuses connections as down

The forward test passed as its fake transport sets the mark itself. A failed dial now marks the server, unless the attempt itself ended first. Unreachable stands beside NotSent. Test: TestUnreachable, with a real socket (fails before the change).

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -208,18 +208,15 @@
 	return a
 }
 
-// dialFailed reports whether a connection was refused or not set up in time.
-func dialFailed(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial" && !errors.Is(err, context.Canceled)
-}
-
 func (c *Client) attempt(call *call, req *Request, deadline time.Time) (*Reply, error) {
 	b := call.backend
 	p := c.pool(b)
 	conn, err := c.acquire(call.ctx, p)
 	if err != nil {
-		return nil, &UnsentError{Backend: b.ID, Err: err}
+		// A dial that the end of the attempt cut short says nothing about the server.
+		var op *net.OpError
+		down := errors.As(err, &op) && op.Op == "dial" && call.ctx.Err() == nil
+		return nil, &UnsentError{Backend: b.ID, Err: err, Down: down}
 	}
 	if !call.start(conn, deadline) {
 		p.put(conn)
@@ -237,7 +234,7 @@
 	if err != nil {
 		p.close(conn)
 		if !sent {
-			return nil, &UnsentError{Backend: b.ID, Err: err, Down: dialFailed(err)}
+			return nil, &UnsentError{Backend: b.ID, Err: err}
 		}
 		return nil, &BrokenError{Backend: b.ID, Err: err}
 	}
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -212,6 +212,33 @@
 	c.Assert(NotSent(do(newTestClient(t, b, 1), b, get("body"), 100*time.Millisecond).Err), qt.IsFalse)
 }
 
+// Guards against a server that refuses connections not being known as down, and
+// one being taken as down after an attempt that was abandoned or found no time.
+func TestUnreachable(t *testing.T) {
+	c := qt.New(t)
+	closed := newRawServer(t, nil)
+	b := closed.backend()
+	closed.Close()
+	res := do(newTestClient(t, b, 1), b, get(""), time.Second)
+	c.Assert(Unreachable(res.Err), qt.IsTrue, qt.Commentf("%v", res.Err))
+
+	client := NewClient(Config{Protocol: plain{}, Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, &net.OpError{Op: "dial", Err: ctx.Err()}
+	}})
+	client.Update(map[*config.Backend]int{b: 1})
+	results := make(chan Result, 2)
+	client.Send(b, get(""), time.Now().Add(time.Minute), 1, results).Abandon()
+	res = <-results
+	c.Assert(NotSent(res.Err) && !Unreachable(res.Err), qt.IsTrue, qt.Commentf("%v", res.Err))
+	client.Send(b, get(""), time.Now().Add(20*time.Millisecond), 2, results)
+	res = <-results
+	c.Assert(NotSent(res.Err) && !Unreachable(res.Err), qt.IsTrue, qt.Commentf("%v", res.Err))
+	client.Send(b, get(""), time.Now().Add(2*DefaultDialTimeout), 3, results)
+	res = <-results
+	c.Assert(Unreachable(res.Err), qt.IsTrue, qt.Commentf("%v", res.Err))
+}
+
 // Guards the limit of connections to a backend server, and against requests
 // that wait for one that is never freed.
 func TestConnectionLimit(t *testing.T) {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -116,6 +116,13 @@
 	return errors.As(err, &unsent)
 }
 
+// Unreachable reports whether no connection to the backend server could be
+// opened.
+func Unreachable(err error) bool {
+	var unsent *UnsentError
+	return errors.As(err, &unsent) && unsent.Down
+}
+
 // Result is the end of one attempt: a reply or an error.
 type Result struct {
 	Tag   int
@@ -132,10 +139,3 @@
 	// Abandon says that the reply is no longer needed.
 	Abandon()
 }
-
-// Unreachable reports whether no connection to the backend server could be
-// opened.
-func Unreachable(err error) bool {
-	var unsent *UnsentError
-	return errors.As(err, &unsent) && unsent.Down
-}
