Reuse what the change wrote again

Found in a last reading of the diff; behaviour stays, but for the empty batch: - dev http parsed the log level itself instead of calling app.logger. - Two checks for a failed dial (upstream, relay) are upstream.DialFailed now. - The daemon wrote down its own member twice, with other fields; it is d.self now. - The relay's loop decided in three places when to send what is pending, and sent an empty batch after a failed part that came behind the flush. One place now. - In forward, the candidates of a shard were called near also where they are far.

--- a/cli/devhttp.go
+++ b/cli/devhttp.go
@@ -9,7 +9,6 @@
 	"strings"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
 
@@ -47,10 +46,6 @@
 	if _, err := arguments(cmd); err != nil {
 		return err
 	}
-	level, err := log.ParseLevel(cmd.String("log-level"))
-	if err != nil {
-		return err
-	}
 	store := standin.NewStore()
 	defer store.Close()
 	for _, b := range devHTTPBackends() {
@@ -66,12 +61,13 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
+	var err error
 	var callers string
 	var adapter platform.Settings
 	adapter.Store.Address = store.Address()
 	for i := range cmd.Int("vms") {
 		set := devHTTPSettings(fmt.Sprintf("vm-%d", i+1))
-		d := entry.New(set, platform.New(&adapter), telemetry.NewLogger(a.Err, level, telemetry.FieldVM, set.VMID))
+		d := entry.New(set, platform.New(&adapter), a.logger(cmd, telemetry.FieldVM, set.VMID))
 		if err = d.Listen(); err != nil {
 			break
 		}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -146,12 +146,8 @@
 		Mirror: d.state.mirror, Store: d.platform, Logger: d.logger, Changed: d.refresh, Peers: others, Source: others,
 		Gather: d.settings.DrainBound / gatherPart, WatchWait: d.settings.DrainBound / watchPart, WatchGrace: watchGrace,
 	})
-	self := membership.Member{
-		ID: d.settings.VMID, Zone: d.settings.Zone, Region: d.settings.Region, CallerAddress: d.settings.CallerAddress,
-		PeerAddress: d.settings.PeerAddress, Incarnation: d.started.UnixNano(), Cores: d.settings.Cores,
-	}
 	d.state.follower.Store(follower)
-	reg := newRegistration(d.platform, d.logger, self, d.settings.MinLease, follower.CheckStore)
+	reg := newRegistration(d.platform, d.logger, d.self(), d.settings.MinLease, follower.CheckStore)
 	d.background.Go(func() { follower.Run(d.work) })
 	d.background.Go(func() { reg.run(d.work) })
 	d.background.Go(d.sweep)
@@ -275,6 +271,14 @@
 	return r
 }
 
+// self is what this VM says of itself while it takes callers.
+func (d *Daemon) self() membership.Member {
+	return membership.Member{
+		ID: d.settings.VMID, Zone: d.settings.Zone, Region: d.settings.Region, CallerAddress: d.settings.CallerAddress,
+		PeerAddress: d.settings.PeerAddress, Incarnation: d.started.UnixNano(), Cores: d.settings.Cores, State: membership.Alive,
+	}
+}
+
 // members returns the VMs that callers may be sent to. What this VM knows of
 // itself goes before what its record says.
 func (d *Daemon) members() []membership.Member {
@@ -286,10 +290,7 @@
 		}
 	}
 	if d.ready() {
-		members = append(members, membership.Member{
-			ID: d.settings.VMID, Zone: d.settings.Zone, Region: d.settings.Region, CallerAddress: d.settings.CallerAddress, State: membership.Alive,
-			Cores: d.settings.Cores,
-		})
+		members = append(members, d.self())
 	}
 	return members
 }
@@ -322,7 +323,7 @@
 	limits := d.state.connectionLimits(d.shareOut())
 	d.client.Update(limits)
 	strong := resolve.Strong(d.members())
-	self := slices.ContainsFunc(strong, func(m membership.Member) bool { return m.ID == d.settings.VMID })
+	selfStrong := slices.ContainsFunc(strong, func(m membership.Member) bool { return m.ID == d.settings.VMID })
 	d.relay.SetMembers(d.work, strong)
 	ids := map[string]bool{}
 	for b := range limits {
@@ -334,7 +335,7 @@
 		return
 	}
 	used := table.InUse()
-	if self {
+	if selfStrong {
 		d.warm(used)
 	}
 	// A budget is kept while its service has servers: versions of the
--- a/forward/run.go
+++ b/forward/run.go
@@ -199,17 +199,17 @@
 func (r *run) pick(l *leg) (*config.Backend, bool) {
 	now := time.Now()
 	usable := r.engine.cfg.Replicas.Replicas(l.service).Usable(now)
-	var nearFree, farFree []*config.Backend
+	var preferred, others []*config.Backend
 	for _, b := range r.engine.avoidDown(usable, now) {
 		switch {
 		case !r.engine.cfg.Transport.Free(b):
 		case r.job.Route.Scattered() || r.engine.distance(b) == near:
-			nearFree = append(nearFree, b)
+			preferred = append(preferred, b)
 		default:
-			farFree = append(farFree, b)
+			others = append(others, b)
 		}
 	}
-	if b, ok := r.engine.cfg.Picker.PickNear(config.ChoiceAdaptive, nearFree, farFree, l.tried); ok {
+	if b, ok := r.engine.cfg.Picker.PickNear(config.ChoiceAdaptive, preferred, others, l.tried); ok {
 		return b, true
 	}
 	return r.engine.cfg.Picker.Pick(config.ChoiceAdaptive, usable, l.tried)
--- a/relay/client.go
+++ b/relay/client.go
@@ -281,8 +281,7 @@
 	hr.GetBody = nil // never sent twice by the client itself
 	resp, err := c.http.Do(hr)
 	if err != nil {
-		var dial *net.OpError
-		if errors.As(err, &dial) && dial.Op == "dial" {
+		if upstream.DialFailed(err) {
 			return &upstream.UnsentError{Backend: vm.ID, Err: err}
 		}
 		return &upstream.BrokenError{Backend: vm.ID, Err: err}
--- a/relay/server.go
+++ b/relay/server.go
@@ -39,27 +39,24 @@
 	flush := time.NewTimer(time.Duration(req.FlushMS) * time.Millisecond)
 	defer flush.Stop()
 	// A failed part is sent at once, so that the origin can try elsewhere.
-	failed := len(s.pending.Parts) > 0
+	due := len(s.pending.Parts) > 0
 	late := false
-	for s.open > 0 {
-		if failed && !s.write() {
+	for {
+		if (due || late || s.open == 0) && len(s.pending.Parts) > 0 && !s.write() {
+			return // the origin has left
+		}
+		if s.open == 0 {
 			return
 		}
-		failed = false
+		due = false
 		select {
 		case res := <-s.results:
-			failed = !s.take(res)
+			due = !s.take(res)
 		case <-flush.C:
 			late = true
 		case <-r.Context().Done():
 			return
 		}
-		if (late || s.open == 0) && len(s.pending.Parts) > 0 && !s.write() {
-			return
-		}
-	}
-	if len(s.pending.Parts) > 0 {
-		s.write()
 	}
 }
 
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -214,9 +214,7 @@
 	conn, err := c.acquire(call.ctx, p)
 	if err != nil {
 		// A dial that the end of the attempt cut short says nothing about the server.
-		var op *net.OpError
-		down := errors.As(err, &op) && op.Op == "dial" && call.ctx.Err() == nil
-		return nil, &UnsentError{Backend: b.ID, Err: err, Down: down}
+		return nil, &UnsentError{Backend: b.ID, Err: err, Down: DialFailed(err) && call.ctx.Err() == nil}
 	}
 	if !call.start(conn, deadline) {
 		p.put(conn)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"time"
 )
@@ -116,6 +117,12 @@
 	return errors.As(err, &unsent)
 }
 
+// DialFailed reports whether an error says that a connection was not opened.
+func DialFailed(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // Unreachable reports whether no connection to the backend server could be
 // opened.
 func Unreachable(err error) bool {
