Contain panics to the request, attempt or record that they come from

A VM that started while the store turned it away took the records of one other VM at random, however old.

Change: internal/contain recovers, counts, logs the stack and goes on: an attempt that panicked is broken (it may have run) and its connection closed, a record is ignored, a loop starts again after a second, a request's connection ends. A VM without records asks three others and takes the newest.

Ruled out: recovery in net/http alone, which covers only handlers.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/briarstand/briarstand/balance"
 	"github.com/briarstand/briarstand/config"
 	"github.com/briarstand/briarstand/forward"
+	"github.com/briarstand/briarstand/internal/contain"
 	"github.com/briarstand/briarstand/limit"
 	"github.com/briarstand/briarstand/membership"
 	"github.com/briarstand/briarstand/mirror"
@@ -94,6 +95,7 @@
 	metrics  *metrics.Set
 	// replyMemory and requestMemory bound the bytes that are held at once.
 	replyMemory, requestMemory *limit.Memory
+	panics                     *contain.Panics
 	leaving                    atomic.Bool
 	// listeners are set by Listen.
 	listeners []listener
@@ -113,17 +115,19 @@
 		replyMemory: limit.NewMemory(0), requestMemory: limit.NewMemory(0),
 	}
 	d.limitMemory(set.MemoryBytes)
+	d.panics = contain.New(logger, d.metrics.NewCounter("briarstand_entry_panics_total"))
 	d.work, d.stop = context.WithCancel(context.Background())
 	d.bounds.Store(&set.Bounds)
-	d.state = newState(p, set.VMID, logger, lastResort(set.DrainBound))
-	d.client = upstream.NewClient(upstream.Config{Protocol: p, Memory: d.replyMemory})
+	d.state = newState(p, set.VMID, logger, d.panics, lastResort(set.DrainBound))
+	d.client = upstream.NewClient(upstream.Config{Protocol: p, Memory: d.replyMemory, Panics: d.panics})
 	d.picker = balance.NewPicker(balance.Config{})
 	d.queues = balance.NewQueues()
 	d.relay = relay.NewClient(set.VMID, set.Region, set.Zones)
+	d.relay.Panics = d.panics
 	d.engine = forward.NewEngine(forward.Config{
 		Transport: d.client, Replicas: d.state.registry, Picker: d.picker, Queues: d.queues, Relay: d.relay, Distant: d.relay.Distant,
 		Latencies: balance.NewLatencies(balance.LatencyConfig{}), Policy: forward.DefaultPolicy(),
-		BudgetPermille: handedOut(set.BudgetPermille), Metrics: d.metrics,
+		BudgetPermille: handedOut(set.BudgetPermille), Metrics: d.metrics, Panics: d.panics,
 	})
 	d.registerMetrics()
 	d.shareOut()
@@ -156,14 +160,14 @@
 	d.serve()
 	others := newPeers(d.state, &d.settings)
 	follower := mirror.NewFollower(mirror.FollowerConfig{
-		Mirror: d.state.mirror, Store: d.platform, Logger: d.logger, Changed: d.refresh, Peers: others, Source: others,
+		Mirror: d.state.mirror, Store: d.platform, Logger: d.logger, Panics: d.panics, Changed: d.refresh, Peers: others, Source: others,
 		Gather: d.settings.DrainBound / gatherPart, WatchWait: d.settings.DrainBound / watchPart, WatchGrace: watchGrace,
 	})
 	d.state.follower.Store(follower)
 	reg := newRegistration(d.platform, d.logger, d.self(), d.settings.MinLease, follower.CheckStore)
 	d.background.Go(func() { follower.Run(d.work) })
-	d.background.Go(func() { reg.run(d.work) })
-	d.background.Go(d.sweep)
+	d.background.Go(func() { d.panics.Loop(d.work, "registration", reg.run) })
+	d.background.Go(func() { d.panics.Loop(d.work, "sweep", d.sweep) })
 	d.logger.Info("started", "callers", d.settings.CallerAddress, "zone", d.settings.Zone)
 
 	<-ctx.Done()
@@ -217,7 +221,7 @@
 			return &ListenError{Address: *l.address, Err: err}
 		}
 		*l.address = socket.Addr().String()
-		server := &http.Server{Handler: l.handler, ErrorLog: d.logger.StandardLog()}
+		server := &http.Server{Handler: d.panics.Handler(l.handler), ErrorLog: d.logger.StandardLog()}
 		if l.address == &d.settings.CallerAddress {
 			socket = &callerListener{Listener: socket, limits: d.callerLimits, memory: d.requestMemory}
 			server.ConnState = followCallerConn
@@ -315,12 +319,12 @@
 	d.apply()
 }
 
-func (d *Daemon) sweep() {
+func (d *Daemon) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepEvery)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-d.work.Done():
+		case <-ctx.Done():
 			return
 		case <-ticker.C:
 			d.state.sweep(time.Now())
@@ -414,6 +418,7 @@
 }
 
 func (d *Daemon) warmOne(b *config.Backend) {
+	defer d.panics.Recover("first connection", nil)
 	select {
 	case <-d.work.Done():
 		return
--- /dev/null
+++ b/entry/panic_test.go
@@ -0,0 +1,125 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/briarstand/briarstand/discovery"
+	"github.com/briarstand/briarstand/entry"
+	"github.com/briarstand/briarstand/membership"
+	"github.com/briarstand/briarstand/mirror"
+	"github.com/briarstand/briarstand/platform"
+	"github.com/briarstand/briarstand/route"
+	"github.com/briarstand/briarstand/telemetry"
+	"github.com/briarstand/briarstand/upstream"
+)
+
+// faulty panics on input that names the fault, wherever the daemon decodes it.
+type faulty struct{ *platform.Adapter }
+
+func explode(text string) {
+	if strings.Contains(text, "explode") {
+		panic("cannot handle " + text)
+	}
+}
+
+func (f faulty) Server(r mirror.Record) (discovery.Server, error) {
+	explode(r.Key)
+	return f.Adapter.Server(r)
+}
+
+func (f faulty) VM(r mirror.Record) (membership.Member, error) {
+	explode(r.Key)
+	return f.Adapter.VM(r)
+}
+
+func (f faulty) Table(r mirror.Record) (*route.Table, error) {
+	explode(string(r.Value))
+	return f.Adapter.Table(r)
+}
+
+func (f faulty) Head(r *http.Request, bodyLength int) []byte {
+	explode(r.URL.Path)
+	return f.Adapter.Head(r, bodyLength)
+}
+
+func (f faulty) Judge(reply *upstream.Reply, req *upstream.Request) {
+	explode(req.ID)
+	f.Adapter.Judge(reply, req)
+}
+
+func (f faulty) ResolveRequest(r *http.Request) entry.ResolveRequest {
+	explode(r.URL.RawQuery)
+	return f.Adapter.ResolveRequest(r)
+}
+
+func (f faulty) Kind(key string) entry.RecordKind {
+	if strings.HasPrefix(key, "loop/") {
+		explode(key)
+	}
+	return f.Adapter.Kind(key)
+}
+
+// Guards against one message, record or unexpected error that ends the process:
+// the panic ends only the request, attempt or record that it comes from, and is
+// counted and logged with its stack.
+func TestPanicsAreContained(t *testing.T) {
+	f := newFixture(t)
+	f.backend("b1", "quotes", "ok")
+	f.backend("explode", "quotes", "never used")
+	f.store.Put("briarstand/vms/explode", []byte("{}"))
+	f.store.Configure(1, single("quote", "quotes", "idempotent"), single("book", "quotes", "non_idempotent"), scattered("find", 1, "quotes"))
+	var s platform.Settings
+	s.Store.Address = f.store.Address()
+	set := entry.Settings{
+		VMID: "vm1", CallerAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", ResolveAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
+		DrainBound: 400 * time.Millisecond, MinLease: time.Second,
+		Bounds: entry.Bounds{StopGrace: 600 * time.Millisecond, MaxAddressTTL: time.Second, BudgetPermille: 200, BudgetSlack: 100, BudgetWindow: time.Second},
+	}
+	d := entry.New(set, faulty{platform.New(&s)}, telemetry.NewLogger(f.logs, log.InfoLevel))
+	f.Assert(d.Listen(), qt.IsNil)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	v := &vm{daemon: d, settings: d.Settings()}
+	f.eventually(5*time.Second, "ready", func() bool { return f.status(v, v.settings.ReadyAddress, "/readiness") == http.StatusOK })
+
+	panics := func() int { return strings.Count(f.logs.String(), `"msg":"panic"`) }
+	contained := func(what string, cause func()) {
+		before := panics()
+		cause()
+		f.eventually(3*time.Second, what, func() bool { return panics() > before })
+		f.Check(f.ask(v, "GET", "/quote/x", "after "+what, "", time.Second).status, qt.Equals, http.StatusOK, qt.Commentf(what))
+	}
+	f.Check(panics() >= 2, qt.IsTrue, qt.Commentf("records of a server and a VM"))
+	contained("request", func() { f.Check(f.tryAsk(v, "/quote/explode", "r"), qt.Equals, 0) })
+	contained("reply", func() {
+		f.Check(f.ask(v, "GET", "/quote/x", "explode", "", time.Second).status, qt.Equals, http.StatusBadGateway)
+	})
+	contained("reply to a booking", func() {
+		// It may have run: nothing may promise otherwise.
+		f.Check(f.ask(v, "POST", "/book/x", "explode-2", "seat", time.Second).status, qt.Equals, http.StatusBadGateway)
+	})
+	contained("part", func() {
+		f.Check(f.ask(v, "GET", "/find/x", "explode-3", "", time.Second).status, qt.Equals, http.StatusBadGateway)
+	})
+	contained("resolve", func() { f.status(v, v.settings.ResolveAddress, "/resolve?name=explode") })
+	contained("configuration", func() { f.store.Put("op/config", []byte(`{"version":2,"explode":1}`)) })
+	contained("loop", func() { f.store.Put("loop/explode", nil) })
+	f.store.Delete("loop/explode")
+	f.store.Configure(3, single("quote", "quotes", "idempotent"), single("later", "quotes", "idempotent"))
+	f.eventually(5*time.Second, "records are followed again", func() bool {
+		return f.ask(v, "GET", "/later/x", fmt.Sprint("later-", time.Now()), "", time.Second).status == http.StatusOK
+	})
+	f.Check(d.HeldBytes(), qt.Equals, int64(0))
+	f.Check(strings.Contains(f.logs.String(), "panic_test.go"), qt.IsTrue, qt.Commentf("the stack is logged"))
+	stop()
+	f.Assert(<-done, qt.IsNil)
+}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -25,7 +26,7 @@
 	// regions and the transfer.
 	peerTimeout = 600 * time.Millisecond
 	// maxPeerReply bounds the records of another VM in bytes.
-	maxPeerReply = 4 << 20
+	maxPeerReply = 3 << 20
 	// maxPlainHead bounds the heads in bytes of what other VMs, the platform and
 	// callers that ask for addresses send and get.
 	maxPlainHead = 16 << 10
@@ -48,7 +49,12 @@
 	}}}
 }
 
-// Fetch implements mirror.Peers: it asks one VM at random.
+// firstPeers is how many VMs are asked at once by one that knows no records yet.
+const firstPeers = 3
+
+// Fetch implements mirror.Peers: it asks one VM at random. A VM that knows nothing
+// asks several and takes the newest records: one that was frozen or cut off may
+// still name servers that have left, and an old configuration.
 func (p *peers) Fetch(ctx context.Context, after int64) (l mirror.Listing, ok bool, err error) {
 	addresses := slices.Clone(p.seeds)
 	for _, m := range p.state.fleet.Load().known {
@@ -60,10 +66,51 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	ok, err = p.get(ctx, addresses[rand.IntN(len(addresses))], peerPath+"?after="+strconv.FormatInt(after, 10), &l)
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	if after == 0 {
+		return p.fetchNewest(ctx, addresses[:min(len(addresses), firstPeers)])
+	}
+	ok, err = p.get(ctx, addresses[0], recordsAfter(after), &l)
 	return l, ok, err
 }
 
+func recordsAfter(revision int64) string {
+	return peerPath + "?after=" + strconv.FormatInt(revision, 10)
+}
+
+// fetchNewest returns the records with the highest revision. It fails only if all
+// VMs do.
+func (p *peers) fetchNewest(ctx context.Context, addresses []string) (newest mirror.Listing, ok bool, err error) {
+	type result struct {
+		listing mirror.Listing
+		ok      bool
+		err     error
+	}
+	results := make(chan result, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			var r result
+			defer func() { results <- r }()
+			defer p.state.panics.Recover("records of another VM", func(err error) { r = result{err: err} })
+			r.ok, r.err = p.get(ctx, address, recordsAfter(0), &r.listing)
+		}()
+	}
+	var errs []error
+	for range addresses {
+		r := <-results
+		if r.err != nil {
+			errs = append(errs, r.err)
+		}
+		if r.ok && (!ok || r.listing.Revision > newest.Revision) {
+			newest, ok = r.listing, true
+		}
+	}
+	if len(errs) == len(addresses) {
+		return newest, false, errors.Join(errs...)
+	}
+	return newest, ok, nil
+}
+
 // Available implements mirror.Source.
 func (p *peers) Available() bool {
 	_, ok := p.state.fleet.Load().source(p.vmID, p.zone)
--- a/entry/state.go
+++ b/entry/state.go
@@ -9,6 +9,7 @@
 
 	"github.com/briarstand/briarstand/config"
 	"github.com/briarstand/briarstand/discovery"
+	"github.com/briarstand/briarstand/internal/contain"
 	"github.com/briarstand/briarstand/membership"
 	"github.com/briarstand/briarstand/mirror"
 	"github.com/briarstand/briarstand/route"
@@ -22,6 +23,7 @@
 	mirror   *mirror.Mirror
 	registry *discovery.Registry
 	logger   *log.Logger
+	panics   *contain.Panics
 	table    atomic.Pointer[route.Table]
 	fleet    atomic.Pointer[fleet]
 	primed   atomic.Bool // backend servers were read once
@@ -46,9 +48,9 @@
 	ok       bool
 }
 
-func newState(p Platform, vmID string, logger *log.Logger, lastResort time.Duration) *state {
+func newState(p Platform, vmID string, logger *log.Logger, panics *contain.Panics, lastResort time.Duration) *state {
 	s := &state{
-		platform: p, mirror: mirror.New(), logger: logger,
+		platform: p, mirror: mirror.New(), logger: logger, panics: panics,
 		registry: discovery.NewRegistry(discovery.Config{LastResort: lastResort}), lastResort: lastResort,
 		servers: map[string]decoded[discovery.Server]{}, members: map[string]decoded[membership.Member]{},
 		vms: newVMTable(vmID),
@@ -136,10 +138,16 @@
 	}
 }
 
+// parseContained turns a panic into a record that cannot be read.
+func parseContained[T any](s *state, r mirror.Record, parse func(mirror.Record) (T, error)) (value T, err error) {
+	defer s.panics.Recover("record "+r.Key, func(panicked error) { err = panicked })
+	return parse(r)
+}
+
 func decode[T any](s *state, old, next map[string]decoded[T], r mirror.Record, parse func(mirror.Record) (T, error)) decoded[T] {
 	d, ok := old[r.Key]
 	if !ok || d.revision != r.Revision {
-		value, err := parse(r)
+		value, err := parseContained(s, r, parse)
 		d = decoded[T]{revision: r.Revision, value: value, ok: err == nil}
 		if err != nil {
 			s.logger.Warn("record ignored", "key", r.Key, telemetry.FieldRevision, r.Revision, telemetry.FieldError, err.Error())
@@ -155,7 +163,7 @@
 	if r.Revision <= s.config || r.Revision == s.badRev {
 		return
 	}
-	table, err := s.platform.Table(r)
+	table, err := parseContained(s, r, s.platform.Table)
 	old := s.table.Load()
 	if err == nil && old != nil && table.Version < old.Version {
 		err = &VersionError{Version: table.Version, InForce: old.Version}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -14,6 +14,7 @@
 	"github.com/briarstand/briarstand/balance"
 	"github.com/briarstand/briarstand/config"
 	"github.com/briarstand/briarstand/discovery"
+	"github.com/briarstand/briarstand/internal/contain"
 	"github.com/briarstand/briarstand/limit"
 	"github.com/briarstand/briarstand/relay"
 	"github.com/briarstand/briarstand/route"
@@ -69,6 +70,9 @@
 	// requests, besides the share of the allowance set by SetShare, until
 	// SetBudgetRate changes it.
 	BudgetPermille int
+	// Panics contains panics after a request has been answered; nil lets them
+	// pass.
+	Panics *contain.Panics
 	// Metrics gets the counters; nil means a set of its own.
 	Metrics *metrics.Set
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -466,6 +466,7 @@
 		return
 	}
 	go func() {
+		defer r.engine.cfg.Panics.Recover("end of a request", nil)
 		for left > 0 {
 			res := <-r.results
 			for _, one := range append([]upstream.Result{res}, res.Group...) {
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -10,6 +10,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/briarstand/briarstand/internal/contain"
 	"github.com/briarstand/briarstand/internal/defaults"
 )
 
@@ -61,6 +62,8 @@
 	Peers  Peers
 	Source Source
 	Logger *log.Logger
+	// Panics contains panics and goes on; nil lets them pass.
+	Panics *contain.Panics
 	// Changed is called after each change of the mirror, by one goroutine at a
 	// time.
 	Changed func()
@@ -134,9 +137,9 @@
 func (f *Follower) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	if f.cfg.Peers != nil {
-		wg.Go(func() { f.followPeers(ctx) })
+		wg.Go(func() { f.cfg.Panics.Loop(ctx, "reads from other VMs", f.followPeers) })
 	}
-	wg.Go(func() { f.followStore(ctx) })
+	wg.Go(func() { f.cfg.Panics.Loop(ctx, "store follower", f.followStore) })
 	wg.Wait()
 }
 
@@ -231,6 +234,7 @@
 		case <-again.C:
 			started++
 			go func() {
+				defer f.cfg.Panics.Recover("listing", func(err error) { results <- result{err: err} })
 				l, err := f.cfg.Store.List(ctx)
 				results <- result{l, err}
 			}()
--- a/relay/client.go
+++ b/relay/client.go
@@ -16,6 +16,7 @@
 	"github.com/briarstand/briarstand/backend"
 	"github.com/briarstand/briarstand/balance"
 	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/internal/contain"
 	"github.com/briarstand/briarstand/membership"
 	"github.com/briarstand/briarstand/topk"
 	"github.com/briarstand/briarstand/upstream"
@@ -47,6 +48,9 @@
 
 // Client sends sub-requests through VMs in other regions.
 type Client struct {
+	// Panics contains panics of groups; nil lets them pass.
+	Panics *contain.Panics
+
 	self   string // id of this VM
 	zones  map[string]string
 	region string
@@ -116,6 +120,7 @@
 // warmOne opens a connection to a VM, which is tried again with the next change
 // or sweep of the members if it fails.
 func (c *Client) warmOne(ctx context.Context, address string) {
+	defer c.Panics.Recover("connection to a VM", nil)
 	ok := c.open(ctx, address)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -227,17 +232,20 @@
 	a := &call{cancel: cancel, grace: upstream.DefaultReplyGrace}
 	go func() {
 		defer cancel()
-		c.run(ctx, region, g, results)
+		left := newRest(g)
+		defer c.Panics.Recover("relayed group", func(err error) {
+			left.fail(results, &upstream.BrokenError{Backend: region, Err: err})
+		})
+		c.run(ctx, region, g, left, results)
 	}()
 	return a
 }
 
-func (c *Client) run(ctx context.Context, region string, g *Group, results chan<- upstream.Result) {
+func (c *Client) run(ctx context.Context, region string, g *Group, left *rest, results chan<- upstream.Result) {
 	c.mu.Lock()
 	vms := c.usable(region)
 	c.mu.Unlock()
 	vm, ok := c.picker.Pick(config.ChoiceAdaptive, vms, nil)
-	left := newRest(g)
 	if !ok {
 		left.fail(results, &upstream.UnsentError{Backend: region, Err: ErrNoRelay})
 		return
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/internal/contain"
 	"github.com/briarstand/briarstand/internal/defaults"
 	"github.com/briarstand/briarstand/limit"
 )
@@ -50,6 +51,8 @@
 	// Memory bounds the bytes of all replies that are held at once; nil for no
 	// bound.
 	Memory *limit.Memory
+	// Panics contains panics of attempts; nil lets them pass.
+	Panics *contain.Panics
 }
 
 // Client sends requests to backend servers and keeps connections to them.
@@ -168,6 +171,7 @@
 	grace   time.Duration
 	mu      sync.Mutex
 	conn    *conn
+	reply   *Reply // while it is judged
 	gaveUp  bool
 }
 
@@ -206,6 +210,22 @@
 	a.conn = nil
 }
 
+// broken gives up an attempt that panicked. What was sent is not known, so it may
+// have run; its connection is closed.
+func (a *call) broken(p *pool, err error) error {
+	a.mu.Lock()
+	conn, reply := a.conn, a.reply
+	a.conn = nil
+	a.mu.Unlock()
+	if conn != nil {
+		p.close(conn)
+	}
+	if reply != nil {
+		reply.Release()
+	}
+	return &BrokenError{Backend: a.backend.ID, Err: err}
+}
+
 // Send starts an attempt. The result arrives at results exactly once, also
 // after Abandon; results must have room for it.
 func (c *Client) Send(b *config.Backend, req *Request, deadline time.Time, tag int, results chan<- Result) Attempt {
@@ -213,6 +233,9 @@
 	a := &call{backend: b, ctx: ctx, cancel: cancel, grace: c.cfg.ReplyGrace}
 	go func() {
 		defer cancel()
+		defer c.cfg.Panics.Recover("attempt", func(err error) {
+			results <- Result{Tag: tag, Err: a.broken(c.pool(b), err)}
+		})
 		reply, err := c.attempt(a, req, deadline)
 		results <- Result{Tag: tag, Reply: reply, Err: err}
 	}()
@@ -243,20 +266,22 @@
 	reply, reusable, sent, err := conn.roundTrip(req, append(head, "\r\n"...), &replyReader{r: buffer, memory: c.cfg.Memory})
 	buffer.Reset(nil)
 	c.readers.Put(buffer)
-	call.finish()
 	if err != nil {
+		call.finish()
 		p.close(conn)
 		if !sent {
 			return nil, &UnsentError{Backend: b.ID, Err: err}
 		}
 		return nil, &BrokenError{Backend: b.ID, Err: err}
 	}
+	call.reply = reply
 	c.cfg.Protocol.Judge(reply, req)
 	if conn.identified && !reply.Identified {
 		// A second copy of an earlier reply can come without an id.
 		reply.Verdict = Foreign
 	}
 	conn.identified = reply.Identified
+	call.finish()
 	if !reusable || reply.Verdict == Foreign || reply.Verdict == OtherServer {
 		p.close(conn)
 		return reply, nil
