--- /dev/null
+++ b/soak/proxy.go
@@ -0,0 +1,174 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// mode is what a proxy does to connections.
+type mode string
+
+const (
+	pass    mode = "pass"
+	refuse  mode = "refuse"  // new connections are closed at once
+	reset   mode = "reset"   // open connections are reset, new ones pass
+	silence mode = "silence" // bytes are held in both directions
+	oneWay  mode = "one-way" // answers are held
+	delay   mode = "delay"   // answers come late
+	endless mode = "endless" // answers are replaced by bytes without end
+	repeat  mode = "repeat"  // answers come a second time, late
+)
+
+// proxyDelay is how late answers are in the modes delay and repeat.
+const proxyDelay = 150 * time.Millisecond
+
+// proxy passes TCP connections on to a target and injects faults.
+type proxy struct {
+	target   string
+	listener net.Listener
+	mu       sync.Mutex
+	mode     mode
+	changed  chan struct{}
+	conns    map[net.Conn]bool
+	wg       sync.WaitGroup
+}
+
+func newProxy(target string) (*proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{target: target, listener: l, mode: pass, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	p.wg.Go(p.accept)
+	return p, nil
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+func (p *proxy) close() {
+	p.listener.Close()
+	p.set(pass)
+	p.dropAll()
+	p.wg.Wait()
+}
+
+// set changes what happens to connections, also to open ones.
+func (p *proxy) set(m mode) {
+	p.mu.Lock()
+	p.mode = m
+	close(p.changed)
+	p.changed = make(chan struct{})
+	p.mu.Unlock()
+	if m == reset || m == refuse {
+		p.dropAll()
+	}
+}
+
+func (p *proxy) get() (mode, chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode, p.changed
+}
+
+func (p *proxy) dropAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		drop(c)
+	}
+}
+
+// drop resets a connection.
+func drop(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // a closed connection needs no reset
+	}
+	c.Close()
+}
+
+func (p *proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		if m, _ := p.get(); m == refuse {
+			drop(c)
+			continue
+		}
+		p.wg.Go(func() { p.serve(c) })
+	}
+}
+
+func (p *proxy) track(c net.Conn, on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if on {
+		p.conns[c] = true
+	} else {
+		delete(p.conns, c)
+	}
+}
+
+func (p *proxy) serve(from net.Conn) {
+	to, err := net.Dial("tcp", p.target)
+	if err != nil {
+		drop(from)
+		return
+	}
+	for _, c := range []net.Conn{from, to} {
+		p.track(c, true)
+		defer p.track(c, false)
+		defer c.Close()
+	}
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(to, from, false) })
+	both.Go(func() { p.copy(from, to, true) })
+	both.Wait()
+}
+
+// copy passes bytes on; answers says in which direction.
+func (p *proxy) copy(to, from net.Conn, answers bool) {
+	defer to.Close()
+	defer from.Close()
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 && !p.deliver(to, buf[:n], answers) || err != nil {
+			return
+		}
+	}
+}
+
+func (p *proxy) deliver(to io.Writer, b []byte, answers bool) bool {
+	m, changed := p.get()
+	for m == silence || m == oneWay && answers {
+		select {
+		case <-changed:
+		case <-time.After(time.Minute):
+			return false
+		}
+		m, changed = p.get()
+	}
+	if answers {
+		switch m {
+		case delay:
+			time.Sleep(proxyDelay)
+		case endless:
+			for {
+				if _, err := to.Write([]byte("X-Filler: 0123456789\r\n")); err != nil {
+					return false
+				}
+			}
+		case repeat:
+			if _, err := to.Write(b); err != nil {
+				return false
+			}
+			time.Sleep(proxyDelay)
+		}
+	}
+	_, err := to.Write(b)
+	return err == nil
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,54 @@
+package soak
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/briarstand/briarstand/cli/entrycli"
+)
+
+// asDaemon makes the test binary run as the entry daemon.
+const asDaemon = "BRIARSTAND_SOAK_DAEMON"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asDaemon) != "" {
+		os.Exit(entrycli.Run(context.Background(), os.Args, os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// regressions are seeds that failed once, with the cause of each.
+var regressions = map[uint64]string{}
+
+// Guards the promises to callers and backend servers against faults in series and
+// at once: a short run with a fixed seed, and the seeds that ever failed.
+func TestSoak(t *testing.T) {
+	t.Setenv(asDaemon, "1")
+	seeds := map[uint64]string{20261204: "the run in CI"}
+	for seed, cause := range regressions {
+		seeds[seed] = cause
+	}
+	for seed, cause := range seeds {
+		dir := t.TempDir()
+		r, err := Run(context.Background(), Config{
+			Binary: os.Args[0], Dir: dir, Seed: seed, VMs: 4, Duration: 8 * time.Second, Log: t.Logf,
+		})
+		qt.Assert(t, err, qt.IsNil)
+		t.Logf("seed %d (%s): %d requests, %d served", seed, cause, r.Requests, r.Served)
+		qt.Check(t, r.Served > 0, qt.IsTrue)
+		if !qt.Check(t, r.Violations, qt.HasLen, 0, qt.Commentf("seed %d", seed)) {
+			logs, err := filepath.Glob(filepath.Join(dir, "*.log"))
+			qt.Assert(t, err, qt.IsNil)
+			for _, path := range logs {
+				text, err := os.ReadFile(path)
+				qt.Assert(t, err, qt.IsNil)
+				t.Logf("%s:\n%s", filepath.Base(path), text[max(0, len(text)-4000):])
+			}
+		}
+	}
+}
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -104,9 +104,12 @@
 }
 
 // Register writes the server's entry to the store.
-func (b *Backend) Register(s *Store, state string) {
+func (b *Backend) Register(s *Store, state string) { b.RegisterAt(s, state, b.Address()) }
+
+// RegisterAt is Register with the address of a proxy before the server.
+func (b *Backend) RegisterAt(s *Store, state, address string) {
 	value, err := json.Marshal(map[string]any{
-		"service": b.Service, "address": b.Address(), "zone": b.Zone, "version": "v1", "slots": b.Slots,
+		"service": b.Service, "address": address, "zone": b.Zone, "version": "v1", "slots": b.Slots,
 		"state": state, "warmup_left_ms": 0, "sequence": 1, "born": time.Now().UnixMilli(),
 	})
 	if err != nil {
--- /dev/null
+++ b/standin/caller.go
@@ -0,0 +1,111 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Caller speaks to entry VMs as callers do. It keeps connections open.
+type Caller struct {
+	Zone, Region string
+	Client       *http.Client
+}
+
+// Seen is what a caller sees of an answer.
+type Seen struct {
+	Status     int
+	Body       []byte
+	Signature  string
+	Signatures []string // of the parts of a query
+	Missing    int
+	// RequestID is the id that the answer names.
+	RequestID  string
+	RetryAfter time.Duration
+}
+
+// Resolve asks a VM which addresses to use.
+func (c *Caller) Resolve(ctx context.Context, address, host string) ([]string, error) {
+	q := url.Values{"name": {host}, "zone": {c.Zone}, "region": {c.Region}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/resolve?"+q.Encode(), nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.Client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var answer struct {
+		Addresses []string `json:"addrs"`
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("resolve: status %d", resp.StatusCode)
+	}
+	return answer.Addresses, json.NewDecoder(resp.Body).Decode(&answer)
+}
+
+// Ask sends a request and reads the whole answer.
+func (c *Caller) Ask(ctx context.Context, address, method, host, path, id string, wait time.Duration) (Seen, error) {
+	var body io.Reader
+	if method == http.MethodPost {
+		body = strings.NewReader("one seat")
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, body)
+	if err != nil {
+		return Seen{}, err
+	}
+	req.Host = host
+	req.Header.Set("X-Request-Id", id)
+	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	resp, err := c.Client.Do(req)
+	if err != nil {
+		return Seen{}, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return Seen{}, err
+	}
+	s := Seen{Status: resp.StatusCode, Body: data, Signature: resp.Header.Get("X-Server-Seal"), RequestID: resp.Header.Get("X-Request-Id")}
+	if parts := resp.Header.Get("X-Part-Seals"); parts != "" {
+		s.Signatures = strings.Split(parts, ", ")
+	}
+	s.Missing, _ = strconv.Atoi(resp.Header.Get("X-Missing-Parts"))
+	seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	s.RetryAfter = time.Duration(seconds * float64(time.Second))
+	return s, nil
+}
+
+// VMSettings are the settings of an entry VM on loopback addresses.
+type VMSettings struct {
+	ID, Zone, Region                 string
+	Zones                            map[string]string
+	Callers, Ready, Peers, Resolve   string // addresses
+	Seeds                            []string
+	Store                            string
+	MemoryMB                         int
+	DrainMS, GraceS, BudgetSlack     int
+	BudgetRatio                      float64
+	BudgetWindowS, MaxTTLS, MinTTLMS int
+}
+
+// File returns the settings file as the platform writes it.
+func (s VMSettings) File() ([]byte, error) {
+	return json.MarshalIndent(map[string]any{
+		"node_name": s.ID, "ip": "127.0.0.1", "zone": s.Zone, "region": s.Region, "zones": s.Zones, "seeds": s.Seeds,
+		"listen_addrs": map[string]string{"front": s.Callers, "ready": s.Ready, "control": s.Peers, "directory": s.Resolve},
+		"limits":       map[string]any{"cpu_share": 0.25, "cores": 1, "memory_mb": s.MemoryMB},
+		"bounds": map[string]any{
+			"drain_ms": s.DrainMS, "grace_s": s.GraceS, "retry_budget_ratio": s.BudgetRatio, "budget_window_s": s.BudgetWindowS,
+			"retry_budget_slack": s.BudgetSlack, "ttl_max_s": s.MaxTTLS,
+		},
+		"platform": map[string]any{"address": s.Store, "ttl_min_ms": s.MinTTLMS},
+	}, "", "  ")
+}
--- a/standin/store.go
+++ b/standin/store.go
@@ -272,7 +272,8 @@
 }
 
 func abort(w http.ResponseWriter) {
-	c, _, err := w.(http.Hijacker).Hijack()
+	// A call whose reply is lost has no connection of its own here.
+	c, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
 	}
