Let the serving VMs grow with a fleet of equal ones

Cause: 24 serving VMs were a fixed number, also of the strong VMs of a larger unequal fleet, and would carry the load of any fleet.

Change: unequal fleets send callers to all strong VMs as before the limit; of equal ones serve 24 or an eighth of the processor time, whichever is more: 30 of 195, 55 of 430.

--- a/resolve/serving.go
+++ b/resolve/serving.go
@@ -7,10 +7,15 @@
 	"github.com/briarstand/briarstand/membership"
 )
 
-// leastServing is how many VMs serve callers at least, if there are so many: a
-// third of them can be lost at once, and each still gets several connections to
-// a backend server that takes a hundred.
-const leastServing = 24
+const (
+	// leastServing is how many VMs serve callers at least, if there are so many: a
+	// third of them can be lost at once, and each still gets several connections
+	// to a backend server that takes a hundred.
+	leastServing = 24
+	// leastServingCores is the part of all processor time that they must have,
+	// so that they grow with the fleet, and with the load that it was sized for.
+	leastServingCores = 0.125
+)
 
 // Serving returns the VMs that callers are sent to, in the order of members: the
 // strong ones of an unequal fleet, and of many equal ones some in each zone. The
@@ -22,20 +27,25 @@
 // accept, and uses each of them too rarely to know which servers are slow.
 func Serving(members []membership.Member) []membership.Member {
 	strong := Strong(members)
-	if len(strong) <= leastServing {
+	if len(strong) <= leastServing || len(strong) < len(members) {
 		return strong
 	}
-	chosen := map[string]bool{}
-	for zones := byZone(strong); len(chosen) < leastServing; {
+	total := 0.0
+	for _, m := range members {
+		total += m.Cores
+	}
+	chosen, cores := map[string]bool{}, 0.0
+	for zones := byZone(members); len(chosen) < leastServing || cores < leastServingCores*total; {
 		for i, zone := range zones {
 			if len(zone) > 0 {
 				chosen[zone[0].ID] = true
+				cores += zone[0].Cores
 				zones[i] = zone[1:]
 			}
 		}
 	}
 	serving := make([]membership.Member, 0, len(chosen))
-	for _, m := range strong {
+	for _, m := range members {
 		if chosen[m.ID] {
 			serving = append(serving, m)
 		}
