--- a/standin/backend.go
+++ b/standin/backend.go
@@ -184,6 +184,7 @@
 		_, err = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
 		for block := []byte(strings.Repeat(do.Endless, 1<<10)); err == nil; {
 			_, err = c.Write(block)
+			time.Sleep(time.Millisecond) // some tens of megabytes a second, as over a fast link
 		}
 	case do.Truncate:
 		fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", head, len(b.Body)+8, b.Body)
