Report only servers with a queue from a relay

Change: a relay reports the load only where requests wait. A server whose queue has emptied is tried again when the reported queue would be worked off, as before.

Test: TestReportedLoad.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -55,7 +55,7 @@
 	Unsent bool   `json:"u,omitempty"`
 	Down   bool   `json:"d,omitempty"`
 	// Load is what the backend server reports with a reply: running and waiting
-	// requests, and slots; empty if it reports none.
+	// requests, and slots; empty if none wait, or if it reports nothing.
 	Load []int `json:"l,omitempty"`
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -53,6 +53,10 @@
 		switch b.ID {
 		case "late":
 			time.Sleep(100 * time.Millisecond)
+		case "free":
+			served.Load = upstream.Load{Running: 2, Slots: 2, Known: true}
+		case "queued":
+			served.Load = upstream.Load{Running: 2, Waiting: 5, Slots: 2, Known: true}
 		case "refuse":
 			results <- upstream.Result{Tag: tag, Reply: &upstream.Reply{Verdict: upstream.NotRun}}
 			return
@@ -146,6 +150,26 @@
 	c.Assert(f.sent, qt.ContentEquals, []string{"a", "late", "b", "refuse", "lost"})
 }
 
+// Guards against queues at backend servers that only the relay knows of, and
+// against bytes between regions for servers that have none.
+func TestReportedLoad(t *testing.T) {
+	c := qt.New(t)
+	client := relayed(t, newHandler(&fakeTransport{}))
+	results := make(chan upstream.Result, 2)
+	client.Send("far", group("free", "queued"), results)
+	loads := map[int]upstream.Load{}
+	for len(loads) < 2 {
+		first := <-results
+		for _, r := range append(first.Group, first) {
+			c.Assert(r.Err, qt.IsNil)
+			loads[r.Tag] = r.Reply.Load
+		}
+	}
+	c.Assert(loads, qt.DeepEquals, map[int]upstream.Load{
+		100: {}, 101: {Running: 2, Waiting: 5, Slots: 2, Known: true},
+	})
+}
+
 // Guards against work that goes on at the relay after the origin has left.
 func TestAbandoned(t *testing.T) {
 	c := qt.New(t)
--- a/relay/server.go
+++ b/relay/server.go
@@ -118,7 +118,8 @@
 	default:
 		p.Verdict = res.Reply.Verdict
 	}
-	if res.Reply != nil && res.Reply.Load.Known {
+	// A server without a queue is not reported: it would make every part longer.
+	if res.Reply != nil && res.Reply.Load.Known && res.Reply.Load.Waiting > 0 {
 		p.Load = []int{res.Reply.Load.Running, res.Reply.Load.Waiting, res.Reply.Load.Slots}
 	}
 	s.pending.Parts = append(s.pending.Parts, p)
