Ask other VMs for their revisions before their records

Change: a VM without records asks three VMs for their revisions, and only the newest one for its records.

Test: TestNewestRecordsAtStart also counts listings.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -20,8 +20,10 @@
 )
 
 const (
-	peerPath    = "/records"
-	changesPath = "/changes"
+	peerPath = "/records"
+	// revisionPath gives the revision of a VM's records as a JSON number.
+	revisionPath = "/revision"
+	changesPath  = "/changes"
 	// peerTimeout bounds a read from another VM: a few round trips between
 	// regions and the transfer.
 	peerTimeout = 600 * time.Millisecond
@@ -53,8 +55,8 @@
 const firstPeers = 3
 
 // Fetch implements mirror.Peers: it asks one VM at random. A VM that knows nothing
-// asks several and takes the newest records: one that was frozen or cut off may
-// still name servers that have left, and an old configuration.
+// takes the newest records of several: one that was frozen or cut off may still
+// name servers that have left, and an old configuration.
 func (p *peers) Fetch(ctx context.Context, after int64) (l mirror.Listing, ok bool, err error) {
 	addresses := slices.Clone(p.seeds)
 	for _, m := range p.state.fleet.Load().known {
@@ -78,37 +80,41 @@
 	return peerPath + "?after=" + strconv.FormatInt(revision, 10)
 }
 
-// fetchNewest returns the records with the highest revision. It fails only if all
-// VMs do.
-func (p *peers) fetchNewest(ctx context.Context, addresses []string) (newest mirror.Listing, ok bool, err error) {
+// fetchNewest asks all VMs for their revisions, and the one with the highest for
+// its records. It fails only if all VMs do.
+func (p *peers) fetchNewest(ctx context.Context, addresses []string) (l mirror.Listing, ok bool, err error) {
 	type result struct {
-		listing mirror.Listing
-		ok      bool
-		err     error
+		address  string
+		revision int64
+		err      error
 	}
 	results := make(chan result, len(addresses))
 	for _, address := range addresses {
 		go func() {
-			var r result
+			r := result{address: address}
 			defer func() { results <- r }()
-			defer p.state.panics.Recover("records of another VM", func(err error) { r = result{err: err} })
-			r.ok, r.err = p.get(ctx, address, recordsAfter(0), &r.listing)
+			defer p.state.panics.Recover("revision of another VM", func(err error) { r.err = err })
+			_, r.err = p.get(ctx, address, revisionPath, &r.revision)
 		}()
 	}
+	var newest result
 	var errs []error
 	for range addresses {
 		r := <-results
 		if r.err != nil {
 			errs = append(errs, r.err)
-		}
-		if r.ok && (!ok || r.listing.Revision > newest.Revision) {
-			newest, ok = r.listing, true
+		} else if r.revision > newest.revision {
+			newest = r
 		}
 	}
 	if len(errs) == len(addresses) {
-		return newest, false, errors.Join(errs...)
+		return l, false, errors.Join(errs...)
+	}
+	if newest.revision == 0 {
+		return l, false, nil
 	}
-	return newest, ok, nil
+	ok, err = p.get(ctx, newest.address, recordsAfter(0), &l)
+	return l, ok, err
 }
 
 // Available implements mirror.Source.
@@ -168,6 +174,7 @@
 		}
 		give(w, s.mirror.Listing())
 	})
+	r.Get(revisionPath, func(w http.ResponseWriter, _ *http.Request) { give(w, s.mirror.Revision()) })
 	r.Get(changesPath, func(w http.ResponseWriter, req *http.Request) {
 		after, err := strconv.ParseInt(req.URL.Query().Get("after"), 10, 64)
 		waitMS, err2 := strconv.ParseInt(req.URL.Query().Get("wait_ms"), 10, 64)
--- a/entry/peers_test.go
+++ b/entry/peers_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,18 +17,24 @@
 )
 
 // peerWith serves records of a revision; 0 for a VM in trouble.
-func peerWith(t *testing.T, revision int64) (address string) {
-	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+func peerWith(t *testing.T, revision int64) (address string, listings *atomic.Int64) {
+	listings = &atomic.Int64{}
+	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if revision == 0 {
 			w.WriteHeader(http.StatusInternalServerError)
 			return
 		}
-		if err := json.NewEncoder(w).Encode(mirror.Listing{Revision: revision}); err != nil {
+		var answer any = revision
+		if r.URL.Path == peerPath {
+			listings.Add(1)
+			answer = mirror.Listing{Revision: revision}
+		}
+		if err := json.NewEncoder(w).Encode(answer); err != nil {
 			t.Error(err)
 		}
 	}))
 	t.Cleanup(web.Close)
-	return web.Listener.Addr().String()
+	return web.Listener.Addr().String(), listings
 }
 
 func newTestPeers(seeds ...string) *peers {
@@ -39,7 +46,10 @@
 // that had left was in use again.
 func TestNewestRecordsAtStart(t *testing.T) {
 	c := qt.New(t)
-	p := newTestPeers(peerWith(t, 7), peerWith(t, 9), peerWith(t, 0))
+	old, oldListings := peerWith(t, 7)
+	fresh, _ := peerWith(t, 9)
+	broken, _ := peerWith(t, 0)
+	p := newTestPeers(old, fresh, broken)
 	defer p.client.CloseIdleConnections()
 	for range 20 {
 		l, ok, err := p.Fetch(context.Background(), 0)
@@ -47,7 +57,8 @@
 		c.Assert(ok, qt.IsTrue)
 		c.Assert(l.Revision, qt.Equals, int64(9))
 	}
-	down := newTestPeers(peerWith(t, 0))
+	c.Assert(oldListings.Load(), qt.Equals, int64(0), qt.Commentf("a listing crosses regions"))
+	down := newTestPeers(broken)
 	defer down.client.CloseIdleConnections()
 	_, ok, err := down.Fetch(context.Background(), 0)
 	c.Assert(err, qt.IsNotNil)
