--- a/balance/queue.go
+++ b/balance/queue.go
@@ -55,8 +55,9 @@
 }
 
 // Expected returns how long a request would take that is sent now, and whether
-// it would wait for a slot. It is 0 if nothing is known. What waited at the last
-// report has been worked off since, so that a server is tried again.
+// it would wait for a slot. It is 0 if nothing is known. A reported queue counts in
+// full until it would be worked off, as other VMs go on sending; then the server
+// is tried again.
 func (q *Queues) Expected(backendID string) (total time.Duration, queued bool) {
 	v, ok := q.servers.Load(backendID)
 	if !ok {
