upstream: test the connection limit without a sleep

TestConnectionLimit slept 5 ms so that two requests hold both connections, and gave the third 5 ms. On a busy machine that sleep overran the 20 ms of the replies: the third then got a connection within its time and failed with the deadline instead of ErrNoConnection, or succeeded.

--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -244,37 +244,40 @@
 }
 
 // Guards against exceeding the connection limit of a backend server, and against
-// requests that wait for a connection beyond their deadline.
+// requests that wait for a connection beyond their deadline. The server holds the
+// replies until the test releases them, so that no step depends on its speed.
 func TestConnectionLimit(t *testing.T) {
 	c := qt.New(t)
+	held := make(chan struct{})
 	s := newRawServer(t, func(_ int, c net.Conn, _ *http.Request) bool {
-		time.Sleep(20 * time.Millisecond)
+		<-held
 		return ok(c)
 	})
 	b := s.backend()
 	client := newTestClient(t, b, 2)
-	var wg sync.WaitGroup
+	results := make(chan Result, 10)
+	for i := range 2 {
+		client.Send(b, newRequest(""), time.Now().Add(time.Minute), i, results)
+	}
+	for requests := 0; requests < 2; requests, _ = s.count() {
+		time.Sleep(time.Millisecond)
+	}
+	c.Assert(client.HasCapacity(b), qt.IsFalse)
+	// Both connections stay taken until this request has failed.
+	client.Send(b, newRequest(""), time.Now().Add(5*time.Millisecond), 2, results)
+	res := <-results
+	c.Assert(res.Tag, qt.Equals, 2)
+	c.Assert(errors.Is(res.Err, ErrNoConnection), qt.IsTrue, qt.Commentf("%v", res.Err))
+	for i := range 8 {
+		client.Send(b, newRequest(""), time.Now().Add(time.Minute), 3+i, results)
+	}
+	close(held)
 	for range 10 {
-		wg.Go(func() { c.Check(do(client, b, newRequest(""), time.Second).Err, qt.IsNil) })
+		c.Check((<-results).Err, qt.IsNil)
 	}
-	wg.Wait()
 	_, conns := s.count()
 	c.Assert(conns, qt.Equals, 2)
 	c.Assert(client.HasCapacity(b), qt.IsTrue)
-	results := make(chan Result, 3)
-	for i := range 2 {
-		client.Send(b, newRequest(""), time.Now().Add(time.Second), i, results)
-	}
-	time.Sleep(5 * time.Millisecond) // both hold a connection by now
-	// The deadline passes before either connection is free.
-	client.Send(b, newRequest(""), time.Now().Add(5*time.Millisecond), 2, results)
-	failed := 0
-	for range 3 {
-		if res := <-results; errors.Is(res.Err, ErrNoConnection) {
-			failed++
-		}
-	}
-	c.Assert(failed, qt.Equals, 1)
 }
 
 // Checks that the connection of an abandoned attempt is reused if the reply
