forward: let answers leave by the time that the caller has left

Cause: an answer left 25 ms before the goal, which covers callers that first resolve an address and connect. Change: the longest wait of a route's callers in the last 20 s is taken as that of a caller that has just begun; the difference is subtracted from the goal, and 14 ms are kept for the network and processing.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -96,6 +96,7 @@
 	share          limit.BudgetShare
 	budgets        sync.Map // service name to *limit.Budget
 	down           sync.Map // backend id to the time.Time until which it is avoided
+	waits          sync.Map // route name to *callerWaits
 	counts         *counters
 }
 
@@ -161,9 +162,11 @@
 }
 
 // RetainServices drops the budgets of all services except those given. It also
-// drops the down marks that are older than downFor.
+// drops the down marks that are older than downFor and the callers' waits of
+// unused routes.
 func (e *Engine) RetainServices(services map[string]bool) {
 	now := time.Now()
+	e.forgetWaits(now)
 	e.down.Range(func(id, until any) bool {
 		if now.After(until.(time.Time)) {
 			e.down.Delete(id)
--- a/forward/policy.go
+++ b/forward/policy.go
@@ -13,6 +13,9 @@
 	// network time of the request to this VM and of the answer to the caller, and
 	// for processing both.
 	ReturnTime time.Duration
+	// ConnectTime is assumed as the time that a caller waited before its request
+	// arrived, while callerWaits does not know it.
+	ConnectTime time.Duration
 	// HedgeQuantile selects the latency quantile of recent sub-requests, in parts
 	// per thousand, that a sub-request must exceed before it is hedged.
 	HedgeQuantile int
@@ -39,11 +42,12 @@
 }
 
 // DefaultPolicy returns the policy of a VM. ReturnTime covers a network latency
-// to callers of 3 ms each way, one more round trip for a new connection, and the
-// processing on a VM with a quarter of a core.
+// to callers of 3 ms each way and the processing on a VM with a quarter of a
+// core, ConnectTime resolving an address and connecting at that latency.
 func DefaultPolicy() Policy {
 	return Policy{
-		ReturnTime:            25 * time.Millisecond,
+		ReturnTime:            14 * time.Millisecond,
+		ConnectTime:           11 * time.Millisecond,
 		HedgeQuantile:         850,
 		HedgeMinDelay:         4 * time.Millisecond,
 		HedgeFallbackDelay:    35 * time.Millisecond,
@@ -64,9 +68,10 @@
 	GiveUp time.Duration
 }
 
-// Schedule returns the deadlines of a request on a route. wait is how long the
-// caller waits; 0 if the caller sent no limit.
-func (p Policy) Schedule(r *route.Route, wait time.Duration) Schedule {
+// Schedule returns the deadlines of a request on a route. wait is how much longer
+// the caller waits, 0 if the caller sent no limit, and elapsed how long it has been
+// waiting. A caller counts its latency from the start of its wait.
+func (p Policy) Schedule(r *route.Route, wait, elapsed time.Duration) Schedule {
 	timeout := r.Timeout
 	if wait > 0 && (timeout <= 0 || wait < timeout) {
 		timeout = wait
@@ -77,7 +82,7 @@
 	s := Schedule{GiveUp: timeout - min(p.TimeoutMargin, timeout/10)}
 	s.AnswerBy = s.GiveUp
 	if r.Goal > 0 {
-		s.AnswerBy = min(s.GiveUp, max(r.Goal-p.ReturnTime, r.Goal/2))
+		s.AnswerBy = min(s.GiveUp, max(r.Goal-p.ReturnTime-elapsed, r.Goal/2))
 	}
 	return s
 }
--- a/forward/policy_test.go
+++ b/forward/policy_test.go
@@ -15,15 +15,17 @@
 func TestSchedule(t *testing.T) {
 	p := DefaultPolicy()
 	for _, test := range []struct {
-		goal, timeout, wait, answerBy, giveUp time.Duration
+		goal, timeout, wait, elapsed, answerBy, giveUp time.Duration
 	}{
-		{100 * time.Millisecond, time.Second, time.Second, 75 * time.Millisecond, 980 * time.Millisecond},
-		{100 * time.Millisecond, time.Second, 60 * time.Millisecond, 54 * time.Millisecond, 54 * time.Millisecond},
-		{20 * time.Millisecond, time.Second, 0, 10 * time.Millisecond, 980 * time.Millisecond},
-		{0, 500 * time.Millisecond, 2 * time.Second, 480 * time.Millisecond, 480 * time.Millisecond},
-		{0, 0, 0, defaultTimeout - 20*time.Millisecond, defaultTimeout - 20*time.Millisecond},
+		{100 * time.Millisecond, time.Second, time.Second, 11 * time.Millisecond, 75 * time.Millisecond, 980 * time.Millisecond},
+		{100 * time.Millisecond, time.Second, time.Second, 0, 86 * time.Millisecond, 980 * time.Millisecond},
+		{100 * time.Millisecond, time.Second, time.Second, 400 * time.Millisecond, 50 * time.Millisecond, 980 * time.Millisecond},
+		{100 * time.Millisecond, time.Second, 60 * time.Millisecond, 0, 54 * time.Millisecond, 54 * time.Millisecond},
+		{20 * time.Millisecond, time.Second, 0, 0, 10 * time.Millisecond, 980 * time.Millisecond},
+		{0, 500 * time.Millisecond, 2 * time.Second, 0, 480 * time.Millisecond, 480 * time.Millisecond},
+		{0, 0, 0, 0, defaultTimeout - 20*time.Millisecond, defaultTimeout - 20*time.Millisecond},
 	} {
-		s := p.Schedule(&route.Route{Goal: test.goal, Timeout: test.timeout}, test.wait)
+		s := p.Schedule(&route.Route{Goal: test.goal, Timeout: test.timeout}, test.wait, test.elapsed)
 		qt.Check(t, s, qt.Equals, Schedule{AnswerBy: test.answerBy, GiveUp: test.giveUp})
 	}
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -89,7 +89,7 @@
 }
 
 func newRun(e *Engine, job Job) *run {
-	r := &run{engine: e, job: job, schedule: e.cfg.Policy.Schedule(job.Route, job.Wait)}
+	r := &run{engine: e, job: job, schedule: e.cfg.Policy.Schedule(job.Route, job.Wait, e.callerElapsed(job))}
 	r.deadline = job.Arrived.Add(r.schedule.GiveUp)
 	if job.Route.Scattered() {
 		r.subRequests = make([]subRequest, len(job.Route.Shards))
