resolve: let two VMs of each zone serve callers

Cause: 20 VMs share 125 requests/s over 20 shards, so a VM sends about three requests a second to a replica and one every three seconds to a server of the small services. Change: at least two VMs of each zone, six in all and an eighth of the CPU serve; it was 24. Mixed fleets are unchanged.

--- a/resolve/serving.go
+++ b/resolve/serving.go
@@ -8,11 +8,13 @@
 )
 
 const (
-	// minServing is the minimum number of VMs that serve callers, if the fleet has
-	// that many. With 24, the loss of a third of the serving VMs at once can be
-	// tolerated. Still each VM gets several connections to a backend server that
-	// accepts a hundred.
-	minServing = 24
+	// minServingPerZone and minServing are the minimum numbers of VMs that serve
+	// callers, in each availability zone and in all, if the fleet has that many.
+	// A zone then keeps one when another stops. Few serving VMs see more of the
+	// load each, so that each learns sooner which backend servers are slow, and
+	// fewer tokens of the shared budgets lie unused.
+	minServingPerZone = 2
+	minServing        = 6
 	// minServingCoreShare is the minimum share of the fleet's CPU that the serving
 	// VMs have together, so that their number grows with the fleet, and so with
 	// the load that the fleet is sized for.
@@ -20,13 +22,13 @@
 )
 
 // Serving returns the VMs whose addresses callers get, in the order of members: the
-// large VMs of a mixed fleet, or a subset from every zone of a big fleet of equal
-// VMs. The other VMs hold the same records and stand by. The choice depends only
+// large VMs of a mixed fleet, or a subset from every zone of a fleet of equal VMs.
+// The other VMs hold the same records and stand by. The choice depends only
 // on records that every VM has, so all VMs agree on it without coordination.
 //
-// It limits the connections of a fleet that is big for its load: if all VMs accepted
-// callers, each would open its own connections to every backend server, more than
-// these accept, and use each connection too rarely to tell which servers are slow.
+// It answers a load that is spread thin: if all VMs accepted callers, each would open
+// its own connections to every backend server, in a big fleet more than these accept,
+// and use each connection too rarely to tell which servers are slow.
 func Serving(members []membership.Member) []membership.Member {
 	large := LargeVMs(members)
 	if len(large) <= minServing || len(large) < len(members) {
@@ -37,7 +39,8 @@
 		total += m.Cores
 	}
 	chosen, cores := map[string]bool{}, 0.0
-	for zones := byZone(members); len(chosen) < minServing || cores < minServingCoreShare*total; {
+	zones := byZone(members)
+	for round := 0; round < minServingPerZone || len(chosen) < minServing || cores < minServingCoreShare*total; round++ {
 		for i, zone := range zones {
 			if len(zone) > 0 {
 				chosen[zone[0].ID] = true
