relay: relay by availability zone, not by region only

Each region has two zones, and the servers are in one of them. A VM in the other zone sends to them directly, and a relay in the other zone of their region gets each of up to 30 replies across a zone boundary, with its headers. Change: a relay is a VM of the server's zone; one of its region serves if that zone has no usable VM. Servers in another zone of the own region are relayed to as well. Where each region has one zone nothing changes.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -134,7 +134,7 @@
 	d.client = upstream.NewClient(upstream.Config{Protocol: p, Memory: d.replyMemory, Panics: d.panics})
 	d.picker = balance.NewPicker(balance.Config{})
 	d.queues = balance.NewQueues()
-	d.relay = relay.NewClient(set.VMID, set.Region, set.Zones)
+	d.relay = relay.NewClient(set.VMID, set.Zone, set.Region, set.Zones)
 	d.relay.Panics = d.panics
 	d.engine = forward.NewEngine(forward.Config{
 		Transport: d.client, Replicas: d.state.registry, Picker: d.picker, Queues: d.queues, Relay: d.relay, InOtherRegion: d.relay.InOtherRegion,
--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -317,16 +317,16 @@
 	groups    int
 }
 
-func (r *fakeRelay) RelayRegion(b *config.Backend) string {
+func (r *fakeRelay) RelayTarget(b *config.Backend) relay.Target {
 	if b.Zone == "b" {
 		return "far"
 	}
 	return ""
 }
 
-func (r *fakeRelay) Overhead(string) time.Duration { return 16 * time.Millisecond }
+func (r *fakeRelay) Overhead(relay.Target) time.Duration { return 16 * time.Millisecond }
 
-func (r *fakeRelay) Send(_ string, g *relay.Group, results chan<- upstream.Result) upstream.Attempt {
+func (r *fakeRelay) Send(_ relay.Target, g *relay.Group, results chan<- upstream.Result) upstream.Attempt {
 	r.groups++
 	call := &fakeCall{done: make(chan struct{})}
 	r.transport.wg.Go(func() {
--- a/forward/first.go
+++ b/forward/first.go
@@ -10,16 +10,16 @@
 	"github.com/briarstand/briarstand/relay"
 )
 
-// minRelayGroup is the minimum number of sub-requests to one region that are
+// minRelayGroup is the minimum number of sub-requests to one relay target that are
 // sent through a relay.
 const minRelayGroup = 2
 
 // sendFirstAttempts sends the first attempt of every sub-request. Sub-requests
-// to backend servers of another region go through a relay VM there, if there are
-// at least minRelayGroup of them.
+// to backend servers of another availability zone go through a relay VM there, if
+// there are at least minRelayGroup of them.
 func (r *run) sendFirstAttempts() {
 	picked := make([]*config.Backend, len(r.subRequests))
-	groups := map[string][]int{}
+	groups := map[relay.Target][]int{}
 	r.byDistance = map[distance]*distanceStats{near: {}, far: {}}
 	for i := range r.subRequests {
 		r.engine.budget(r.subRequests[i].service).Sent(1)
@@ -32,18 +32,18 @@
 		r.subRequests[i].distance = r.engine.distance(b)
 		r.byDistance[r.subRequests[i].distance].total++
 		if r.engine.cfg.Relay != nil && r.job.Route.Scattered() {
-			if region := r.engine.cfg.Relay.RelayRegion(b); region != "" {
-				groups[region] = append(groups[region], i)
+			if target := r.engine.cfg.Relay.RelayTarget(b); target != "" {
+				groups[target] = append(groups[target], i)
 			}
 		}
 	}
 	r.leaveOutQueued(picked)
-	for region, members := range groups {
+	for target, members := range groups {
 		members = slices.DeleteFunc(members, func(i int) bool { return r.subRequests[i].done })
 		if len(members) < minRelayGroup {
 			continue
 		}
-		r.sendViaRelay(region, members, picked)
+		r.sendViaRelay(target, members, picked)
 		for _, i := range members {
 			picked[i] = nil
 		}
@@ -84,10 +84,11 @@
 }
 
 // sendViaRelay sends attempts of several sub-requests in one call through a relay
-// VM in a region.
-func (r *run) sendViaRelay(region string, members []int, picked []*config.Backend) {
-	overhead := r.engine.cfg.Relay.Overhead(region)
-	r.byDistance[far].overhead = max(r.byDistance[far].overhead, overhead)
+// VM of a target. All their backend servers are at the same distance.
+func (r *run) sendViaRelay(target relay.Target, members []int, picked []*config.Backend) {
+	overhead := r.engine.cfg.Relay.Overhead(target)
+	stats := r.byDistance[r.subRequests[members[0]].distance]
+	stats.overhead = max(stats.overhead, overhead)
 	flush := r.engine.cfg.Policy.RelayFlush(r.nearHedgeDelay)
 	hedge := flush + r.engine.cfg.Policy.RelayWait(overhead)
 	g := &relay.Group{Request: r.job.Request, Limit: r.job.Route.Limit, Deadline: r.deadline, FlushAfter: flush}
@@ -96,7 +97,7 @@
 		g.Tags = append(g.Tags, r.registerAttempt(i, picked[i], hedge))
 	}
 	r.answer.Relayed += len(members)
-	call := r.engine.cfg.Relay.Send(region, g, r.results)
+	call := r.engine.cfg.Relay.Send(target, g, r.results)
 	for _, tag := range g.Tags {
 		r.attempts[tag].call, r.attempts[tag].relayed = call, true
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -49,16 +49,16 @@
 	Finished(backendID string, latency time.Duration, status backend.Status)
 }
 
-// Relay sends the sub-requests of a query to backend servers of another region
-// through a VM there; relay.Client implements it.
+// Relay sends the sub-requests of a query to backend servers of another availability
+// zone through a VM there; relay.Client implements it.
 type Relay interface {
-	// RelayRegion returns the region of a backend server that can be reached
-	// through a relay, and "" for others.
-	RelayRegion(b *config.Backend) string
-	// Overhead returns the time that a relay in a region adds to an attempt.
-	Overhead(region string) time.Duration
-	// Send sends a group of sub-requests through a VM in a region.
-	Send(region string, g *relay.Group, results chan<- upstream.Result) upstream.Attempt
+	// RelayTarget returns the VMs through which a backend server can be reached,
+	// and "" if it is sent to directly.
+	RelayTarget(b *config.Backend) relay.Target
+	// Overhead returns the time that a relay of a target adds to an attempt.
+	Overhead(target relay.Target) time.Duration
+	// Send sends a group of sub-requests through a VM of a target.
+	Send(target relay.Target, g *relay.Group, results chan<- upstream.Result) upstream.Attempt
 }
 
 // Config configures an Engine. Transport, Replicas, Picker and Latencies are
--- a/relay/client.go
+++ b/relay/client.go
@@ -36,7 +36,7 @@
 	// timeout of the VM at the other end.
 	idleTimeout = 50 * time.Second
 	// overheadEWMAWeight is the weight of the newest sample in the EWMA of a
-	// region's relay overhead (see Client.Overhead), and initialOverhead the
+	// target's relay overhead (see Client.Overhead), and initialOverhead the
 	// estimate before the first sample.
 	overheadEWMAWeight = 0.2
 	initialOverhead    = 20 * time.Millisecond
@@ -49,36 +49,44 @@
 	maxPartTextBytes     = 2 << 10
 )
 
-// Client sends sub-requests through relays, VMs in other regions.
+// Target names the VMs of which one can relay to a backend server: those of its
+// availability zone or, if none of these is usable, of its region.
+type Target string
+
+func zoneTarget(zone string) Target     { return Target("zone/" + zone) }
+func regionTarget(region string) Target { return Target("region/" + region) }
+
+// Client sends sub-requests through relays, VMs in other availability zones.
 type Client struct {
 	// Panics recovers from panics in groups and warm-ups; nil lets them propagate.
 	Panics *contain.Panics
 
 	self   string            // id of this VM
 	zones  map[string]string // availability zone to its region
+	zone   string
 	region string
 	http   *http.Client
 	picker *balance.Picker
 
 	mu          sync.Mutex
-	relays      map[string][]*config.Backend // other region to the VMs in it, possible relays
+	relays      map[Target][]*config.Backend // the possible relays
 	lastFailure map[string]time.Time         // VM id to its last failure as a relay
-	overhead    map[string]time.Duration     // region to the EWMA of the relay overhead
+	overhead    map[Target]time.Duration     // EWMA of the relay overhead
 	warmStates  map[string]warmState         // VM address to the state of its warm-up
 	warming     sync.WaitGroup
 }
 
-// NewClient returns a Client for the VM with id vmID in region. zones maps each
-// availability zone to its region.
-func NewClient(vmID, region string, zones map[string]string) *Client {
+// NewClient returns a Client for the VM with id vmID in zone and region. zones maps
+// each availability zone to its region.
+func NewClient(vmID, zone, region string, zones map[string]string) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2}}
 	return &Client{
-		self: vmID, region: region, zones: zones,
+		self: vmID, zone: zone, region: region, zones: zones,
 		http: &http.Client{Transport: &http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout, DisableCompression: true,
 			MaxResponseHeaderBytes: maxResponseHeadBytes,
 		}},
-		picker: balance.NewPicker(balance.Config{}), lastFailure: map[string]time.Time{}, overhead: map[string]time.Duration{},
+		picker: balance.NewPicker(balance.Config{}), lastFailure: map[string]time.Time{}, overhead: map[Target]time.Duration{},
 		warmStates: map[string]warmState{},
 	}
 }
@@ -88,13 +96,18 @@
 // connection, and its parts would be hedged meanwhile. Cancelling ctx stops the
 // warm-ups.
 func (c *Client) SetMembers(ctx context.Context, members []membership.Member) {
-	relays := map[string][]*config.Backend{}
+	relays := map[Target][]*config.Backend{}
 	addresses := map[string]bool{}
 	for _, m := range members {
-		if m.State == membership.Alive && m.ID != c.self && m.Region != c.region && m.PeerAddress != "" {
-			relays[m.Region] = append(relays[m.Region], &config.Backend{ID: m.ID, Address: m.PeerAddress})
-			addresses[m.PeerAddress] = true
+		if m.State != membership.Alive || m.ID == c.self || m.PeerAddress == "" || m.Zone == c.zone {
+			continue
+		}
+		vm := &config.Backend{ID: m.ID, Address: m.PeerAddress}
+		relays[zoneTarget(m.Zone)] = append(relays[zoneTarget(m.Zone)], vm)
+		if m.Region != c.region {
+			relays[regionTarget(m.Region)] = append(relays[regionTarget(m.Region)], vm)
 		}
+		addresses[m.PeerAddress] = true
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -174,27 +187,30 @@
 	return region != "" && region != c.region
 }
 
-// RelayRegion returns the region of a backend server if requests to it can be
-// relayed: it is another region and has a usable relay. Otherwise it returns "".
-func (c *Client) RelayRegion(b *config.Backend) string {
-	if !c.InOtherRegion(b) {
+// RelayTarget returns the VMs through which requests to a backend server of another
+// availability zone can be relayed, or "" if there are none. A relay in the server's
+// zone is preferred, so that only the merged response crosses zones. In this VM's
+// region there is no other choice: a relay in a third zone would save nothing.
+func (c *Client) RelayTarget(b *config.Backend) Target {
+	if b.Zone == c.zone || c.zones[b.Zone] == "" {
 		return ""
 	}
-	region := c.zones[b.Zone]
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.usable(region)) == 0 {
-		return ""
+	for _, target := range []Target{zoneTarget(b.Zone), regionTarget(c.zones[b.Zone])} {
+		if len(c.usable(target)) > 0 {
+			return target
+		}
 	}
-	return region
+	return ""
 }
 
-// usable returns the VMs of a region that are warm and have not failed as a
+// usable returns the VMs of a target that are warm and have not failed as a
 // relay within failureCooldown. The cooldown is needed because a dead VM stays
 // in the list of members for some time. c.mu must be held.
-func (c *Client) usable(region string) []*config.Backend {
+func (c *Client) usable(target Target) []*config.Backend {
 	var usable []*config.Backend
-	for _, vm := range c.relays[region] {
+	for _, vm := range c.relays[target] {
 		if c.warmStates[vm.Address] == warm && time.Since(c.lastFailure[vm.ID]) > failureCooldown {
 			usable = append(usable, vm)
 		}
@@ -203,18 +219,18 @@
 }
 
 // Overhead returns the estimated time that a relayed attempt takes outside the
-// relay: the network time between this VM and a relay in the region, and the
+// relay: the network time between this VM and a relay of the target, and the
 // processing at this VM.
-func (c *Client) Overhead(region string) time.Duration {
+func (c *Client) Overhead(target Target) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if d, ok := c.overhead[region]; ok {
+	if d, ok := c.overhead[target]; ok {
 		return d
 	}
 	return initialOverhead
 }
 
-// Group is a request to several backend servers of one region. Tags holds, for
+// Group is a request to several backend servers of one target. Tags holds, for
 // each backend server, the Result.Tag of its attempt.
 type Group struct {
 	Request  *upstream.Request
@@ -238,37 +254,37 @@
 // them after the reply grace.
 func (c *call) Abandon() { c.once.Do(func() { time.AfterFunc(c.grace, c.cancel) }) }
 
-// Send starts a group through a relay in the region. Each attempt yields exactly
+// Send starts a group through a relay of the target. Each attempt yields exactly
 // one result, alone or in the Batch of another. The channel must have buffer space
 // for the results.
-func (c *Client) Send(region string, g *Group, results chan<- upstream.Result) upstream.Attempt {
+func (c *Client) Send(target Target, g *Group, results chan<- upstream.Result) upstream.Attempt {
 	ctx, cancel := context.WithDeadline(context.Background(), g.Deadline)
 	a := &call{cancel: cancel, grace: upstream.DefaultReplyGrace}
 	go func() {
 		defer cancel()
 		pending := newPendingParts(g)
 		defer c.Panics.Recover("relayed group", func(err error) {
-			pending.fail(results, &upstream.IncompleteReplyError{Backend: region, Err: err})
+			pending.fail(results, &upstream.IncompleteReplyError{Backend: string(target), Err: err})
 		})
-		c.run(ctx, region, g, pending, results)
+		c.run(ctx, target, g, pending, results)
 	}()
 	return a
 }
 
 // run picks a relay, sends the group through it and reports the outcome to the
 // picker.
-func (c *Client) run(ctx context.Context, region string, g *Group, pending *pendingParts, results chan<- upstream.Result) {
+func (c *Client) run(ctx context.Context, target Target, g *Group, pending *pendingParts, results chan<- upstream.Result) {
 	c.mu.Lock()
-	vms := c.usable(region)
+	vms := c.usable(target)
 	c.mu.Unlock()
 	vm, ok := c.picker.Pick(config.ChoiceAdaptive, vms, nil)
 	if !ok {
-		pending.fail(results, &upstream.UnsentError{Backend: region, Err: ErrNoRelay})
+		pending.fail(results, &upstream.UnsentError{Backend: string(target), Err: ErrNoRelay})
 		return
 	}
 	start := time.Now()
 	c.picker.Started(vm.ID)
-	err := c.exchange(ctx, region, vm, g, start, pending, results)
+	err := c.exchange(ctx, target, vm, g, start, pending, results)
 	if len(pending.tags) > 0 {
 		pending.fail(results, err)
 	}
@@ -285,8 +301,8 @@
 	c.picker.Finished(vm.ID, time.Since(start), status)
 }
 
-// ErrNoRelay reports a region without a usable relay.
-var ErrNoRelay = errors.New("no VM in the region can relay")
+// ErrNoRelay reports a target without a usable relay.
+var ErrNoRelay = errors.New("no VM can relay")
 
 // markFailed starts the failure cooldown of a VM.
 func (c *Client) markFailed(id string) {
@@ -296,7 +312,7 @@
 }
 
 // exchange sends a group to a relay and delivers the batches of its response.
-func (c *Client) exchange(ctx context.Context, region string, vm *config.Backend, g *Group, start time.Time, pending *pendingParts, results chan<- upstream.Result) error {
+func (c *Client) exchange(ctx context.Context, target Target, vm *config.Backend, g *Group, start time.Time, pending *pendingParts, results chan<- upstream.Result) error {
 	req := request{
 		ID: g.Request.ID, Method: g.Request.Method, Head: g.Request.Head, Body: g.Request.Body, Limit: g.Limit,
 		RemainingMS: time.Until(g.Deadline).Milliseconds(), FlushMS: g.FlushAfter.Milliseconds(),
@@ -335,7 +351,7 @@
 			return &upstream.IncompleteReplyError{Backend: vm.ID, Err: err}
 		}
 		if first {
-			c.observeOverhead(region, time.Since(start)-time.Duration(b.ElapsedUS)*time.Microsecond)
+			c.observeOverhead(target, time.Since(start)-time.Duration(b.ElapsedUS)*time.Microsecond)
 		}
 		pending.deliver(&b, time.Since(start), results)
 	}
@@ -351,15 +367,15 @@
 	return int64(len(g.Tags)) * batch
 }
 
-// observeOverhead adds a sample to the EWMA of a region's relay overhead.
-func (c *Client) observeOverhead(region string, overhead time.Duration) {
+// observeOverhead adds a sample to the EWMA of a target's relay overhead.
+func (c *Client) observeOverhead(target Target, overhead time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	old, ok := c.overhead[region]
+	old, ok := c.overhead[target]
 	if !ok {
 		old = overhead
 	}
-	c.overhead[region] = old + time.Duration(overheadEWMAWeight*float64(overhead-old))
+	c.overhead[target] = old + time.Duration(overheadEWMAWeight*float64(overhead-old))
 }
 
 // pendingParts maps the index of each attempt of a group that has no result yet
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -1,7 +1,7 @@
 // Package relay sends the sub-requests of a query to backend servers in another
-// region through a VM there, the relay. The relay merges the replies, so that
-// one short response travels between the regions instead of every reply with
-// its headers.
+// availability zone through a VM there, the relay. The relay merges the replies,
+// so that one short response travels between the zones instead of every reply
+// with its headers.
 //
 // The VM that received the query, the origin, chooses the backend servers and
 // decides on hedges and retries; the relay makes one attempt at each server.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -91,8 +91,8 @@
 			handler.ServeHTTP(w, r)
 		}
 	}))
-	client := NewClient("self", "near", map[string]string{"z": "far"})
-	client.SetMembers(t.Context(), []membership.Member{{ID: "vm", Region: "far", PeerAddress: web.Listener.Addr().String(), State: membership.Alive}})
+	client := NewClient("self", "home", "near", map[string]string{"home": "near", "z": "far"})
+	client.SetMembers(t.Context(), []membership.Member{{ID: "vm", Zone: "z", Region: "far", PeerAddress: web.Listener.Addr().String(), State: membership.Alive}})
 	client.warming.Wait()
 	t.Cleanup(func() {
 		client.Close()
@@ -122,10 +122,10 @@
 	c := qt.New(t)
 	f := &fakeTransport{}
 	client := newRelayClient(t, newHandler(f))
-	c.Assert(client.RelayRegion(&config.Backend{Zone: "z"}), qt.Equals, "far")
+	c.Assert(client.RelayTarget(&config.Backend{Zone: "z"}), qt.Equals, zoneTarget("z"))
 	results := make(chan upstream.Result, 10)
 	start := time.Now()
-	client.Send("far", newGroup("a", "late", "b", "refuse", "lost", "gone"), results)
+	client.Send(zoneTarget("z"), newGroup("a", "late", "b", "refuse", "lost", "gone"), results)
 	byTag := map[int]upstream.Result{}
 	body := map[byte]int{}
 	var took time.Duration
@@ -159,7 +159,7 @@
 	c := qt.New(t)
 	client := newRelayClient(t, newHandler(&fakeTransport{}))
 	results := make(chan upstream.Result, 2)
-	client.Send("far", newGroup("free", "queued"), results)
+	client.Send(zoneTarget("z"), newGroup("free", "queued"), results)
 	loads := map[int]upstream.Load{}
 	for len(loads) < 2 {
 		first := <-results
@@ -180,7 +180,7 @@
 	f := &fakeTransport{}
 	client := newRelayClient(t, newHandler(f))
 	results := make(chan upstream.Result, 10)
-	attempt := client.Send("far", newGroup("hang", "hang"), results)
+	attempt := client.Send(zoneTarget("z"), newGroup("hang", "hang"), results)
 	time.Sleep(50 * time.Millisecond)
 	attempt.Abandon()
 	for range 2 {
@@ -218,7 +218,7 @@
 			c := qt.New(t)
 			client := newRelayClient(t, test.handler)
 			results := make(chan upstream.Result, 10)
-			client.Send("far", newGroup("a", "b"), results)
+			client.Send(zoneTarget("z"), newGroup("a", "b"), results)
 			failed := 0
 			for range 2 {
 				if res := <-results; res.Err != nil {
@@ -228,8 +228,8 @@
 			}
 			c.Assert(failed > 0, qt.IsTrue)
 			time.Sleep(10 * time.Millisecond)
-			c.Assert(client.RelayRegion(&config.Backend{Zone: "z"}), qt.Equals, "")
-			client.Send("far", newGroup("a"), results)
+			c.Assert(client.RelayTarget(&config.Backend{Zone: "z"}), qt.Equals, Target(""))
+			client.Send(zoneTarget("z"), newGroup("a"), results)
 			c.Assert(errors.Is((<-results).Err, ErrNoRelay), qt.IsTrue)
 		})
 	}
@@ -244,7 +244,7 @@
 	g := newGroup("late", "refuse", "gone")
 	g.FlushAfter = 90 * time.Millisecond
 	start := time.Now()
-	client.Send("far", g, results)
+	client.Send(zoneTarget("z"), g, results)
 	for n := 0; n < 2; n++ {
 		res := <-results
 		n += len(res.Batch)
@@ -255,19 +255,49 @@
 }
 
 // Guards against using a VM as a relay if it is leaving, if it is dead but
-// still in the list of members, or if it is in this VM's region.
+// still in the list of members, or if it is in this VM's availability zone.
 func TestRelays(t *testing.T) {
 	c := qt.New(t)
-	client := NewClient("self", "near", map[string]string{"z": "far", "y": "near"})
+	client := NewClient("self", "home", "near", map[string]string{"z": "far", "home": "near"})
 	defer client.Close()
 	client.SetMembers(t.Context(), []membership.Member{
-		{ID: "leaving", Region: "far", PeerAddress: "a:1", State: membership.Leaving},
-		{ID: "here", Region: "near", PeerAddress: "b:1", State: membership.Alive},
-		{ID: "dead", Region: "far", PeerAddress: "127.0.0.1:1", State: membership.Alive},
+		{ID: "leaving", Zone: "z", Region: "far", PeerAddress: "a:1", State: membership.Leaving},
+		{ID: "here", Zone: "home", Region: "near", PeerAddress: "b:1", State: membership.Alive},
+		{ID: "dead", Zone: "z", Region: "far", PeerAddress: "127.0.0.1:1", State: membership.Alive},
 	})
 	client.warming.Wait()
-	c.Assert(client.RelayRegion(&config.Backend{Zone: "z"}), qt.Equals, "")
-	c.Assert(client.RelayRegion(&config.Backend{Zone: "y"}), qt.Equals, "")
+	c.Assert(client.RelayTarget(&config.Backend{Zone: "z"}), qt.Equals, Target(""))
+	c.Assert(client.RelayTarget(&config.Backend{Zone: "home"}), qt.Equals, Target(""))
+}
+
+// Guards against replies that cross availability zones one by one. On a fleet with
+// two zones in each region, a relay in the other zone of the servers' region gets
+// them across a zone boundary, and so does a VM that sends to the other zone of its
+// own region directly. A relay outside the servers' zone is used only if that zone
+// has none, and not in this VM's region, where it would save nothing.
+func TestRelaysByZone(t *testing.T) {
+	c := qt.New(t)
+	web := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer web.Close()
+	client := NewClient("self", "home", "near", map[string]string{"home": "near", "home2": "near", "a1": "a", "a2": "a", "b1": "b", "b2": "b"})
+	defer client.Close()
+	var members []membership.Member
+	for _, m := range []struct{ zone, region string }{{"home", "near"}, {"home2", "near"}, {"a1", "a"}, {"a2", "a"}, {"b2", "b"}} {
+		members = append(members, membership.Member{
+			ID: m.zone, Zone: m.zone, Region: m.region, PeerAddress: web.Listener.Addr().String(), State: membership.Alive,
+		})
+	}
+	client.SetMembers(t.Context(), members)
+	client.warming.Wait()
+	for zone, want := range map[string]Target{
+		"home": "", "home2": zoneTarget("home2"), "a1": zoneTarget("a1"), "a2": zoneTarget("a2"), "b1": regionTarget("b"), "unknown": "",
+	} {
+		c.Check(client.RelayTarget(&config.Backend{Zone: zone}), qt.Equals, want, qt.Commentf("zone %s", zone))
+	}
+	client.markFailed("home2")
+	client.markFailed("a1")
+	c.Check(client.RelayTarget(&config.Backend{Zone: "home2"}), qt.Equals, Target(""))
+	c.Check(client.RelayTarget(&config.Backend{Zone: "a1"}), qt.Equals, regionTarget("a"))
 }
 
 // Guards against a first request that has to wait for its connection, since all
@@ -290,15 +320,15 @@
 	}
 	web.Start()
 	defer web.Close()
-	client := NewClient("self", "near", map[string]string{"z": "far"})
+	client := NewClient("self", "home", "near", map[string]string{"home": "near", "z": "far"})
 	defer client.Close()
-	members := []membership.Member{{ID: "vm", Region: "far", PeerAddress: web.Listener.Addr().String(), State: membership.Alive}}
+	members := []membership.Member{{ID: "vm", Zone: "z", Region: "far", PeerAddress: web.Listener.Addr().String(), State: membership.Alive}}
 	for range 3 {
 		client.SetMembers(context.Background(), members)
 	}
 	client.warming.Wait()
 	results := make(chan upstream.Result, 1)
-	client.Send("far", newGroup("a"), results)
+	client.Send(zoneTarget("z"), newGroup("a"), results)
 	c.Assert((<-results).Err, qt.IsNil)
 	mu.Lock()
 	defer mu.Unlock()
@@ -333,7 +363,7 @@
 			results := make(chan upstream.Result, 2)
 			start := time.Now()
 			grown := heaptest.Peak(func() {
-				client.Send("far", g, results)
+				client.Send(zoneTarget("z"), g, results)
 				for n := 0; n < 2; {
 					res := <-results
 					n += 1 + len(res.Batch)
