forward: no earlier answers to callers that are late already

Cause: found in reading. If the callers of a route wait differently long, those with the shorter wait look as if they had been waiting for the difference, and got their answer at half of the goal; so did callers that come back after a refusal. Change: if a caller's estimated wait leaves no time to meet the goal, it is not used.

--- a/forward/policy.go
+++ b/forward/policy.go
@@ -70,7 +70,9 @@
 
 // Schedule returns the deadlines of a request on a route. wait is how much longer
 // the caller waits, 0 if the caller sent no limit, and elapsed how long it has been
-// waiting. A caller counts its latency from the start of its wait.
+// waiting. A caller counts its latency from the start of its wait. If elapsed leaves
+// no time to meet the goal, the caller is late already or waits shorter by choice;
+// ConnectTime is then assumed instead, so that the answer is no less complete.
 func (p Policy) Schedule(r *route.Route, wait, elapsed time.Duration) Schedule {
 	timeout := r.Timeout
 	if wait > 0 && (timeout <= 0 || wait < timeout) {
@@ -82,6 +84,9 @@
 	s := Schedule{GiveUp: timeout - min(p.TimeoutMargin, timeout/10)}
 	s.AnswerBy = s.GiveUp
 	if r.Goal > 0 {
+		if elapsed > r.Goal/2 {
+			elapsed = p.ConnectTime
+		}
 		s.AnswerBy = min(s.GiveUp, max(r.Goal-p.ReturnTime-elapsed, r.Goal/2))
 	}
 	return s
