--- a/deploy/ablation.sh
+++ b/deploy/ablation.sh
@@ -15,7 +15,7 @@
 # nothing is an error: the code has changed and the list must follow.
 mechanisms() {
   cat <<'LIST'
-hedges              forward/run.go       s/if r.job.Route.Idempotent && sub.sent </if false && sub.sent </
+hedges              forward/run.go       s/if r.job.Route.Idempotent && sub.sent </if false \&\& sub.sent </
 straggler-rule      forward/run.go       s/if s == nil || s.total < minStragglerSample/if s == nil || s.total >= 0/
 earliest-hedge      forward/policy.go    s/HedgeEarliestFraction: 0\.[0-9]*,/HedgeEarliestFraction: 0,/
 latest-hedge        forward/policy.go    s/HedgeLatestFraction:   0\.[0-9]*,/HedgeLatestFraction:   1,/
