entry: count only unexceptional lines against the log limit in TestLogVolumeUnderLoad

One of 24 runs at once (-race, load average about 50) failed the same way: 241 lines in 10.88 s, 240 allowed, 4 of them late. The limiter allows 20 + 20 * 10.88 = 237 lines, and 241 - 4 = 237 were limited. Lines of late requests are always logged, as docs/OPERATIONS.md says, and the check counted them against the limit.

Change: the check counts a line as exempt only if it says that the request was late and its measured time is at least the route's goal. The bound is unchanged.

--- a/entry/logs_test.go
+++ b/entry/logs_test.go
@@ -56,7 +56,10 @@
 	v := &vm{daemon: d, settings: d.Settings()}
 	f.eventually(5*time.Second, "ready", func() bool { return f.status(v, v.settings.ReadyAddress, "/readiness") == http.StatusOK })
 
-	const requests, failing = 1500, 100
+	const (
+		requests, failing = 1500, 100
+		goal              = 300 * time.Millisecond // of the route
+	)
 	start := time.Now()
 	var wg sync.WaitGroup
 	for worker := range 10 {
@@ -75,28 +78,28 @@
 	f.Assert(<-done, qt.IsNil)
 	close(w.release)
 	lines.Close()
-	ordinary, kept, unusual := 0, 0, 0
+	ordinary, late, kept := 0, 0, 0
 	for line := range strings.SplitSeq(w.text.String(), "\n") {
 		var l struct {
 			Message string `json:"msg"`
 			ID      string `json:"request_id"`
 			Late    bool   `json:"late"`
-			Reason  string `json:"reason"`
+			Millis  int64  `json:"ms"`
 		}
 		if json.Unmarshal([]byte(line), &l) != nil || l.Message != "request" {
 			continue
 		}
-		if strings.HasPrefix(l.ID, "ok-") {
-			ordinary++
-			if l.Late || l.Reason != "" {
-				unusual++
-			}
-		} else {
+		switch {
+		case !strings.HasPrefix(l.ID, "ok-"):
 			kept++
+		case l.Late && l.Millis >= goal.Milliseconds():
+			late++ // always logged
+		default:
+			ordinary++
 		}
 	}
 	f.Check(kept, qt.Equals, failing)
 	// The rate limit is 20 lines a second with a burst of 20.
-	f.Check(ordinary <= 20*(2+int(elapsed.Seconds())), qt.IsTrue, qt.Commentf("%d lines in %v, %d late or with a reason", ordinary, elapsed, unusual))
+	f.Check(ordinary <= 20*(2+int(elapsed.Seconds())), qt.IsTrue, qt.Commentf("%d lines in %v, and %d of late requests", ordinary, elapsed, late))
 	f.Check(lines.Dropped(), qt.Equals, uint64(0))
 }
