--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -364,7 +364,7 @@
 	for i := range 6 {
 		a, took, trace := f.askTimed(v, "/find/x", fmt.Sprint("id-", i))
 		f.Check(a.status, qt.Equals, http.StatusOK)
-		f.Check(a.header.Get("X-Missing-Parts"), qt.Equals, "0", qt.Commentf("%s", f.linesOf(fmt.Sprint("id-", i))))
+		f.Check(a.header.Get("X-Missing-Parts"), qt.Equals, "0", qt.Commentf("%s%s", trace, f.linesOf(fmt.Sprint("id-", i))))
 		f.Check(took < 100*time.Millisecond, qt.IsTrue, qt.Commentf("took %v\n%s%s", took, trace, f.linesOf(fmt.Sprint("id-", i))))
 	}
 	other.SetBehavior(standin.Behavior{Hang: true})
