entry: measure how long attempts run that nobody awaits any more

Change: histogram briarstand_entry_abandoned_attempt_seconds, for direct and relayed attempts as the origin sees them, and for those of a relay from the moment at which the origin has disconnected. No change of behavior.

Measured: tests of entry (metrics), relay, forward and standin pass.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -214,7 +214,10 @@
 	admin := chi.NewRouter()
 	admin.Get(ReportPath, d.serveReport)
 	admin.Mount("/", telemetry.NewAdminHandler(telemetry.AdminConfig{Metrics: d.metrics, Process: true, Ready: d.readyError}))
-	relayHandler := &relay.Handler{Transport: d.client, Backends: d.state.registry, Logger: d.logger, Memory: d.requestMemory}
+	relayHandler := &relay.Handler{
+		Transport: d.client, Backends: d.state.registry, Logger: d.logger, Memory: d.requestMemory,
+		Abandoned: relay.AbandonedSeconds(d.metrics, "relay"),
+	}
 	// In the order of shutdown: callers first, other VMs and operators last.
 	for _, l := range []struct {
 		address *string
--- a/forward/observe.go
+++ b/forward/observe.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/briarstand/briarstand/relay"
 	"github.com/briarstand/briarstand/upstream"
 )
 
@@ -42,6 +43,9 @@
 	attempts, relayed, hedges, retries        *metrics.Counter
 	hedgesDenied, retriesDenied, partsLeftOut *metrics.Counter
 	unsent, broken, refused, failed, foreign  *metrics.Counter
+	// abandonedDirect and abandonedRelayed are the times in seconds from the end of
+	// a request to the end of an attempt that was still running.
+	abandonedDirect, abandonedRelayed *metrics.Histogram
 }
 
 func newCounters(set *metrics.Set) *counters {
@@ -49,15 +53,17 @@
 		return set.GetOrCreateCounter(fmt.Sprintf("briarstand_entry_attempt_failures_total{reason=%q}", reason))
 	}
 	return &counters{
-		set:           set,
-		attempts:      set.GetOrCreateCounter(`briarstand_entry_attempts_total`),
-		relayed:       set.GetOrCreateCounter(`briarstand_entry_attempts_relayed_total`),
-		hedges:        set.GetOrCreateCounter(`briarstand_entry_hedges_total`),
-		retries:       set.GetOrCreateCounter(`briarstand_entry_retries_total`),
-		hedgesDenied:  set.GetOrCreateCounter(`briarstand_entry_budget_denied_total{kind="hedge"}`),
-		retriesDenied: set.GetOrCreateCounter(`briarstand_entry_budget_denied_total{kind="retry"}`),
-		partsLeftOut:  set.GetOrCreateCounter(`briarstand_entry_parts_left_out_total`),
-		unsent:        failures("not_sent"), broken: failures("broken"), refused: failures("not_run"), failed: failures("failed"), foreign: failures("foreign"),
+		set:              set,
+		attempts:         set.GetOrCreateCounter(`briarstand_entry_attempts_total`),
+		relayed:          set.GetOrCreateCounter(`briarstand_entry_attempts_relayed_total`),
+		hedges:           set.GetOrCreateCounter(`briarstand_entry_hedges_total`),
+		retries:          set.GetOrCreateCounter(`briarstand_entry_retries_total`),
+		hedgesDenied:     set.GetOrCreateCounter(`briarstand_entry_budget_denied_total{kind="hedge"}`),
+		retriesDenied:    set.GetOrCreateCounter(`briarstand_entry_budget_denied_total{kind="retry"}`),
+		partsLeftOut:     set.GetOrCreateCounter(`briarstand_entry_parts_left_out_total`),
+		abandonedDirect:  relay.AbandonedSeconds(set, "direct"),
+		abandonedRelayed: relay.AbandonedSeconds(set, "relayed"),
+		unsent:           failures("not_sent"), broken: failures("broken"), refused: failures("not_run"), failed: failures("failed"), foreign: failures("foreign"),
 	}
 }
 
@@ -72,6 +78,15 @@
 	c.partsLeftOut.Add(a.Missing)
 }
 
+// recordAbandoned records how long after its request an attempt ended.
+func (c *counters) recordAbandoned(relayed bool, since time.Duration) {
+	if relayed {
+		c.abandonedRelayed.Update(since.Seconds())
+	} else {
+		c.abandonedDirect.Update(since.Seconds())
+	}
+}
+
 // recordAttempt counts a finished attempt.
 func (c *counters) recordAttempt(service string, res *upstream.Result, latency time.Duration) {
 	switch {
--- a/forward/run.go
+++ b/forward/run.go
@@ -471,6 +471,7 @@
 	if left == 0 {
 		return
 	}
+	abandoned := time.Now()
 	go func() {
 		defer r.engine.cfg.Panics.Recover("end of a request", nil)
 		for left > 0 {
@@ -478,6 +479,7 @@
 			for _, one := range append([]upstream.Result{res}, res.Batch...) {
 				a := &r.attempts[one.Tag]
 				r.engine.observe(r.job.Route.Name, r.subRequests[a.index].service, a, one)
+				r.engine.counts.recordAbandoned(a.relayed, time.Since(abandoned))
 				if one.Reply != nil {
 					one.Reply.Release()
 				}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -13,6 +13,8 @@
 	"fmt"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/briarstand/briarstand/config"
 	"github.com/briarstand/briarstand/upstream"
 )
@@ -88,6 +90,13 @@
 
 func (e *PartError) Error() string { return "at the relay: " + e.Text }
 
+// AbandonedSeconds returns the histogram of the time in seconds from when nobody
+// awaited an attempt any more to its end. path is "direct" or "relayed" at the
+// origin, and "relay" at the relay.
+func AbandonedSeconds(set *metrics.Set, path string) *metrics.Histogram {
+	return set.GetOrCreateHistogram(fmt.Sprintf("briarstand_entry_abandoned_attempt_seconds{path=%q}", path))
+}
+
 // Transport sends attempts to backend servers on behalf of a Handler;
 // upstream.Client implements it.
 type Transport interface {
--- a/relay/server.go
+++ b/relay/server.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 
 	"github.com/briarstand/briarstand/limit"
@@ -25,6 +26,9 @@
 	// Memory limits the total size of the relay requests that are held at once;
 	// nil means no limit.
 	Memory *limit.Memory
+	// Abandoned receives, for each attempt that is running when the origin
+	// disconnects, the time in seconds until its end; nil if not recorded.
+	Abandoned *metrics.Histogram
 }
 
 // ServeHTTP makes one attempt at each backend server of the request and streams
@@ -154,11 +158,15 @@
 	if s.running == 0 {
 		return
 	}
+	abandoned := time.Now()
 	go func() { // release the memory of replies that still arrive
 		for range s.running {
 			if res := <-s.results; res.Reply != nil {
 				res.Reply.Release()
 			}
+			if h := s.handler.Abandoned; h != nil {
+				h.Update(time.Since(abandoned).Seconds())
+			}
 		}
 	}()
 }
