--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -93,8 +93,12 @@
 }
 
 func (f *fixture) startWith(id string, wait bool, grace time.Duration, seeds ...string) *vm {
+	return f.startIn("attica-a", id, wait, grace, seeds...)
+}
+
+func (f *fixture) startIn(zone, id string, wait bool, grace time.Duration, seeds ...string) *vm {
 	set := entry.Settings{
-		VMID: id, Zone: "attica-a", Region: "attica",
+		VMID: id, Zone: zone, Region: "attica", Zones: map[string]string{"attica-a": "attica", "attica-b": "attica"},
 		CallerAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", ResolveAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", AdminAddress: "127.0.0.1:0",
 		PeerSeeds: seeds, DrainBound: 3 * time.Second, MinLease: time.Second,
 		Bounds: entry.Bounds{
@@ -542,6 +546,63 @@
 	f.eventually(700*time.Millisecond-time.Since(start), "request ended", func() bool { return strings.Contains(f.logs.String(), "caller_left") })
 }
 
+// Guards against backend servers that work for a caller that left more than
+// maxWorkAfterDeparture ago, at direct and at relayed attempts.
+func TestWorkEndsAfterCallerLeft(t *testing.T) {
+	const maxWorkAfterDeparture = 500 * time.Millisecond
+	f := newFixture(t)
+	f.backend("q1", "quotes", "bytes")
+	for _, shard := range []string{"a", "b", "c"} {
+		f.backend(shard+"1", "shard-"+shard, record('a'))
+	}
+	f.store.Configure(1, single("quote", "quotes", "idempotent"), scattered("find", 1, "shard-a", "shard-b", "shard-c"))
+	origin := f.startIn("attica-b", "vm1", true, 600*time.Millisecond)
+	f.start("vm2", true)
+	f.eventually(10*time.Second, "relayed", func() bool {
+		f.ask(origin, "GET", "/find/x", "probe", "", time.Second)
+		return strings.Contains(f.logs.String(), `"relayed":3`)
+	})
+	for _, b := range f.backends {
+		b.SetBehavior(standin.Behavior{Hang: true})
+	}
+	for id, path := range map[string]string{"direct": "/quote/x", "relayed": "/find/x"} {
+		ctx, leave := context.WithCancel(context.Background())
+		req, err := http.NewRequestWithContext(ctx, "GET", "http://"+origin.settings.CallerAddress+path, nil)
+		f.Assert(err, qt.IsNil)
+		req.Host = host
+		req.Header.Set("X-Request-Id", id)
+		done := make(chan error, 1)
+		go func() {
+			_, err := oneShot.Do(req)
+			done <- err
+		}()
+		f.eventually(time.Second, "running", func() bool { return len(f.runsOf(id)) > 0 })
+		time.Sleep(20 * time.Millisecond)
+		left := time.Now()
+		leave()
+		f.Assert(<-done, qt.IsNotNil)
+		f.eventually(3*time.Second, "ended", func() bool {
+			return !slices.ContainsFunc(f.runsOf(id), func(r standin.Run) bool { return r.EndedAt.IsZero() })
+		})
+		for _, r := range f.runsOf(id) {
+			f.Check(r.EndedAt.Sub(left) < maxWorkAfterDeparture, qt.IsTrue,
+				qt.Commentf("%s attempt ran %v after the caller had left", id, r.EndedAt.Sub(left)))
+		}
+	}
+}
+
+// runsOf returns the runs of a request at all backend servers.
+func (f *fixture) runsOf(id string) (runs []standin.Run) {
+	for _, b := range f.backends {
+		for _, r := range b.Runs() {
+			if r.ID == id {
+				runs = append(runs, r)
+			}
+		}
+	}
+	return runs
+}
+
 // Guards against callers that hold a VM's memory with bodies that never end, and
 // against bodies above the limit.
 func TestBodies(t *testing.T) {
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -20,6 +20,9 @@
 	ID, Method, Target, Body string
 	RemainingMS              int64
 	At                       time.Time
+	// EndedAt is when the run ended, by a reply or as its connection was closed;
+	// zero while it is running.
+	EndedAt time.Time
 }
 
 // Behavior determines how a backend server replies.
@@ -143,7 +146,9 @@
 	}
 	remainingMS, _ := strconv.ParseInt(r.Header.Get("X-Deadline-Ms"), 10, 64)
 	b.runs = append(b.runs, Run{ID: id, Method: r.Method, Target: r.RequestURI, Body: string(body), RemainingMS: remainingMS, At: time.Now()})
+	index := len(b.runs) - 1
 	b.mu.Unlock()
+	defer b.endRun(index)
 	if behavior.Hang {
 		behavior.ServiceTime = time.Hour
 	}
@@ -167,6 +172,12 @@
 	}
 }
 
+func (b *Backend) endRun(index int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.runs[index].EndedAt = time.Now()
+}
+
 // Signature returns the signature of the server's reply to a request.
 func (b *Backend) Signature(requestID string) string {
 	sum := fnv.New64a()
