relay: end relayed attempts in the grace of their origin, not in two

What callers and servers saw (GONE): backend servers worked for callers that had left more than half a second before.

Cause: an attempt that is given up is awaited for 0.35 s, so that its connection can be reused. The grace was a property of each client: the origin awaited a relayed group for 0.35 s before it ended the exchange, and only then the relay started its own 0.35 s. A bound on a path was spent in full by each hop.

Evidence: TestWorkEndsAfterCallerLeft on the code before: direct attempts end in time, relayed ones after 704 ms each time.

Change: Abandon takes the grace as an argument. The origin decides it once, for the whole path (forward.Policy.AbandonGrace); a relay whose origin has disconnected ends its attempts at once.

Why it works: the origin disconnects only after its grace, so the replies of the relay's attempts have been awaited as long as those of direct ones.

--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -45,7 +45,7 @@
 	done chan struct{}
 }
 
-func (c *fakeCall) Abandon() { c.once.Do(func() { close(c.done) }) }
+func (c *fakeCall) Abandon(time.Duration) { c.once.Do(func() { close(c.done) }) }
 
 func (f *fakeTransport) HasCapacity(*config.Backend) bool { return true }
 
--- a/forward/policy.go
+++ b/forward/policy.go
@@ -36,6 +36,12 @@
 	// TimeoutMargin is how long before the route's timeout, or before the end of
 	// the caller's wait, a request is given up.
 	TimeoutMargin time.Duration
+	// AbandonGrace is how long the replies of attempts that are still running at
+	// the end of their request are awaited, so that connections can be reused. It
+	// applies to the whole path, also through a relay, and is short because
+	// backend servers should be released within half a second after a caller has
+	// disconnected.
+	AbandonGrace time.Duration
 	// RetryAfter is the retry delay suggested to a caller whose request is
 	// refused.
 	RetryAfter time.Duration
@@ -55,6 +61,7 @@
 		HedgeLatestFraction:   0.53,
 		RetryReserve:          0.5,
 		TimeoutMargin:         20 * time.Millisecond,
+		AbandonGrace:          350 * time.Millisecond,
 		RetryAfter:            200 * time.Millisecond,
 	}
 }
--- a/forward/queue_test.go
+++ b/forward/queue_test.go
@@ -52,11 +52,11 @@
 	dropped := make(chan struct{})
 	s.wg.Go(func() {
 		<-call.done
-		time.Sleep(upstream.DefaultReplyGrace)
+		time.Sleep(DefaultPolicy().AbandonGrace)
 		close(dropped)
 	})
 	s.wg.Go(func() {
-		defer call.Abandon()
+		defer call.Abandon(0)
 		select {
 		case slots <- struct{}{}:
 		case <-dropped:
--- a/forward/run.go
+++ b/forward/run.go
@@ -464,7 +464,7 @@
 	left := 0
 	for i := range r.attempts {
 		if !r.attempts[i].ended {
-			r.attempts[i].call.Abandon()
+			r.attempts[i].call.Abandon(r.engine.cfg.Policy.AbandonGrace)
 			left++
 		}
 	}
--- a/relay/client.go
+++ b/relay/client.go
@@ -246,20 +246,35 @@
 // call is a group in flight.
 type call struct {
 	cancel context.CancelFunc
-	grace  time.Duration
-	once   sync.Once
+	mu     sync.Mutex
+	timer  *time.Timer // calls cancel at the time end; nil until Abandon
+	end    time.Time
 }
 
-// Abandon implements upstream.Attempt for all attempts of the group. It cancels
-// them after the reply grace.
-func (c *call) Abandon() { c.once.Do(func() { time.AfterFunc(c.grace, c.cancel) }) }
+// Abandon implements upstream.Attempt for all attempts of the group: it ends the
+// exchange with the relay after the grace. The relay then ends its attempts at
+// once.
+func (c *call) Abandon(grace time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	end := time.Now().Add(grace)
+	switch {
+	case c.timer == nil:
+		c.timer = time.AfterFunc(grace, c.cancel)
+	case end.Before(c.end):
+		c.timer.Reset(grace)
+	default:
+		return
+	}
+	c.end = end
+}
 
 // Send starts a group through a relay of the target. Each attempt yields exactly
 // one result, alone or in the Batch of another. The channel must have buffer space
 // for the results.
 func (c *Client) Send(target Target, g *Group, results chan<- upstream.Result) upstream.Attempt {
 	ctx, cancel := context.WithDeadline(context.Background(), g.Deadline)
-	a := &call{cancel: cancel, grace: upstream.DefaultReplyGrace}
+	a := &call{cancel: cancel}
 	go func() {
 		defer cancel()
 		pending := newPendingParts(g)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -40,7 +40,7 @@
 	done chan struct{}
 }
 
-func (c *fakeCall) Abandon() { c.once.Do(func() { close(c.done) }) }
+func (c *fakeCall) Abandon(time.Duration) { c.once.Do(func() { close(c.done) }) }
 
 func record(id string) []byte { return []byte(strings.Repeat(id[:1], topk.RecordSize)) }
 
@@ -182,7 +182,7 @@
 	results := make(chan upstream.Result, 10)
 	attempt := client.Send(zoneTarget("z"), newGroup("hang", "hang"), results)
 	time.Sleep(50 * time.Millisecond)
-	attempt.Abandon()
+	attempt.Abandon(20 * time.Millisecond)
 	for range 2 {
 		c.Assert((<-results).Err, qt.IsNotNil)
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -148,11 +148,12 @@
 	return err == nil
 }
 
-// abandon abandons the attempts that are still running.
+// abandon ends the attempts that are still running. The origin has already
+// awaited their replies for its grace, so no further grace is added here.
 func (s *session) abandon() {
 	for i, c := range s.attempts {
 		if !s.ended[i] && c != nil {
-			c.Abandon()
+			c.Abandon(0)
 		}
 	}
 	if s.running == 0 {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -27,11 +27,6 @@
 	// DefaultIdleTimeout is how long a connection may stay idle, less than the
 	// typical idle timeout of servers.
 	DefaultIdleTimeout = 30 * time.Second
-	// DefaultReplyGrace is how long the reply of an abandoned attempt is still
-	// awaited, so that its connection can be reused. It is short because backend
-	// servers should be released within half a second after a caller has
-	// disconnected.
-	DefaultReplyGrace = 350 * time.Millisecond
 	// DefaultMaxReplyBytes is the maximum size in bytes of a reply body for
 	// requests that set no limit of their own.
 	DefaultMaxReplyBytes = 4 << 20
@@ -49,7 +44,7 @@
 	// Dial opens a connection; nil means TCP with keep-alive probes.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Zero durations mean the defaults.
-	DialTimeout, IdleTimeout, ReplyGrace time.Duration
+	DialTimeout, IdleTimeout time.Duration
 	// Memory limits the total size of the replies that are held at once; nil
 	// means no limit.
 	Memory *limit.Memory
@@ -81,7 +76,6 @@
 	}
 	defaults.Set(&cfg.DialTimeout, DefaultDialTimeout)
 	defaults.Set(&cfg.IdleTimeout, DefaultIdleTimeout)
-	defaults.Set(&cfg.ReplyGrace, DefaultReplyGrace)
 	c := &Client{cfg: cfg}
 	c.readers.New = func() any { return bufio.NewReaderSize(nil, readBufferSize) }
 	c.pools.Store(&map[*config.Backend]*pool{})
@@ -171,28 +165,27 @@
 	backend   *config.Backend
 	ctx       context.Context
 	cancel    context.CancelFunc
-	grace     time.Duration
 	mu        sync.Mutex
 	conn      *conn
 	reply     *Reply // set before Protocol.Classify, so that a panic there releases it
+	deadline  time.Time
 	abandoned bool
 }
 
 // Abandon implements Attempt. It cancels an attempt that has no connection yet;
-// otherwise it shortens the deadline to the reply grace.
-func (a *call) Abandon() {
+// otherwise it shortens the deadline to the grace.
+func (a *call) Abandon(grace time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.abandoned {
-		return
-	}
 	a.abandoned = true
 	if a.conn == nil {
 		a.cancel()
 		return
 	}
-	// An error means that the connection is already closed.
-	_ = a.conn.SetDeadline(time.Now().Add(a.grace))
+	if deadline := time.Now().Add(grace); deadline.Before(a.deadline) {
+		a.deadline = deadline
+		_ = a.conn.SetDeadline(deadline) // fails if the connection is already closed
+	}
 }
 
 // attach assigns a connection to the attempt. It returns false if the attempt
@@ -203,7 +196,7 @@
 	if a.abandoned {
 		return false
 	}
-	a.conn = conn
+	a.conn, a.deadline = conn, deadline
 	_ = conn.SetDeadline(deadline) // if the connection is closed, the write fails
 	return true
 }
@@ -237,7 +230,7 @@
 // Abandon; the channel must have buffer space for it.
 func (c *Client) Send(b *config.Backend, req *Request, deadline time.Time, tag int, results chan<- Result) Attempt {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	a := &call{backend: b, ctx: ctx, cancel: cancel, grace: c.cfg.ReplyGrace}
+	a := &call{backend: b, ctx: ctx, cancel: cancel}
 	go func() {
 		defer cancel()
 		defer c.cfg.Panics.Recover("attempt", func(err error) {
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -232,7 +232,7 @@
 	}})
 	client.Update(map[*config.Backend]int{b: 1})
 	results := make(chan Result, 2)
-	client.Send(b, newRequest(""), time.Now().Add(time.Minute), 1, results).Abandon()
+	client.Send(b, newRequest(""), time.Now().Add(time.Minute), 1, results).Abandon(abandonGrace)
 	res = <-results
 	c.Assert(NotSent(res.Err) && !Unreachable(res.Err), qt.IsTrue, qt.Commentf("%v", res.Err))
 	client.Send(b, newRequest(""), time.Now().Add(20*time.Millisecond), 2, results)
@@ -280,8 +280,10 @@
 	c.Assert(client.HasCapacity(b), qt.IsTrue)
 }
 
+const abandonGrace = 350 * time.Millisecond
+
 // Checks that the connection of an abandoned attempt is reused if the reply
-// comes within the reply grace, and that the attempt ends soon otherwise.
+// comes within the grace, and that the attempt ends soon otherwise.
 func TestAbandon(t *testing.T) {
 	c := qt.New(t)
 	s := newRawServer(t, func(n int, c net.Conn, _ *http.Request) bool {
@@ -297,12 +299,12 @@
 	results := make(chan Result, 1)
 	call := client.Send(b, newRequest(""), time.Now().Add(5*time.Second), 0, results)
 	time.Sleep(10 * time.Millisecond)
-	call.Abandon()
+	call.Abandon(abandonGrace)
 	c.Assert((<-results).Err, qt.IsNil)
 	start := time.Now()
 	call = client.Send(b, newRequest(""), time.Now().Add(5*time.Second), 0, results)
 	time.Sleep(10 * time.Millisecond)
-	call.Abandon()
+	call.Abandon(abandonGrace)
 	c.Assert((<-results).Err, qt.IsNotNil)
 	c.Assert(time.Since(start) < 500*time.Millisecond, qt.IsTrue)
 	_, conns := s.count()
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -89,7 +89,7 @@
 					call := client.Send(b, req, time.Now().Add(3*time.Second), 0, results)
 					if abandoned {
 						time.Sleep(delay / 2)
-						call.Abandon()
+						call.Abandon(abandonGrace)
 					}
 					res := <-results
 					c.Check(res.Err, qt.IsNotNil)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -178,7 +178,9 @@
 
 // Attempt is an attempt in flight.
 type Attempt interface {
-	// Abandon declares that the reply is no longer needed. The attempt still
-	// yields its result.
-	Abandon()
+	// Abandon declares that the reply is no longer needed. The attempt is still
+	// awaited for grace, so that its connection can be reused if the reply comes,
+	// and then ended. It yields its result in any case. A further call can only
+	// end the attempt earlier.
+	Abandon(grace time.Duration)
 }
