entry: answer every request that a stopping VM has read

Cause: the VM bounded the requests of a stop only by closing its listener and the idle connections. A request whose body was completed after that was still forwarded, and whatever still ran at the end was cut off by the exit.

Evidence: on the code before, TestLateRequestsInPlannedStop ran the request "partial" at the backend server 1.75 s into a stop of 4 s, and TestSlowRequestInPlannedStop got no answer before the end of the grace period.

Change: after drainServe the VM refuses new requests (503, not run, close) while it waits for those in flight; a request counts as in flight only once it is complete. 0.2 s before the process ends, what still runs is given up: 504, or the parts that have come. The listeners close after that.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -42,6 +42,11 @@
 	// stopMargin is how long before the end of the stop grace period the process
 	// exits by itself.
 	stopMargin = 500 * time.Millisecond
+	// giveUpMargin is how long before stopMargin requests that are still running
+	// are answered as given up, so that the answers reach their callers.
+	giveUpMargin = 200 * time.Millisecond
+	// stopPollInterval is the time between checks for requests in flight.
+	stopPollInterval = 10 * time.Millisecond
 	// sweepInterval is how often backend servers and VMs whose records are missing
 	// are checked, and removed once their grace periods are over.
 	sweepInterval = 500 * time.Millisecond
@@ -107,7 +112,11 @@
 	// replyMemory and requestMemory limit the bytes that are held at once.
 	replyMemory, requestMemory *limit.Memory
 	panics                     *contain.Panics
-	leaving                    atomic.Bool
+	// leaving is set from the start of a stop. refusing is set when the VM no longer
+	// forwards new requests, and stopping is closed when those in flight are given up.
+	leaving, refusing atomic.Bool
+	stopping          chan struct{}
+	forwarding        atomic.Int64 // requests that are being forwarded or answered
 	// listeners are set by Listen.
 	listeners []listener
 	applyMu   sync.Mutex // serializes apply
@@ -125,6 +134,7 @@
 		settings: set, configured: set, platform: p, logger: logger, started: time.Now(), metrics: metrics.NewSet(),
 		requestLogLimiter: rate.NewLimiter(maxRequestLogsPerSecond, maxRequestLogsPerSecond),
 		replyMemory:       limit.NewMemory(0), requestMemory: limit.NewMemory(0),
+		stopping: make(chan struct{}),
 	}
 	d.limitHeldMemory(set.MemoryBytes)
 	d.panics = contain.New(logger, d.metrics.NewCounter("briarstand_entry_panics_total"))
@@ -456,15 +466,22 @@
 }
 
 // drain stops the daemon without aborting requests: it first marks the VM as
-// leaving, so that callers no longer get its address, then closes the listeners,
-// then waits for the last requests until stopMargin before the end of the stop
-// grace period.
+// leaving, so that callers no longer get its address, then refuses new requests,
+// then waits for the last ones until stopMargin before the end of the stop grace
+// period, and then closes the listeners. Requests that are still running shortly
+// before that are answered as given up.
 func (d *Daemon) drain(reg *registration) {
 	end := time.Now().Add(d.bounds.Load().StopGrace - stopMargin)
 	d.leaving.Store(true)
 	reg.leave()
 	d.logger.Info("leaving", "serve_ms", drainServe.Milliseconds())
 	time.Sleep(min(drainServe, time.Until(end)/2))
+	d.refusing.Store(true)
+	if !d.awaitRequests(end.Add(-giveUpMargin)) {
+		d.logger.Warn("requests given up at the end of the stop grace period", "requests", d.forwarding.Load())
+		close(d.stopping)
+		d.awaitRequests(end)
+	}
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	for _, l := range d.listeners {
@@ -473,3 +490,28 @@
 		}
 	}
 }
+
+// beginForwarding reports whether a request may be forwarded. If so, the stop of
+// the VM waits for endForwarding.
+func (d *Daemon) beginForwarding() bool {
+	d.forwarding.Add(1)
+	if d.refusing.Load() {
+		d.forwarding.Add(-1)
+		return false
+	}
+	return true
+}
+
+func (d *Daemon) endForwarding() { d.forwarding.Add(-1) }
+
+// awaitRequests waits until no request is being forwarded, and returns false if
+// some are at the time end.
+func (d *Daemon) awaitRequests(end time.Time) bool {
+	for d.forwarding.Load() > 0 {
+		if !time.Now().Before(end) {
+			return false
+		}
+		time.Sleep(min(stopPollInterval, time.Until(end)))
+	}
+	return true
+}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -546,6 +547,64 @@
 	f.eventually(700*time.Millisecond-time.Since(start), "request ended", func() bool { return strings.Contains(f.logs.String(), "caller_left") })
 }
 
+// Guards against requests that are forwarded late in a planned stop and aborted
+// without an answer at its end: on a connection that was opened before the stop and
+// has carried no request, or with a body that is completed late.
+func TestLateRequestsInPlannedStop(t *testing.T) {
+	const grace = 4 * time.Second
+	f := newFixture(t)
+	b := f.backend("b1", "book", "ok")
+	b.SetBehavior(standin.Behavior{ServiceTime: grace})
+	f.store.Configure(1, single("book", "book", "non_idempotent"))
+	v := f.startWith("vm1", true, grace)
+	open := func() net.Conn {
+		conn, err := net.Dial("tcp", v.settings.CallerAddress)
+		f.Assert(err, qt.IsNil)
+		f.Cleanup(func() { conn.Close() })
+		f.Assert(conn.SetDeadline(time.Now().Add(2*grace)), qt.IsNil)
+		return conn
+	}
+	const head = "POST /book/x HTTP/1.1\r\nHost: " + host + "\r\nX-Deadline-Ms: 8000\r\nContent-Length: 4\r\nX-Request-Id: "
+	unused, partial := open(), open()
+	fmt.Fprintf(partial, "%spartial\r\n\r\nse", head)
+	early := open() // keeps the VM from stopping early
+	fmt.Fprintf(early, "%searly\r\n\r\nseat", head)
+	f.eventually(time.Second, "running", func() bool { return len(b.Runs()) == 1 })
+	v.stop()
+	f.eventually(grace, "refuses", func() bool { return f.status(v, v.settings.CallerAddress, "/") == http.StatusServiceUnavailable })
+	fmt.Fprintf(unused, "%sunused\r\n\r\nseat", head)
+	fmt.Fprint(partial, "at")
+	for id, conn := range map[string]net.Conn{"unused": unused, "partial": partial} {
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if !f.Check(err, qt.IsNil, qt.Commentf("%s: no answer, runs: %v", id, f.runsOf(id))) {
+			continue
+		}
+		resp.Body.Close()
+		f.Check(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable, qt.Commentf(id))
+		f.Check(resp.Header.Get("Retry-After"), qt.Not(qt.Equals), "", qt.Commentf(id))
+		f.Check(resp.Close, qt.IsTrue, qt.Commentf(id))
+		f.Check(f.runsOf(id), qt.HasLen, 0, qt.Commentf(id))
+	}
+}
+
+// Guards against a closed connection in place of an answer for a request that was
+// accepted in time, but whose backend server still works at the end of a planned
+// stop.
+func TestSlowRequestInPlannedStop(t *testing.T) {
+	const grace = 2 * time.Second
+	f := newFixture(t)
+	b := f.backend("b1", "book", "ok")
+	b.SetBehavior(standin.Behavior{ServiceTime: 2 * grace})
+	f.store.Configure(1, standin.Route{Name: "book", Host: host, Prefix: "/book/", Kind: "non_idempotent", TimeoutMS: 8000, GoalMS: 300, MaxAttempts: 1, Service: "book"})
+	v := f.startWith("vm1", true, grace)
+	go func() {
+		f.eventually(time.Second, "running", func() bool { return len(b.Runs()) > 0 })
+		v.stop()
+	}()
+	a := f.ask(v, "POST", "/book/x", "slow", "seat", 8*time.Second)
+	f.Check(a.status, qt.Equals, http.StatusGatewayTimeout)
+}
+
 // Guards against backend servers that work for a caller that left more than
 // maxWorkAfterDeparture ago, at direct and at relayed attempts.
 func TestWorkEndsAfterCallerLeft(t *testing.T) {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -20,6 +20,10 @@
 // daemon usually reads the configuration within milliseconds of its start.
 const startRetryAfter = 300 * time.Millisecond
 
+// stopRetryAfter is the Retry-After sent by a VM that no longer forwards requests:
+// the other VMs can serve the caller at once.
+const stopRetryAfter = 10 * time.Millisecond
+
 // ServeHTTP answers a caller's request.
 func (d *Daemon) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
@@ -32,6 +36,10 @@
 		d.finishRequest(w, r, id, arrived, "", 0, forward.Answer{Outcome: forward.Refused, RetryAfter: startRetryAfter, Reason: "no configuration is known yet"})
 		return
 	}
+	if d.refusing.Load() {
+		d.refuseByStop(w, r, id, arrived, "", table.Version)
+		return
+	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	rt, ok := table.Match(r.Host, path)
 	if !ok {
@@ -58,15 +66,28 @@
 		d.rejectBody(w, id, err)
 		return
 	}
+	if !d.beginForwarding() { // the body was complete only after the VM began to refuse requests
+		d.refuseByStop(w, r, id, arrived, rt.Name, table.Version)
+		return
+	}
+	defer d.endForwarding()
 	answer := d.engine.Run(r.Context(), forward.Job{
-		Route:   rt,
-		Request: &upstream.Request{Method: r.Method, Head: d.platform.EncodeHead(r, len(body)), Body: body, ID: id, MaxReplyBytes: maxReplyBytes(rt)},
-		Wait:    wait,
-		Arrived: arrived,
+		Route:    rt,
+		Request:  &upstream.Request{Method: r.Method, Head: d.platform.EncodeHead(r, len(body)), Body: body, ID: id, MaxReplyBytes: maxReplyBytes(rt)},
+		Wait:     wait,
+		Arrived:  arrived,
+		Stopping: d.stopping,
 	})
 	d.finishRequest(w, r, id, arrived, rt.Name, table.Version, answer)
 }
 
+// refuseByStop refuses a request that arrives late in a planned stop: if it were
+// forwarded, it might not be answered before the process ends.
+func (d *Daemon) refuseByStop(w http.ResponseWriter, r *http.Request, id string, arrived time.Time, routeName string, version int64) {
+	w.Header().Set("Connection", "close")
+	d.finishRequest(w, r, id, arrived, routeName, version, forward.Answer{Outcome: forward.Refused, RetryAfter: stopRetryAfter, Reason: "the VM is stopping"})
+}
+
 // maxReplyBytes returns the largest reply allowed on a route, in bytes.
 func maxReplyBytes(rt *route.Route) int64 {
 	if rt.Scattered() {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -263,6 +263,9 @@
 	// limit.
 	Wait    time.Duration
 	Arrived time.Time
+	// Stopping is closed when the VM stops and the request has to be answered with
+	// what it has; nil if it never is.
+	Stopping <-chan struct{}
 }
 
 // Run runs a request and returns its answer. The context must be cancelled when
--- a/forward/run.go
+++ b/forward/run.go
@@ -127,6 +127,9 @@
 			r.handle(res)
 			r.drainResults()
 		case <-timer.C:
+		case <-r.job.Stopping:
+			r.drainResults()
+			r.schedule.GiveUp = min(r.schedule.GiveUp, time.Since(r.job.Arrived))
 		case <-ctx.Done():
 			r.answer.Outcome, r.answer.Reason = CallerDisconnected, "the caller left"
 			return r.answer
