soak: check that work ends after callers have left

Change: in a fault of its own the servers of a zone hang and callers leave after 10 to 50 ms; another one lets a single server hang. The check departure takes the runs that were cut off after their caller had left, and fails if more than five and more than a quarter of them went on for over 0.5 s. Runs near a disturbance of a proxy or beside a paused VM are skipped, since the close may not arrive.

TestChecksFire and TestSoak pass.

--- a/soak/check.go
+++ b/soak/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"net/http"
 	"slices"
@@ -20,6 +21,7 @@
 	MinShards     int
 	NonIdempotent bool // must run at most once
 	Start, End    time.Time
+	Left          bool // the caller left before the answer, at End
 	Answer        standin.Answer
 	Err           error
 }
@@ -186,6 +188,52 @@
 	return violations
 }
 
+// span is a time span.
+type span struct{ from, to time.Time }
+
+func (s span) overlaps(from, to time.Time) bool { return s.from.Before(to) && from.Before(s.to) }
+
+// maxWorkAfterDeparture is how long a backend server may work for a caller that has
+// left. Of the runs that end because their connection is closed, at most
+// lateDepartureFraction may end later, and maxLateDepartures in any case.
+const (
+	maxWorkAfterDeparture = 500 * time.Millisecond
+	lateDepartureFraction = 0.25
+	maxLateDepartures     = 5
+)
+
+// checkDepartures returns a violation if too many runs went on after their callers
+// had left. It skips runs near a disturbance, in which the close of a connection may
+// not arrive: those of all servers are under the key "".
+func checkDepartures(requests []request, runs []run, disturbances map[string][]span) []Violation {
+	left := map[string]time.Time{}
+	for _, r := range requests {
+		if r.Left {
+			left[r.ID] = r.End
+		}
+	}
+	total, late, first := 0, 0, ""
+	for _, r := range runs {
+		leftAt, ok := left[r.ID]
+		if !ok || !r.Cancelled || r.EndedAt.Before(leftAt) {
+			continue
+		}
+		near := func(s span) bool { return s.overlaps(r.At, r.EndedAt) }
+		if slices.ContainsFunc(disturbances[""], near) || slices.ContainsFunc(disturbances[r.Backend], near) {
+			continue
+		}
+		total++
+		if r.EndedAt.Sub(leftAt) > maxWorkAfterDeparture {
+			late++
+			first = cmp.Or(first, r.ID)
+		}
+	}
+	if late > maxLateDepartures && float64(late) > lateDepartureFraction*float64(total) {
+		return []Violation{{"departure", first, fmt.Sprintf("%d of %d runs went on for more than %v after their callers had left", late, total, maxWorkAfterDeparture)}}
+	}
+	return nil
+}
+
 // plannedStop is a graceful stop of a VM that was stable when the stop began. The
 // VM must not abort requests that start between from and to.
 type plannedStop struct {
@@ -206,7 +254,7 @@
 			if s.vm.faultBegan(s.from, r.End) {
 				continue
 			}
-			if r.VM == s.vm.settings.ID && r.Err != nil && ran[r.ID] && r.Start.After(s.from) && r.Start.Before(s.to) {
+			if r.VM == s.vm.settings.ID && r.Err != nil && !r.Left && ran[r.ID] && r.Start.After(s.from) && r.Start.Before(s.to) {
 				violations = append(violations, Violation{"planned stop", r.ID, fmt.Sprintf("%s: %v", r.VM, r.Err)})
 			}
 		}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -73,6 +74,21 @@
 	qt.Check(t, checkDrains(runs, []drainedBackend{{"a4", at(9.5)}}), qt.HasLen, 0)
 	qt.Check(t, checkDrains(runs, []drainedBackend{{"a4", at(8.5)}}), qt.HasLen, 1)
 
+	var lookups []request
+	var cancelled []run
+	for i := range 20 {
+		id := fmt.Sprint("left-", i)
+		lookups = append(lookups, request{ID: id, Service: "a", Start: at(1), End: at(2), Left: true})
+		endedAt := at(2.4)
+		if i < 6 {
+			endedAt = at(2.7)
+		}
+		cancelled = append(cancelled, run{Run: standin.Run{ID: id, At: at(1), EndedAt: endedAt, Cancelled: true}, Backend: "a1"})
+	}
+	qt.Check(t, checkDepartures(lookups, cancelled, nil), qt.HasLen, 1)
+	qt.Check(t, checkDepartures(lookups, cancelled[1:], nil), qt.HasLen, 0)
+	qt.Check(t, checkDepartures(lookups, cancelled, map[string][]span{"a1": {{at(0), at(3)}}}), qt.HasLen, 0)
+
 	booking.Err, booking.End = errors.New("EOF"), at(3)
 	v := &vm{settings: standin.VMSettings{ID: "vm"}}
 	qt.Check(t, checkStops([]request{booking}, runs, []plannedStop{{v, at(0), at(2)}}), qt.HasLen, 1)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -68,6 +68,18 @@
 	}
 }
 
+// backendsOfZone returns the backend servers of a zone that are not draining.
+func (h *harness) backendsOfZone(zone string) (list []*backend) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, b := range h.backends {
+		if b.Zone == zone && !b.draining {
+			list = append(list, b)
+		}
+	}
+	return list
+}
+
 // recordStoreFault records a fault of the store, which affects all VMs.
 func (h *harness) recordStoreFault(d time.Duration) {
 	h.storeMu.Lock()
@@ -100,6 +112,7 @@
 	{"pause a VM", func(h *harness, d time.Duration) func() {
 		v := h.randomVM()
 		v.recordFault(d + stabilityPeriod)
+		h.recordDisturbance("", d)
 		v.signal(syscall.SIGSTOP)
 		return func() { v.signal(syscall.SIGCONT) }
 	}},
@@ -147,6 +160,20 @@
 	{"server sends answers twice", backendProxyFault(modeRepeat)},
 	{"server fails", backendFault(standin.Behavior{Fail: true})},
 	{"server refuses requests", backendFault(standin.Behavior{Refuse: true})},
+	{"server hangs", backendFault(standin.Behavior{Hang: true})},
+	{"servers of a zone hang and callers leave", func(h *harness, d time.Duration) func() {
+		servers := h.backendsOfZone(h.randomBackend().Zone)
+		for _, b := range servers {
+			b.SetBehavior(standin.Behavior{Hang: true})
+		}
+		h.departures.Add(1)
+		return func() {
+			h.departures.Add(-1)
+			for _, b := range servers {
+				b.SetBehavior(normalBehavior)
+			}
+		}
+	}},
 	{"server slow", backendFault(standin.Behavior{ServiceTime: 200 * time.Millisecond})},
 	{"server loses answers", backendFault(standin.Behavior{Drop: true})},
 	{"server breaks answers off", backendFault(standin.Behavior{Truncate: true})},
@@ -216,6 +243,7 @@
 func backendProxyFault(m mode) func(*harness, time.Duration) func() {
 	return func(h *harness, d time.Duration) func() {
 		b := h.randomBackend()
+		h.recordDisturbance(b.ID, d)
 		b.proxy.setMode(m)
 		return func() { b.proxy.setMode(modePass) }
 	}
@@ -225,6 +253,6 @@
 	return func(h *harness, d time.Duration) func() {
 		b := h.randomBackend()
 		b.SetBehavior(behavior)
-		return func() { b.SetBehavior(standin.Behavior{ServiceTime: 5 * time.Millisecond}) }
+		return func() { b.SetBehavior(normalBehavior) }
 	}
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -48,6 +48,9 @@
 	callers       = 12
 	callerPause   = 25 * time.Millisecond // minimum pause of a caller; the maximum is twice as long
 	callerTimeout = time.Second
+	// minStay is the time after which a caller may leave without an answer; the
+	// maximum is five times as long.
+	minStay       = 10 * time.Millisecond
 	budgetRatio   = 0.2
 	budgetSlack   = 60
 	budgetWindow  = 10 * time.Second
@@ -68,6 +71,9 @@
 	memoryLimitMB   = 206
 )
 
+// normalBehavior is the behavior of a backend server without a fault.
+var normalBehavior = standin.Behavior{ServiceTime: 5 * time.Millisecond}
+
 // delayMargin is added to the time limits of checks, because a busy machine delays
 // updates and requests.
 const delayMargin = 500 * time.Millisecond
@@ -91,12 +97,14 @@
 	violations       []Violation
 	drains           []drainedBackend
 	plannedStops     []plannedStop
+	disturbances     map[string][]span   // by backend server; "" for all
 	versionTimes     map[int64]time.Time // time at which each configuration was written
 	version          int64               // newest configuration version
 	faults           map[string]int
 	recoveryServed   atomic.Int64 // counted while measureRecovery is set
 	recoveryRequests atomic.Int64 // counted while measureRecovery is set
 	measureRecovery  atomic.Bool
+	departures       atomic.Int32 // faults in which callers leave before the answer
 	lastRequestID    atomic.Int64
 }
 
@@ -112,7 +120,7 @@
 func Run(ctx context.Context, cfg Config) (*Report, error) {
 	h := &harness{
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), started: time.Now(), store: standin.NewStore(),
-		versionTimes: map[int64]time.Time{}, faults: map[string]int{},
+		versionTimes: map[int64]time.Time{}, faults: map[string]int{}, disturbances: map[string][]span{},
 	}
 	defer h.close()
 	if err := h.start(); err != nil {
@@ -186,7 +194,7 @@
 	id := fmt.Sprintf("s%03d", len(h.backends))
 	body := strings.Repeat(fmt.Sprintf("%016d", 1000+len(h.backends)), 3)
 	b := &backend{Backend: standin.NewBackend(id, service, fmt.Sprintf("r%d-a", len(h.backends)%2), []byte(body))}
-	b.SetBehavior(standin.Behavior{ServiceTime: 5 * time.Millisecond})
+	b.SetBehavior(normalBehavior)
 	var err error
 	if b.proxy, err = newProxy(b.Address()); err != nil {
 		b.Close()
@@ -280,9 +288,15 @@
 	}
 	// The end of the load must not cancel a request: the checks would take it for
 	// one that the VM aborted.
-	r.Answer, r.Err = c.Send(context.WithoutCancel(ctx), address, method, host, path, r.ID, callerTimeout)
-	r.End = time.Now()
-	if h.measureRecovery.Load() {
+	ctx = context.WithoutCancel(ctx)
+	if !r.NonIdempotent && h.departures.Load() > 0 {
+		stay, cancel := context.WithTimeout(ctx, minStay+rand.N(4*minStay))
+		defer cancel()
+		ctx = stay
+	}
+	r.Answer, r.Err = c.Send(ctx, address, method, host, path, r.ID, callerTimeout)
+	r.End, r.Left = time.Now(), ctx.Err() != nil
+	if h.measureRecovery.Load() && !r.Left {
 		h.recoveryRequests.Add(1)
 		if r.Err == nil && r.Answer.Status == http.StatusOK {
 			h.recoveryServed.Add(1)
@@ -294,6 +308,15 @@
 	h.violations = append(h.violations, checkAnswer(r, h.servers())...)
 }
 
+// recordDisturbance records that closes of connections may not arrive at a backend
+// server for d; at any, if backendID is "".
+func (h *harness) recordDisturbance(backendID string, d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	h.disturbances[backendID] = append(h.disturbances[backendID], span{now, now.Add(d + delayMargin)})
+}
+
 func (h *harness) vmAt(address string) string {
 	for _, v := range h.vms {
 		if v.settings.CallerAddress == address {
@@ -414,6 +437,7 @@
 		}
 	}
 	h.violations = slices.Concat(h.violations, checkAtMostOnce(h.requests, runs), checkDrains(runs, h.drains), checkStops(h.requests, runs, h.plannedStops),
+		checkDepartures(h.requests, runs, h.disturbances),
 		checkRetryBudget(h.requests, runs, retryBudget{budgetRatio, budgetSlack, budgetWindow}))
 	r := &Report{Requests: len(h.requests), Faults: maps.Clone(h.faults), Violations: h.violations}
 	for _, q := range h.requests {
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -21,8 +21,9 @@
 	RemainingMS              int64
 	At                       time.Time
 	// EndedAt is when the run ended, by a reply or as its connection was closed;
-	// zero while it is running.
-	EndedAt time.Time
+	// zero while it is running. Cancelled is set if the connection was closed.
+	EndedAt   time.Time
+	Cancelled bool
 }
 
 // Behavior determines how a backend server replies.
@@ -158,6 +159,9 @@
 	select {
 	case <-time.After(behavior.ServiceTime):
 	case <-r.Context().Done():
+		b.mu.Lock()
+		b.runs[index].Cancelled = true
+		b.mu.Unlock()
 		return
 	case <-b.stop:
 		return
