upstream, forward: heed servers that leave or ask for a pause in their answers

Cause: a VM learned that a backend server leaves only from the records of the store, and nothing read Server-Leaving or the Retry-After of a refusal.

Change: platform decodes both headers into upstream.Notice, only of replies that are known to be from the server. The client keeps them for each incarnation; discovery remembers removed servers for 10 minutes, so that the return of a record does not end a notice. Leaving servers are a last resort for half of the drain bound, pausing ones get nothing; requests that no server can take are refused at once, with the shortest pause as Retry-After. It is checked when servers are chosen, before and after an attempt waits for a connection.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -107,6 +107,9 @@
 	// LastResort is how long a draining server may still get requests while its
 	// service has no ready one.
 	LastResort time.Duration
+	// Retention is how long a removed server is remembered. If it is listed again
+	// meanwhile, it is the same incarnation, with the same *config.Backend.
+	Retention time.Duration
 }
 
 // Registry tracks the backend servers. Replicas and Services take no lock.
@@ -114,12 +117,19 @@
 	cfg       Config
 	mu        sync.Mutex
 	servers   map[string]*serverState
+	removed   map[string]removedServer
 	published atomic.Pointer[map[string]*Replicas]
 }
 
+// removedServer is a server that is no longer listed nor used.
+type removedServer struct {
+	*serverState
+	at time.Time
+}
+
 // NewRegistry returns an empty Registry.
 func NewRegistry(cfg Config) *Registry {
-	r := &Registry{cfg: cfg, servers: map[string]*serverState{}}
+	r := &Registry{cfg: cfg, servers: map[string]*serverState{}, removed: map[string]removedServer{}}
 	r.published.Store(&map[string]*Replicas{})
 	return r
 }
@@ -149,10 +159,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var changes []Change
+	maps.DeleteFunc(r.removed, func(_ string, s removedServer) bool { return now.Sub(s.at) > r.cfg.Retention })
 	for _, id := range slices.Sorted(maps.Keys(listed)) {
 		s := listed[id]
 		old := r.servers[id]
-		next := r.nextState(old, s, now)
+		before := old
+		if before == nil {
+			before = r.removed[id].serverState
+			delete(r.removed, id)
+		}
+		next := r.nextState(before, s, now)
 		if old == nil || old.status != next.status || old.backend != next.backend {
 			c := Change{Server: s, To: next.status, Until: next.usableUntil}
 			if old != nil {
@@ -214,6 +230,7 @@
 		return Change{}, false
 	}
 	delete(r.servers, id)
+	r.removed[id] = removedServer{st, now}
 	return Change{Server: st.server, From: st.status}, true
 }
 
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -112,3 +112,34 @@
 		}
 	})
 }
+
+// Guards against a server that is taken for another incarnation after its record had
+// been missing in an outage of the store: what it said about itself would be lost.
+func TestIncarnationComesBack(t *testing.T) {
+	r := NewRegistry(Config{Retention: time.Minute})
+	now := time.Now()
+	record := Server{Backend: config.Backend{ID: "b", Address: "127.0.0.1:1"}, Service: "s", StartedMS: 1}
+	listed := func(startedMS int64) map[string]Server {
+		s := record
+		s.StartedMS = startedMS
+		return map[string]Server{"b": s}
+	}
+	missingFor := func(d time.Duration) {
+		r.Update(nil, now, 0)
+		r.Update(nil, now.Add(time.Millisecond), 0)
+		now = now.Add(d)
+	}
+	r.Update(listed(1), now, 0)
+	first := r.Replicas("s").Ready[0]
+	missingFor(30 * time.Second)
+	qt.Assert(t, r.Replicas("s"), qt.IsNil)
+	r.Update(listed(1), now, 0)
+	qt.Check(t, r.Replicas("s").Ready[0] == first, qt.IsTrue)
+	missingFor(2 * time.Minute)
+	r.Update(listed(1), now, 0)
+	second := r.Replicas("s").Ready[0]
+	qt.Check(t, second != first, qt.IsTrue)
+	missingFor(30 * time.Second)
+	r.Update(listed(2), now, 0)
+	qt.Check(t, r.Replicas("s").Ready[0] != second, qt.IsTrue)
+}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -141,7 +141,10 @@
 	d.backgroundCtx, d.cancelBackground = context.WithCancel(context.Background())
 	d.bounds.Store(&set.Bounds)
 	d.state = newState(p, set.VMID, logger, d.panics, lastResortPeriod(set.DrainBound))
-	d.client = upstream.NewClient(upstream.Config{Protocol: p, Memory: d.replyMemory, Panics: d.panics})
+	d.client = upstream.NewClient(upstream.Config{
+		Protocol: p, Memory: d.replyMemory, Panics: d.panics,
+		LeavingPeriod: lastResortPeriod(set.DrainBound), NoticeRetention: serverRetention, Noticed: d.logNotice,
+	})
 	d.picker = balance.NewPicker(balance.Config{})
 	d.queues = balance.NewQueues()
 	d.relay = relay.NewClient(set.VMID, set.Zone, set.Region, set.Zones)
@@ -156,6 +159,10 @@
 	return d
 }
 
+// serverRetention is how long a backend server that is no longer listed is
+// remembered: its record may have expired in an outage of the store, longer than most.
+const serverRetention = 10 * time.Minute
+
 // lastResortPeriod returns how long a backend server that drains or is no
 // longer listed may get requests while its service has no ready one. That is
 // half of the drain bound. In the other half the change of the server's record
@@ -465,6 +472,12 @@
 	}
 }
 
+// logNotice logs that a backend server leaves or asks for a pause.
+func (d *Daemon) logNotice(b *config.Backend, requestID string, n upstream.Notice) {
+	d.logger.Info("notice of a backend server", "backend", b.ID, "address", b.Address, "leaving", n.Leaving, "pause_ms", n.Pause.Milliseconds(),
+		telemetry.FieldRequestID, requestID)
+}
+
 // drain stops the daemon without aborting requests: it first marks the VM as
 // leaving, so that callers no longer get its address, then refuses new requests,
 // then waits for the last ones until stopMargin before the end of the stop grace
--- /dev/null
+++ b/entry/notice_test.go
@@ -0,0 +1,161 @@
+package entry_test
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/briarstand/briarstand/standin"
+)
+
+// drainBound is the drain bound of the fixture's VMs.
+const drainBound = 3 * time.Second
+
+// Guards against requests to a backend server that has said in an answer that it
+// leaves, while its record does not say so because the store is away. Without
+// another server it is used as a last resort, but not beyond the drain bound.
+func TestServerLeavesByAnswer(t *testing.T) {
+	f := newFixture(t)
+	leaving, other := f.backend("q1", "quotes", "bytes"), f.backend("q2", "quotes", "bytes")
+	alone := f.backend("s1", "stock", "bytes")
+	f.store.Configure(1, single("quote", "quotes", "idempotent"), single("stock", "stock", "idempotent"))
+	v := f.start("vm1", true)
+	f.store.SetFault(standin.Silent)
+	leaving.SetBehavior(standin.Behavior{Leaving: true})
+	alone.SetBehavior(standin.Behavior{Leaving: true})
+	f.eventually(3*time.Second, "an answer of the leaving server", func() bool {
+		f.Check(f.ask(v, "GET", "/quote/x", "probe", "", time.Second).status, qt.Equals, http.StatusOK)
+		return len(leaving.Runs()) > 0
+	})
+	told := time.Now()
+	f.Check(f.ask(v, "GET", "/stock/x", "told", "", time.Second).status, qt.Equals, http.StatusOK)
+	f.Check(f.ask(v, "GET", "/stock/x", "last resort", "", time.Second).status, qt.Equals, http.StatusOK)
+	runs := len(leaving.Runs())
+	for i := range 20 {
+		f.Check(f.ask(v, "GET", "/quote/x", fmt.Sprint("later-", i), "", time.Second).status, qt.Equals, http.StatusOK)
+	}
+	f.Check(leaving.Runs(), qt.HasLen, runs)
+	f.Check(len(other.Runs()) >= 20, qt.IsTrue)
+	time.Sleep(time.Until(told.Add(drainBound)))
+	runs = len(alone.Runs())
+	f.Check(f.ask(v, "GET", "/stock/x", "too late", "", time.Second).status, qt.Equals, http.StatusServiceUnavailable)
+	f.Check(alone.Runs(), qt.HasLen, runs)
+
+	// A server that starts again under its id has not said anything yet.
+	f.store.SetFault(standin.Healthy)
+	alone.SetBehavior(standin.Behavior{})
+	f.eventually(5*time.Second, "store answers", func() bool { return strings.Contains(f.logs.String(), "store answers") })
+	alone.Register(f.store, "ready")
+	f.eventually(5*time.Second, "used again", func() bool {
+		return f.ask(v, "GET", "/stock/x", "again", "", time.Second).status == http.StatusOK
+	})
+}
+
+// Guards against requests to a backend server that has asked for a pause. Another
+// server takes them; if there is none, they are refused at once until the pause
+// ends.
+func TestServerPauses(t *testing.T) {
+	const pause = time.Second
+	f := newFixture(t)
+	first, second := f.backend("q1", "quotes", "bytes"), f.backend("q2", "quotes", "bytes")
+	f.store.Configure(1, single("quote", "quotes", "non_idempotent"))
+	v := f.start("vm1", true)
+	first.SetBehavior(standin.Behavior{Refuse: true, Pause: pause})
+	f.eventually(3*time.Second, "a refusal", func() bool {
+		f.Check(f.ask(v, "GET", "/quote/x", "probe", "", time.Second).status, qt.Equals, http.StatusOK)
+		return len(first.Refusals()) > 0
+	})
+	told := time.Now()
+	for i := range 20 {
+		f.Check(f.ask(v, "GET", "/quote/x", fmt.Sprint("one-", i), "", time.Second).status, qt.Equals, http.StatusOK)
+	}
+	f.Check(first.Refusals(), qt.HasLen, 1)
+
+	second.SetBehavior(standin.Behavior{Refuse: true, Pause: pause})
+	f.Check(f.ask(v, "GET", "/quote/x", "both", "", time.Second).status, qt.Equals, http.StatusServiceUnavailable)
+	for i := range 5 {
+		start := time.Now()
+		a := f.ask(v, "GET", "/quote/x", fmt.Sprint("none-", i), "", time.Second)
+		f.Check(a.status, qt.Equals, http.StatusServiceUnavailable)
+		f.Check(time.Since(start) < 100*time.Millisecond, qt.IsTrue, qt.Commentf("took %v", time.Since(start)))
+		after, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+		f.Check(err, qt.IsNil)
+		f.Check(after > 0 && after <= pause.Seconds(), qt.IsTrue, qt.Commentf("Retry-After: %v", after))
+	}
+	f.Check(first.Refusals(), qt.HasLen, 1)
+	f.Check(second.Refusals(), qt.HasLen, 1)
+	first.SetBehavior(standin.Behavior{})
+	time.Sleep(time.Until(told.Add(pause)))
+	f.Check(f.ask(v, "GET", "/quote/x", "over", "", time.Second).status, qt.Equals, http.StatusOK)
+}
+
+// Guards against notices that only the relay knows: it and the origin then leave out
+// the server.
+func TestNoticesThroughRelay(t *testing.T) {
+	f := newFixture(t)
+	for _, shard := range []string{"a", "b"} {
+		for _, replica := range []string{"1", "2"} {
+			f.backend(shard+replica, "shard-"+shard, record('a'))
+		}
+	}
+	f.store.Configure(1, scattered("find", 1, "shard-a", "shard-b"))
+	origin := f.startIn("attica-b", "vm1", true, 600*time.Millisecond)
+	f.start("vm2", true)
+	f.eventually(10*time.Second, "relayed", func() bool {
+		f.ask(origin, "GET", "/find/x", "probe", "", time.Second)
+		return strings.Contains(f.logs.String(), `"relayed":2`)
+	})
+	f.store.SetFault(standin.Silent)
+	f.backends["a1"].SetBehavior(standin.Behavior{Leaving: true})
+	f.backends["b1"].SetBehavior(standin.Behavior{Refuse: true, Pause: 20 * time.Second})
+	known := func(vm string) bool {
+		n := 0
+		for line := range strings.SplitSeq(f.logs.String(), "\n") {
+			if strings.Contains(line, "notice of a backend server") && strings.Contains(line, vm) {
+				n++
+			}
+		}
+		return n >= 2
+	}
+	f.eventually(5*time.Second, "both VMs know", func() bool {
+		f.ask(origin, "GET", "/find/x", "probe", "", time.Second)
+		return known("vm1") && known("vm2")
+	})
+	runs, refused := len(f.backends["a1"].Runs()), len(f.backends["b1"].Refusals())
+	for i := range 20 {
+		a := f.ask(origin, "GET", "/find/x", fmt.Sprint("later-", i), "", time.Second)
+		f.Check(a.status, qt.Equals, http.StatusOK)
+	}
+	f.Check(f.backends["a1"].Runs(), qt.HasLen, runs)
+	f.Check(f.backends["b1"].Refusals(), qt.HasLen, refused)
+}
+
+// Guards against queries that wait for, or are refused for, a shard whose servers all
+// pause: the others answer. With too few of them the query is refused at once.
+func TestPausedShardIsLeftOut(t *testing.T) {
+	f := newFixture(t)
+	paused := f.backend("a1", "shard-a", record('a'))
+	other := f.backend("b1", "shard-b", record('b'))
+	f.store.Configure(1, scattered("find", 0.5, "shard-a", "shard-b"))
+	v := f.start("vm1", true)
+	paused.SetBehavior(standin.Behavior{Refuse: true, Pause: 20 * time.Second})
+	f.Check(f.ask(v, "GET", "/find/x", "told", "", time.Second).status, qt.Equals, http.StatusOK)
+	for i := range 5 {
+		a := f.ask(v, "GET", "/find/x", fmt.Sprint("part-", i), "", time.Second)
+		f.Check(a.status, qt.Equals, http.StatusOK)
+		f.Check(a.header.Get("X-Missing-Parts"), qt.Equals, "1")
+	}
+	f.Check(paused.Refusals(), qt.HasLen, 1)
+
+	other.SetBehavior(standin.Behavior{Refuse: true, Pause: 20 * time.Second})
+	f.Check(f.ask(v, "GET", "/find/x", "told too", "", time.Second).status, qt.Equals, http.StatusServiceUnavailable)
+	start := time.Now()
+	f.Check(f.ask(v, "GET", "/find/x", "none", "", time.Second).status, qt.Equals, http.StatusServiceUnavailable)
+	f.Check(time.Since(start) < 100*time.Millisecond, qt.IsTrue)
+	f.Check(other.Refusals(), qt.HasLen, 1)
+}
--- a/entry/state.go
+++ b/entry/state.go
@@ -51,7 +51,7 @@
 func newState(p Platform, vmID string, logger *log.Logger, panics *contain.Panics, lastResortPeriod time.Duration) *state {
 	s := &state{
 		platform: p, mirror: mirror.New(), logger: logger, panics: panics,
-		registry: discovery.NewRegistry(discovery.Config{LastResort: lastResortPeriod}), lastResortPeriod: lastResortPeriod,
+		registry: discovery.NewRegistry(discovery.Config{LastResort: lastResortPeriod, Retention: serverRetention}), lastResortPeriod: lastResortPeriod,
 		servers: map[string]decoded[discovery.Server]{}, members: map[string]decoded[membership.Member]{},
 		vms: newVMTable(vmID),
 	}
--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -49,6 +49,12 @@
 
 func (f *fakeTransport) HasCapacity(*config.Backend) bool { return true }
 
+func (f *fakeTransport) Availability(*config.Backend, time.Time) (upstream.Availability, time.Duration) {
+	return upstream.Available, 0
+}
+
+func (f *fakeTransport) Observe(*config.Backend, string, upstream.Notice) {}
+
 func (f *fakeTransport) Send(b *config.Backend, _ *upstream.Request, deadline time.Time, tag int, results chan<- upstream.Result) upstream.Attempt {
 	f.mu.Lock()
 	do, ok := f.behaviors[b.ID]
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,6 +34,11 @@
 	// HasCapacity reports whether a connection to a backend server is idle or
 	// may be opened.
 	HasCapacity(b *config.Backend) bool
+	// Availability returns whether a request may be sent to a backend server, and
+	// how long the pause of a withheld one still lasts; 0 if it stays withheld.
+	Availability(b *config.Backend, now time.Time) (a upstream.Availability, pause time.Duration)
+	// Observe records the notice in a reply that a relay received.
+	Observe(b *config.Backend, requestID string, n upstream.Notice)
 }
 
 // Replicas lists the backend servers of a service; discovery.Registry
@@ -161,6 +167,35 @@
 	return up
 }
 
+// admissible returns the replicas of a service that may get requests: those that
+// are available or, if none is, those that are leaving. If there are none, pause is
+// the time until the first one has paused; 0 if none does.
+func (e *Engine) admissible(service string, now time.Time) (replicas []*config.Backend, pause time.Duration) {
+	usable := e.cfg.Replicas.Replicas(service).Usable(now)
+	withNotice := func(b *config.Backend) bool {
+		a, _ := e.cfg.Transport.Availability(b, now)
+		return a != upstream.Available
+	}
+	if !slices.ContainsFunc(usable, withNotice) {
+		return usable, 0
+	}
+	var available, lastResort []*config.Backend
+	for _, b := range usable {
+		switch a, p := e.cfg.Transport.Availability(b, now); {
+		case a == upstream.Available:
+			available = append(available, b)
+		case a == upstream.LastResort:
+			lastResort = append(lastResort, b)
+		case p > 0 && (pause == 0 || p < pause):
+			pause = p
+		}
+	}
+	if len(available) == 0 {
+		available = lastResort
+	}
+	return available, pause
+}
+
 // RetainServices drops the budgets of all services except those given. It also
 // drops the down marks that are older than downFor and the callers' waits of
 // unused routes.
--- a/forward/queue_test.go
+++ b/forward/queue_test.go
@@ -35,6 +35,12 @@
 
 func (s *slotServers) HasCapacity(*config.Backend) bool { return true }
 
+func (s *slotServers) Availability(*config.Backend, time.Time) (upstream.Availability, time.Duration) {
+	return upstream.Available, 0
+}
+
+func (s *slotServers) Observe(*config.Backend, string, upstream.Notice) {}
+
 func (s *slotServers) Send(b *config.Backend, _ *upstream.Request, _ time.Time, tag int, results chan<- upstream.Result) upstream.Attempt {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/forward/run.go
+++ b/forward/run.go
@@ -53,7 +53,10 @@
 	nearHedgeDelay time.Duration // hedge delay of attempts in this VM's region
 	farHedgeDelay  time.Duration // hedge delay of attempts in other regions
 	byDistance     map[distance]*distanceStats
-	answer         Answer
+	// pause is the time until a service without a backend server has one again, the
+	// shortest of all services; 0 if none is known.
+	pause  time.Duration
+	answer Answer
 }
 
 // distanceStats counts the sub-requests whose first attempts have the same distance.
@@ -110,7 +113,11 @@
 func (r *run) run(ctx context.Context) Answer {
 	defer r.cleanUp()
 	if !r.reachable() {
-		return r.refuse("too few shards have a backend server")
+		reason := "too few shards have a backend server"
+		if r.pause > 0 {
+			reason = "too few shards have a backend server that does not pause"
+		}
+		return r.refuse(reason)
 	}
 	r.sendFirstAttempts()
 	timer := time.NewTimer(0)
@@ -154,13 +161,22 @@
 	n := 0
 	now := time.Now()
 	for i := range r.subRequests {
-		if len(r.engine.cfg.Replicas.Replicas(r.subRequests[i].service).Usable(now)) > 0 {
+		if replicas, pause := r.engine.admissible(r.subRequests[i].service, now); len(replicas) > 0 {
 			n++
+		} else {
+			r.notePause(pause)
 		}
 	}
 	return n >= r.requiredReplies()
 }
 
+// notePause records that a service has no backend server until a pause has passed.
+func (r *run) notePause(pause time.Duration) {
+	if pause > 0 && (r.pause == 0 || pause < r.pause) {
+		r.pause = pause
+	}
+}
+
 // requiredReplies returns how many sub-requests must be answered.
 func (r *run) requiredReplies() int {
 	if r.job.Route.Scattered() {
@@ -205,7 +221,11 @@
 // slowest part wherever it comes from.
 func (r *run) pick(sub *subRequest) (*config.Backend, bool) {
 	now := time.Now()
-	usable := r.engine.cfg.Replicas.Replicas(sub.service).Usable(now)
+	usable, pause := r.engine.admissible(sub.service, now)
+	if len(usable) == 0 {
+		r.notePause(pause)
+		return nil, false
+	}
 	var preferred, others []*config.Backend
 	for _, b := range r.engine.avoidDown(usable, now) {
 		switch {
@@ -280,7 +300,7 @@
 	sub := &r.subRequests[a.index]
 	sub.running--
 	defer sub.release(res.Reply)
-	end := r.engine.observe(r.job.Route.Name, sub.service, a, res)
+	end := r.engine.observe(r.job.Route.Name, r.job.Request.ID, sub.service, a, res)
 	switch end {
 	case endNotSent:
 		sub.mayHaveRun--
@@ -429,7 +449,7 @@
 }
 
 func (r *run) refuse(reason string) Answer {
-	r.answer.Outcome, r.answer.Reason, r.answer.RetryAfter = Refused, reason, r.engine.cfg.Policy.RetryAfter
+	r.answer.Outcome, r.answer.Reason, r.answer.RetryAfter = Refused, reason, max(r.pause, r.engine.cfg.Policy.RetryAfter)
 	return r.answer
 }
 
@@ -481,7 +501,7 @@
 			res := <-r.results
 			for _, one := range append([]upstream.Result{res}, res.Batch...) {
 				a := &r.attempts[one.Tag]
-				r.engine.observe(r.job.Route.Name, r.subRequests[a.index].service, a, one)
+				r.engine.observe(r.job.Route.Name, r.job.Request.ID, r.subRequests[a.index].service, a, one)
 				r.engine.counts.recordAbandoned(a.relayed, time.Since(abandoned))
 				if one.Reply != nil {
 					one.Reply.Release()
@@ -494,13 +514,16 @@
 
 // observe reports the outcome of an attempt to the metrics, the picker, the
 // latencies and the queues.
-func (e *Engine) observe(routeName, service string, a *attempt, res upstream.Result) attemptEnd {
+func (e *Engine) observe(routeName, requestID, service string, a *attempt, res upstream.Result) attemptEnd {
 	latency := time.Since(a.start)
 	e.counts.recordAttempt(service, &res, latency)
 	end, status := classify(res)
 	if upstream.Unreachable(res.Err) || res.Reply != nil && res.Reply.Verdict == upstream.WrongServer {
 		e.down.Store(a.backend.ID, time.Now().Add(downFor))
 	}
+	if a.relayed {
+		e.cfg.Transport.Observe(a.backend, requestID, noticeOf(res))
+	}
 	if res.Reply != nil && res.Reply.Load.Known && e.cfg.Queues != nil {
 		replyTime := latency
 		if end == endNotRun {
@@ -515,6 +538,18 @@
 	return end
 }
 
+// noticeOf returns the notice of a backend server in a relayed result.
+func noticeOf(res upstream.Result) upstream.Notice {
+	var withheld *upstream.WithheldError
+	switch {
+	case res.Reply != nil:
+		return res.Reply.Notice
+	case errors.As(res.Err, &withheld):
+		return withheld.Notice
+	}
+	return upstream.Notice{}
+}
+
 // classify returns how an attempt ended, which decides about a retry, and the
 // status that the picker records for the replica.
 func classify(res upstream.Result) (attemptEnd, backend.Status) {
--- a/relay/client.go
+++ b/relay/client.go
@@ -418,12 +418,15 @@
 		delete(pending.tags, p.Index)
 		res := upstream.Result{Tag: tag}
 		switch {
+		case p.Unsent && p.notice() != upstream.Notice{}:
+			res.Err = &upstream.UnsentError{Backend: "relayed", Err: &upstream.WithheldError{Notice: p.notice()}}
 		case p.Unsent:
 			res.Err = &upstream.UnsentError{Backend: "relayed", Err: &PartError{Text: p.Error}, Unreachable: p.Unreachable}
 		case p.Error != "" || p.Verdict == 0:
 			res.Err = &upstream.IncompleteReplyError{Backend: "relayed", Err: &PartError{Text: p.Error}}
 		default:
 			res.Reply = &upstream.Reply{Verdict: p.Verdict, Signature: p.Signature, Latency: latency}
+			res.Reply.Notice = p.notice()
 			if len(p.Load) == 3 {
 				res.Reply.Load = upstream.Load{Running: p.Load[0], Waiting: p.Load[1], Slots: p.Load[2], Known: true}
 			}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -67,6 +67,16 @@
 	// requests, waiting requests and slots. It is empty if no request waits or
 	// the server reports no load.
 	Load []int `json:"l,omitempty"`
+	// Leaving and PauseMS are the notice in the backend server's reply, or the one
+	// for which the relay sent nothing; the pause is in milliseconds.
+	Leaving bool  `json:"x,omitempty"`
+	PauseMS int64 `json:"p,omitempty"`
+}
+
+func (p *part) setNotice(n upstream.Notice) { p.Leaving, p.PauseMS = n.Leaving, n.Pause.Milliseconds() }
+
+func (p *part) notice() upstream.Notice {
+	return upstream.Notice{Leaving: p.Leaving, Pause: time.Duration(p.PauseMS) * time.Millisecond}
 }
 
 // StatusError reports a relay that rejected a request.
--- a/relay/server.go
+++ b/relay/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"time"
 
@@ -119,6 +120,10 @@
 	case res.Err != nil:
 		p.Error, p.Unsent = res.Err.Error(), upstream.NotSent(res.Err)
 		p.Unreachable = upstream.Unreachable(res.Err)
+		var withheld *upstream.WithheldError
+		if errors.As(res.Err, &withheld) {
+			p.setNotice(withheld.Notice)
+		}
 		s.handler.Logger.Debug("relayed attempt failed", telemetry.FieldRequestID, s.req.ID, "backend", s.req.Backends[res.Tag], telemetry.FieldError, p.Error)
 	case res.Reply.Verdict == upstream.Served:
 		p.Verdict, p.Signature = res.Reply.Verdict, res.Reply.Signature
@@ -131,6 +136,9 @@
 	if res.Reply != nil && res.Reply.Load.Known && res.Reply.Load.Waiting > 0 {
 		p.Load = []int{res.Reply.Load.Running, res.Reply.Load.Waiting, res.Reply.Load.Slots}
 	}
+	if res.Reply != nil {
+		p.setNotice(res.Reply.Notice)
+	}
 	s.pending.Parts = append(s.pending.Parts, p)
 	return p.Verdict == upstream.Served
 }
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,6 +25,15 @@
 	// zero while it is running. Cancelled is set if the connection was closed.
 	EndedAt   time.Time
 	Cancelled bool
+	// Leaving is set if the reply announced that the server leaves.
+	Leaving bool
+}
+
+// Refusal is one request that a backend server has refused.
+type Refusal struct {
+	ID    string
+	At    time.Time
+	Pause time.Duration // that it asked for
 }
 
 // Behavior determines how a backend server replies.
@@ -32,6 +42,10 @@
 	ServiceTime time.Duration
 	// Refuse replies with 503 without running the request.
 	Refuse bool
+	// Pause, with Refuse, asks for no more requests for so long.
+	Pause time.Duration
+	// Leaving announces in each reply that the server leaves.
+	Leaving bool
 	// Fail runs the request and replies with 500.
 	Fail bool
 	// Drop runs the request and closes the connection without a reply.
@@ -64,6 +78,7 @@
 	runs              []Run
 	behavior          Behavior
 	connsOpened       int
+	refusals          []Refusal
 	stop              chan struct{}
 }
 
@@ -113,6 +128,13 @@
 	return b.connsOpened
 }
 
+// Refusals returns the requests that the server has refused.
+func (b *Backend) Refusals() []Refusal {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.refusals)
+}
+
 // Register writes the server's discovery entry to the store.
 func (b *Backend) Register(s *Store, state string) { b.RegisterAt(s, state, b.Address()) }
 
@@ -142,14 +164,21 @@
 	}
 	b.mu.Lock()
 	behavior := b.behavior
+	if behavior.Leaving {
+		h.Set("Server-Leaving", "1")
+	}
 	if behavior.Refuse {
+		b.refusals = append(b.refusals, Refusal{id, time.Now(), behavior.Pause})
 		b.mu.Unlock()
+		if behavior.Pause > 0 {
+			h.Set("Retry-After", strconv.FormatFloat(behavior.Pause.Seconds(), 'f', -1, 64))
+		}
 		h.Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	remainingMS, _ := strconv.ParseInt(r.Header.Get("X-Deadline-Ms"), 10, 64)
-	b.runs = append(b.runs, Run{ID: id, Method: r.Method, Target: r.RequestURI, Body: string(body), RemainingMS: remainingMS, At: time.Now()})
+	b.runs = append(b.runs, Run{ID: id, Method: r.Method, Target: r.RequestURI, Body: string(body), RemainingMS: remainingMS, At: time.Now(), Leaving: behavior.Leaving})
 	index := len(b.runs) - 1
 	b.mu.Unlock()
 	defer b.endRun(index)
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -45,6 +45,15 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Zero durations mean the defaults.
 	DialTimeout, IdleTimeout time.Duration
+	// LeavingPeriod is how long a server that says that it leaves may still get
+	// requests while its service has no other.
+	LeavingPeriod time.Duration
+	// NoticeRetention is how long the notices of a server that Update no longer
+	// names are kept, in case that it is named again.
+	NoticeRetention time.Duration
+	// Noticed is called when a server begins to leave or asks for a longer pause;
+	// nil if nobody needs to know.
+	Noticed func(b *config.Backend, requestID string, n Notice)
 	// Memory limits the total size of the replies that are held at once; nil
 	// means no limit.
 	Memory *limit.Memory
@@ -54,10 +63,13 @@
 
 // Client sends requests to backend servers through a connection pool for each.
 type Client struct {
-	cfg    Config
-	mu     sync.Mutex // serializes writers of pools
-	limits map[*config.Backend]int
-	pools  atomic.Pointer[map[*config.Backend]*pool]
+	cfg     Config
+	started time.Time
+	mu      sync.Mutex // serializes writers of pools and notices
+	limits  map[*config.Backend]int
+	pools   atomic.Pointer[map[*config.Backend]*pool]
+	// notices holds those of the servers that have given any.
+	notices atomic.Pointer[map[*config.Backend]*notices]
 	// readers holds read buffers for connections in use.
 	readers sync.Pool
 	stats   Stats
@@ -66,6 +78,9 @@
 // Stats counts connection events.
 type Stats struct {
 	Dials, DialErrors, Stale, Reused, Waited atomic.Uint64
+	// Notices counts the notices of servers that begin to leave or ask for a longer
+	// pause, Withheld the requests that were not sent because of one.
+	Notices, Withheld atomic.Uint64
 }
 
 // NewClient returns a Client that has no connections yet.
@@ -76,9 +91,10 @@
 	}
 	defaults.Set(&cfg.DialTimeout, DefaultDialTimeout)
 	defaults.Set(&cfg.IdleTimeout, DefaultIdleTimeout)
-	c := &Client{cfg: cfg}
+	c := &Client{cfg: cfg, started: time.Now()}
 	c.readers.New = func() any { return bufio.NewReaderSize(nil, readBufferSize) }
 	c.pools.Store(&map[*config.Backend]*pool{})
+	c.notices.Store(&map[*config.Backend]*notices{})
 	return c
 }
 
@@ -102,6 +118,7 @@
 		}
 	}
 	c.pools.Store(&next)
+	c.forgetNotices(limits)
 }
 
 // pool returns the connection pool of a backend server, creating it if needed.
@@ -246,12 +263,19 @@
 func (c *Client) attempt(call *call, req *Request, deadline time.Time) (*Reply, error) {
 	b := call.backend
 	p := c.pool(b)
+	if err := c.checkAvailable(b); err != nil {
+		return nil, err
+	}
 	conn, err := c.acquire(call.ctx, p)
 	if err != nil {
 		// A dial that failed because the attempt ended does not mean that the
 		// server is down.
 		return nil, &UnsentError{Backend: b.ID, Err: err, Unreachable: DialFailed(err) && call.ctx.Err() == nil}
 	}
+	if err := c.checkAvailable(b); err != nil { // the notice came while acquire waited
+		p.put(conn)
+		return nil, err
+	}
 	if !call.attach(conn, deadline) {
 		p.put(conn)
 		return nil, &UnsentError{Backend: b.ID, Err: ErrAbandoned}
@@ -284,6 +308,9 @@
 		reply.Verdict = Untrusted
 	}
 	conn.identified = reply.Identified
+	if reply.Verdict != Untrusted && reply.Verdict != WrongServer {
+		c.Observe(b, req.ID, reply.Notice)
+	}
 	call.detach()
 	if !reusable || reply.Verdict == Untrusted || reply.Verdict == WrongServer {
 		p.close(conn)
--- /dev/null
+++ b/upstream/notice_test.go
@@ -0,0 +1,65 @@
+package upstream
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/briarstand/briarstand/config"
+)
+
+// Guards against notices that are lost or cut short: by one with older news, by the
+// other kind, or when a server is missing from the records for a while.
+func TestNotices(t *testing.T) {
+	const leavingPeriod = 1500 * time.Millisecond
+	b, other := &config.Backend{ID: "b"}, &config.Backend{ID: "b"}
+	limits := map[*config.Backend]int{b: 1}
+	noticed := 0
+	c := NewClient(Config{LeavingPeriod: leavingPeriod, NoticeRetention: time.Hour, Noticed: func(*config.Backend, string, Notice) { noticed++ }})
+	c.started = c.started.Add(-time.Minute)
+	availability := func(after time.Duration) Availability {
+		a, _ := c.Availability(b, time.Now().Add(after))
+		return a
+	}
+	c.Observe(b, "0", Notice{})
+	qt.Check(t, availability(0), qt.Equals, Available)
+
+	c.Observe(b, "1", Notice{Pause: 2 * time.Second})
+	c.Observe(b, "2", Notice{Pause: time.Second})
+	qt.Check(t, noticed, qt.Equals, 1)
+	qt.Check(t, availability(1900*time.Millisecond), qt.Equals, Withheld)
+	qt.Check(t, availability(2100*time.Millisecond), qt.Equals, Available)
+	_, rest := c.Availability(b, time.Now())
+	qt.Check(t, rest > 1900*time.Millisecond && rest <= 2*time.Second, qt.IsTrue, qt.Commentf("%v", rest))
+
+	c.Observe(b, "3", Notice{Leaving: true})
+	c.Observe(b, "4", Notice{Leaving: true})
+	qt.Check(t, noticed, qt.Equals, 2)
+	qt.Check(t, availability(1400*time.Millisecond), qt.Equals, Withheld) // still pausing
+	qt.Check(t, availability(time.Hour), qt.Equals, Withheld)
+	c.Observe(b, "5", Notice{Pause: 500 * time.Millisecond})
+
+	c.Update(nil)
+	c.Update(limits)
+	qt.Check(t, availability(time.Hour), qt.Equals, Withheld)
+	a, _ := c.Availability(other, time.Now())
+	qt.Check(t, a, qt.Equals, Available)
+	c.cfg.NoticeRetention = 0
+	time.Sleep(time.Millisecond)
+	c.Update(nil)
+	qt.Check(t, availability(0), qt.Equals, Available)
+}
+
+// Guards against a server that leaves and is withheld although its service has no
+// other, before its time is over.
+func TestLeavingServerIsLastResort(t *testing.T) {
+	b := &config.Backend{ID: "b"}
+	c := NewClient(Config{LeavingPeriod: time.Second})
+	c.Observe(b, "1", Notice{Leaving: true})
+	for after, want := range map[time.Duration]Availability{0: LastResort, 900 * time.Millisecond: LastResort, 1100 * time.Millisecond: Withheld} {
+		a, pause := c.Availability(b, time.Now().Add(after))
+		qt.Check(t, a, qt.Equals, want, qt.Commentf("%v", after))
+		qt.Check(t, pause, qt.Equals, time.Duration(0))
+	}
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -77,6 +77,9 @@
 	// Signature is the backend server's signature over its reply.
 	Signature string
 	Load      Load
+	// Notice is what the server says about itself; empty if that may come from
+	// another server.
+	Notice Notice
 	// Identified is set if the reply carries the id of its request.
 	Identified bool
 	// Latency is the time from the start of the request's write to the last byte
@@ -92,7 +95,8 @@
 	// AppendAttempt appends the headers of one attempt: the remaining time until
 	// its deadline and the id of its backend server.
 	AppendAttempt(head []byte, remaining time.Duration, backendID string) []byte
-	// Classify sets Verdict, Signature, Load and Identified of a reply to req.
+	// Classify sets Verdict, Signature, Load, Notice and Identified of a reply to
+	// req.
 	Classify(reply *Reply, req *Request)
 }
 
