soak: check pauses, and servers that leave by their answers

Change: servers of single services refuse and ask for pauses of 2 s, or announce in their answers that they leave while their records say ready. The checks pause and leaving take the requests that only the VM asked can have sent. A restart of the VM excuses it, since a new process keeps no notices; so vm records its starts.

--- a/soak/check.go
+++ b/soak/check.go
@@ -188,6 +188,97 @@
 	return violations
 }
 
+// refusal is a refusal of one backend server.
+type refusal struct {
+	standin.Refusal
+	Backend string
+}
+
+const (
+	// pauseNotice is how long after its refusal a pause must be in force, and
+	// maxPauseArrivals how many requests of one VM may arrive in spite of it.
+	pauseNotice      = 500 * time.Millisecond
+	maxPauseArrivals = 2
+)
+
+// vmBackend is a VM and a backend server that it sends requests to.
+type vmBackend struct{ vm, backend string }
+
+// vmRequests returns the requests by id that no other VM can have sent to a backend
+// server for the one that the caller asked: those to a single service.
+func vmRequests(requests []request) map[string]request {
+	byID := map[string]request{}
+	for _, r := range requests {
+		if len(r.Shards) == 0 {
+			byID[r.ID] = r
+		}
+	}
+	return byID
+}
+
+// checkPauses returns the pauses in which more than maxPauseArrivals requests of the
+// VM arrived. interrupted reports whether a VM had a fault or a restart between two
+// times, which excuses it.
+func checkPauses(requests []request, runs []run, refusals []refusal, interrupted func(vm string, from, to time.Time) bool) (violations []Violation) {
+	byID := vmRequests(requests)
+	arrivals, pauses := map[vmBackend][]time.Time{}, map[vmBackend][]refusal{}
+	for _, r := range runs {
+		if q, ok := byID[r.ID]; ok {
+			key := vmBackend{q.VM, r.Backend}
+			arrivals[key] = append(arrivals[key], r.At)
+		}
+	}
+	for _, r := range refusals {
+		if q, ok := byID[r.ID]; ok {
+			key := vmBackend{q.VM, r.Backend}
+			arrivals[key] = append(arrivals[key], r.At)
+			if r.Pause > 0 {
+				pauses[key] = append(pauses[key], r)
+			}
+		}
+	}
+	for key, list := range pauses {
+		for _, p := range list {
+			end := p.At.Add(p.Pause)
+			n := countWithin(arrivals[key], p.At.Add(pauseNotice), end)
+			if n > maxPauseArrivals && !interrupted(key.vm, p.At.Add(-p.Pause), end) {
+				violations = append(violations, Violation{"pause", p.ID, fmt.Sprintf("%s sent %d requests to %s in its pause", key.vm, n, key.backend)})
+				break
+			}
+		}
+	}
+	return violations
+}
+
+// checkLeaving returns the runs of requests that callers sent later than
+// maxDrainDelay after the VM had passed on an answer in which the server announced
+// that it leaves. interrupted is as in checkPauses.
+func checkLeaving(requests []request, runs []run, interrupted func(vm string, from, to time.Time) bool) (violations []Violation) {
+	byID := vmRequests(requests)
+	passedOn := map[vmBackend]time.Time{}
+	for _, r := range runs {
+		q, ok := byID[r.ID]
+		if !ok || !r.Leaving || q.Err != nil || q.Answer.Status != http.StatusOK {
+			continue
+		}
+		key := vmBackend{q.VM, r.Backend}
+		if t, ok := passedOn[key]; !ok || q.End.Before(t) {
+			passedOn[key] = q.End
+		}
+	}
+	for _, r := range runs {
+		q, ok := byID[r.ID]
+		if !ok {
+			continue
+		}
+		t, ok := passedOn[vmBackend{q.VM, r.Backend}]
+		if ok && q.Start.After(t.Add(maxDrainDelay)) && !interrupted(q.VM, t, r.At) {
+			violations = append(violations, Violation{"leaving", r.ID, fmt.Sprintf("%s sent it to %s %v after an answer had said that it leaves", q.VM, r.Backend, q.Start.Sub(t).Round(time.Millisecond))})
+		}
+	}
+	return violations
+}
+
 // span is a time span.
 type span struct{ from, to time.Time }
 
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -74,6 +74,29 @@
 	qt.Check(t, checkDrains(runs, []drainedBackend{{"a4", at(9.5)}}), qt.HasLen, 0)
 	qt.Check(t, checkDrains(runs, []drainedBackend{{"a4", at(8.5)}}), qt.HasLen, 1)
 
+	noFault := func(string, time.Time, time.Time) bool { return false }
+	faulty := func(string, time.Time, time.Time) bool { return true }
+	pausing := []refusal{{standin.Refusal{ID: "p0", At: at(1), Pause: 2 * time.Second}, "a1"}}
+	toldAt1 := []request{{ID: "p0", VM: "vm", Service: "a", Start: at(1), End: at(1), Answer: standin.Answer{Status: 200}}}
+	var early, late []run
+	for i := range 3 {
+		toldAt1 = append(toldAt1, request{ID: fmt.Sprint("p", i+1), VM: "vm", Service: "a", Start: at(2)})
+		early, late = append(early, newRun(fmt.Sprint("p", i+1), "a1", 1.4)), append(late, newRun(fmt.Sprint("p", i+1), "a1", 2))
+	}
+	qt.Check(t, checkPauses(toldAt1, late, pausing, noFault), qt.HasLen, 1)
+	qt.Check(t, checkPauses(toldAt1, late[1:], pausing, noFault), qt.HasLen, 0)
+	qt.Check(t, checkPauses(toldAt1, early, pausing, noFault), qt.HasLen, 0)
+	qt.Check(t, checkPauses(toldAt1, late, pausing, faulty), qt.HasLen, 0)
+
+	announcement := newRun("p0", "a1", 1)
+	announcement.Leaving = true
+	afterBound := request{ID: "later", VM: "vm", Service: "a", Start: at(1).Add(maxDrainDelay + time.Millisecond)}
+	leavingRuns := []run{announcement, newRun("later", "a1", 5)}
+	qt.Check(t, checkLeaving(append(toldAt1, afterBound), leavingRuns, noFault), qt.HasLen, 1)
+	qt.Check(t, checkLeaving(append(toldAt1, afterBound), leavingRuns, faulty), qt.HasLen, 0)
+	afterBound.Start = at(1).Add(maxDrainDelay)
+	qt.Check(t, checkLeaving(append(toldAt1, afterBound), leavingRuns, noFault), qt.HasLen, 0)
+
 	var lookups []request
 	var cancelled []run
 	for i := range 20 {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"syscall"
 	"time"
 
@@ -57,12 +58,13 @@
 
 func (h *harness) randomVM() *vm { return h.vms[h.rng.IntN(len(h.vms))] }
 
-// randomBackend returns a random backend server that is not draining.
-func (h *harness) randomBackend() *backend {
+// randomBackend returns a random backend server that is not draining, of one of the
+// services if there are any.
+func (h *harness) randomBackend(services ...string) *backend {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for {
-		if b := h.backends[h.rng.IntN(len(h.backends))]; !b.draining {
+		if b := h.backends[h.rng.IntN(len(h.backends))]; !b.draining && (len(services) == 0 || slices.Contains(services, b.Service)) {
 			return b
 		}
 	}
@@ -160,6 +162,25 @@
 	{"server sends answers twice", backendProxyFault(modeRepeat)},
 	{"server fails", backendFault(standin.Behavior{Fail: true})},
 	{"server refuses requests", backendFault(standin.Behavior{Refuse: true})},
+	{"server asks for pauses", func(h *harness, d time.Duration) func() {
+		b := h.randomBackend("quotes", "book")
+		b.SetBehavior(standin.Behavior{Refuse: true, Pause: 2 * time.Second})
+		return func() { b.SetBehavior(normalBehavior) }
+	}},
+	{"server leaves by its answers only", func(h *harness, d time.Duration) func() {
+		b := h.randomBackend("quotes", "book")
+		if _, err := h.addBackend(b.Service); err != nil {
+			h.addViolation(Violation{"soak", b.ID, err.Error()})
+			return nil
+		}
+		h.mu.Lock()
+		b.draining = true
+		h.mu.Unlock()
+		behavior := normalBehavior
+		behavior.Leaving = true
+		b.SetBehavior(behavior)
+		return nil
+	}},
 	{"server hangs", backendFault(standin.Behavior{Hang: true})},
 	{"servers of a zone hang and callers leave", func(h *harness, d time.Duration) func() {
 		servers := h.backendsOfZone(h.randomBackend().Zone)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -317,6 +317,12 @@
 	h.disturbances[backendID] = append(h.disturbances[backendID], span{now, now.Add(d + delayMargin)})
 }
 
+// interrupted reports whether a VM was interrupted between two times.
+func (h *harness) interrupted(vmID string, from, to time.Time) bool {
+	i := slices.IndexFunc(h.vms, func(v *vm) bool { return v.settings.ID == vmID })
+	return i < 0 || h.vms[i].interrupted(from, to)
+}
+
 func (h *harness) vmAt(address string) string {
 	for _, v := range h.vms {
 		if v.settings.CallerAddress == address {
@@ -436,8 +442,14 @@
 			runs = append(runs, run{Run: r, Backend: b.ID, Service: b.Service})
 		}
 	}
+	var refusals []refusal
+	for _, b := range h.backends {
+		for _, r := range b.Refusals() {
+			refusals = append(refusals, refusal{r, b.ID})
+		}
+	}
 	h.violations = slices.Concat(h.violations, checkAtMostOnce(h.requests, runs), checkDrains(runs, h.drains), checkStops(h.requests, runs, h.plannedStops),
-		checkDepartures(h.requests, runs, h.disturbances),
+		checkDepartures(h.requests, runs, h.disturbances), checkPauses(h.requests, runs, refusals, h.interrupted), checkLeaving(h.requests, runs, h.interrupted),
 		checkRetryBudget(h.requests, runs, retryBudget{budgetRatio, budgetSlack, budgetWindow}))
 	r := &Report{Requests: len(h.requests), Faults: maps.Clone(h.faults), Violations: h.violations}
 	for _, q := range h.requests {
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -22,8 +22,8 @@
 
 	mu           sync.Mutex
 	cmd          *exec.Cmd
-	starts       int
-	stopping     bool // not to be restarted
+	starts       []time.Time // of its processes
+	stopping     bool        // not to be restarted
 	restartDelay time.Duration
 	// unstableSince and unstableUntil are the start and the end of the latest span
 	// in which this VM is unstable: a fault and the stability period after it.
@@ -66,8 +66,8 @@
 	if v.stopping {
 		return nil, nil
 	}
-	v.starts++
-	out, err := os.Create(filepath.Join(v.dir, fmt.Sprintf("%s.%d.log", v.settings.ID, v.starts)))
+	v.starts = append(v.starts, time.Now())
+	out, err := os.Create(filepath.Join(v.dir, fmt.Sprintf("%s.%d.log", v.settings.ID, len(v.starts))))
 	if err != nil {
 		return nil, err
 	}
@@ -94,7 +94,7 @@
 func (v *vm) incarnation() int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.starts
+	return len(v.starts)
 }
 
 // stop kills the process and does not restart it.
@@ -123,6 +123,14 @@
 	return countWithin(v.faultTimes, from, to) > 0
 }
 
+// interrupted reports whether a fault of the VM began or a process of it was started
+// between two times. A process keeps no notices of the one before.
+func (v *vm) interrupted(from, to time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return countWithin(v.faultTimes, from, to) > 0 || countWithin(v.starts, from, to) > 0
+}
+
 // markUnstable records that the VM is unstable for d: checks that assume a stable
 // VM skip it. Unlike recordFault, it records no fault.
 func (v *vm) markUnstable(d time.Duration) {
