upstream: find the notices of a server without a lock

A leaving server says so in every answer, and each of them took the client's lock. The lock is now taken for a server's first notice only. Tests of upstream pass with -race.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -160,7 +160,7 @@
 }
 
 // serverRetention is how long a backend server that is no longer listed is
-// remembered: its record may have expired in an outage of the store, longer than most.
+// remembered. Its record may have expired only because of a store outage.
 const serverRetention = 10 * time.Minute
 
 // lastResortPeriod returns how long a backend server that drains or is no
--- a/upstream/notice.go
+++ b/upstream/notice.go
@@ -49,7 +49,7 @@
 // means none.
 type notices struct {
 	leavingSince, pausedUntil atomic.Int64
-	lastAt                    atomic.Int64
+	lastAt                    atomic.Int64 // of any notice
 }
 
 // availability returns the availability at a time, and when the pause of a
@@ -125,6 +125,9 @@
 
 // noticesOf returns the notices of a backend server, to record one.
 func (c *Client) noticesOf(b *config.Backend) *notices {
+	if n, ok := (*c.notices.Load())[b]; ok {
+		return n
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n, ok := (*c.notices.Load())[b]; ok {
