entry: print lost segments and the time of day in the trace of TestSlowShard

KNOWN-RED.txt lists a run whose first byte came 295 ms late although no tick was late. The trace could not tell a lost TCP segment from a late thread. The hedge or the accepted connection waits for one suspended thread, while the ticks run on another one.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -202,6 +202,7 @@
 		trace += fmt.Sprintf("%v "+format+"\n", append([]any{time.Since(start).Round(tick / 10)}, args...)...)
 	}
 	var held time.Duration
+	var conn net.Conn
 	stop, done := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(done)
@@ -220,9 +221,11 @@
 	}()
 	steps := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
 		ConnectDone:          func(string, string, error) { note("connected") },
+		GotConn:              func(info httptrace.GotConnInfo) { conn = info.Conn },
 		WroteRequest:         func(httptrace.WroteRequestInfo) { note("sent") },
-		GotFirstResponseByte: func() { note("first byte") },
+		GotFirstResponseByte: func() { note("first byte; segments sent again: %s", segmentsSentAgain(conn)) },
 	})
+	note("asked at %s", start.Format("15:04:05.0000"))
 	a = f.askWith(steps, v, "GET", target, id, "", time.Second)
 	took = time.Since(start)
 	close(stop)
