forward: Retry-After until enough shards have a backend server again

What callers see: a query that lacks two shards whose servers pause for 1 s and 2 s is told to return after 1 s, where it is refused again.

Cause: a refusal took the shortest pause of all shards, also of those that it does not suffice to get back.

Change: the pauses of the services without a server are sorted, and the one after which enough can answer counts; the usual delay if no pause leads to an answer.

Measured: TestRetryAfterPauses fails on the code before (1 s for 2 s, and 1 s although a shard stays without a server), passes now, with all tests of forward.

--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -35,6 +35,9 @@
 type fakeTransport struct {
 	mu        sync.Mutex
 	behaviors map[string]behavior
+	// withheld has the rests of the pauses of withheld servers; 0 for those that
+	// stay withheld.
+	withheld  map[string]time.Duration
 	sent      []string
 	abandoned int
 	wg        sync.WaitGroup
@@ -49,7 +52,10 @@
 
 func (f *fakeTransport) HasCapacity(*config.Backend) bool { return true }
 
-func (f *fakeTransport) Availability(*config.Backend, time.Time) (upstream.Availability, time.Duration) {
+func (f *fakeTransport) Availability(b *config.Backend, _ time.Time) (upstream.Availability, time.Duration) {
+	if pause, ok := f.withheld[b.ID]; ok {
+		return upstream.Withheld, pause
+	}
 	return upstream.Available, 0
 }
 
@@ -195,6 +201,30 @@
 	})
 }
 
+// Guards against a Retry-After that ends before enough shards have a backend server
+// again, so that callers return in vain.
+func TestRetryAfterPauses(t *testing.T) {
+	registry, services := shards(3)
+	for _, test := range []struct {
+		withheld    map[string]time.Duration
+		minCoverage float64
+		want        time.Duration
+	}{
+		{map[string]time.Duration{"s00a": 5 * time.Second, "s00b": time.Second, "s01a": 2 * time.Second, "s01b": 3 * time.Second}, 1, 2 * time.Second},
+		{map[string]time.Duration{"s00a": 5 * time.Second, "s00b": time.Second, "s01a": 2 * time.Second, "s01b": 3 * time.Second}, 0.6, time.Second},
+		{map[string]time.Duration{"s00a": 0, "s00b": time.Second, "s01a": 0, "s01b": 0}, 0.6, time.Second},
+		{map[string]time.Duration{"s00a": 0, "s00b": time.Second, "s01a": 0, "s01b": 0}, 1, DefaultPolicy().RetryAfter},
+		{map[string]time.Duration{"s00a": time.Millisecond, "s00b": time.Millisecond}, 1, DefaultPolicy().RetryAfter},
+	} {
+		f := &fakeTransport{withheld: test.withheld}
+		a := newTestEngine(f, registry, limit.BudgetShare{Burst: 100}, nil).Run(context.Background(), query(services, test.minCoverage))
+		comment := qt.Commentf("%v, coverage %v", test.withheld, test.minCoverage)
+		qt.Check(t, a.Outcome, qt.Equals, Refused, comment)
+		qt.Check(t, a.RetryAfter, qt.Equals, test.want, comment)
+		qt.Check(t, f.sent, qt.HasLen, 0, comment)
+	}
+}
+
 // Checks that failures and late replies cause no further attempts while the
 // budget is empty.
 func TestEmptyBudget(t *testing.T) {
--- a/forward/run.go
+++ b/forward/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/briarstand/briarstand/backend"
@@ -53,10 +54,7 @@
 	nearHedgeDelay time.Duration // hedge delay of attempts in this VM's region
 	farHedgeDelay  time.Duration // hedge delay of attempts in other regions
 	byDistance     map[distance]*distanceStats
-	// pause is the time until a service without a backend server has one again, the
-	// shortest of all services; 0 if none is known.
-	pause  time.Duration
-	answer Answer
+	answer         Answer
 }
 
 // distanceStats counts the sub-requests whose first attempts have the same distance.
@@ -112,9 +110,9 @@
 
 func (r *run) run(ctx context.Context) Answer {
 	defer r.cleanUp()
-	if !r.reachable() {
+	if reachable, pause := r.reachable(); !reachable {
 		reason := "too few shards have a backend server"
-		if r.pause > 0 {
+		if pause > 0 {
 			reason = "too few shards have a backend server that does not pause"
 		}
 		return r.refuse(reason)
@@ -156,25 +154,25 @@
 }
 
 // reachable reports whether enough services have a usable backend server for an
-// answer. If not, the request is refused at once instead of at its timeout.
-func (r *run) reachable() bool {
-	n := 0
+// answer. If not, the request is refused at once instead of at its timeout, and pause
+// is the time until enough backend servers have paused; 0 if that is not known.
+func (r *run) reachable() (ok bool, pause time.Duration) {
 	now := time.Now()
+	missing := r.requiredReplies()
+	var pauses []time.Duration
 	for i := range r.subRequests {
-		if replicas, pause := r.engine.admissible(r.subRequests[i].service, now); len(replicas) > 0 {
-			n++
-		} else {
-			r.notePause(pause)
+		switch replicas, p := r.engine.admissible(r.subRequests[i].service, now); {
+		case len(replicas) > 0:
+			missing--
+		case p > 0:
+			pauses = append(pauses, p)
 		}
 	}
-	return n >= r.requiredReplies()
-}
-
-// notePause records that a service has no backend server until a pause has passed.
-func (r *run) notePause(pause time.Duration) {
-	if pause > 0 && (r.pause == 0 || pause < r.pause) {
-		r.pause = pause
+	if missing <= 0 || missing > len(pauses) {
+		return missing <= 0, 0
 	}
+	slices.Sort(pauses)
+	return false, pauses[missing-1]
 }
 
 // requiredReplies returns how many sub-requests must be answered.
@@ -221,9 +219,8 @@
 // slowest part wherever it comes from.
 func (r *run) pick(sub *subRequest) (*config.Backend, bool) {
 	now := time.Now()
-	usable, pause := r.engine.admissible(sub.service, now)
+	usable, _ := r.engine.admissible(sub.service, now)
 	if len(usable) == 0 {
-		r.notePause(pause)
 		return nil, false
 	}
 	var preferred, others []*config.Backend
@@ -449,7 +446,8 @@
 }
 
 func (r *run) refuse(reason string) Answer {
-	r.answer.Outcome, r.answer.Reason, r.answer.RetryAfter = Refused, reason, max(r.pause, r.engine.cfg.Policy.RetryAfter)
+	_, pause := r.reachable()
+	r.answer.Outcome, r.answer.Reason, r.answer.RetryAfter = Refused, reason, max(pause, r.engine.cfg.Policy.RetryAfter)
 	return r.answer
 }
 
