entry: test servers that pause by turns while the others are under full load

The tests of pauses had few requests. Now two of six servers pause by turns for 2 s, at nine tenths of what the other four can run; the stand-in has slots and a queue for it.

--- a/entry/notice_test.go
+++ b/entry/notice_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -159,3 +162,83 @@
 	f.Check(time.Since(start) < 100*time.Millisecond, qt.IsTrue)
 	f.Check(other.Refusals(), qt.HasLen, 1)
 }
+
+// Guards against requests to servers that pause while the others are under full load:
+// of six servers, two at a time pause by turns. It logs what callers get.
+func TestPausesByTurns(t *testing.T) {
+	const (
+		pause       = 2 * time.Second
+		inForce     = 500 * time.Millisecond // after the answer that asks for the pause
+		capacity    = 4
+		serviceTime = 20 * time.Millisecond
+		maxArrivals = 2 // in a pause, of each VM
+		turns       = 3
+	)
+	f := newFixture(t)
+	f.store.Configure(1, single("quote", "quotes", "idempotent"))
+	var servers []*standin.Backend
+	normal := standin.Behavior{ServiceTime: serviceTime, Queue: capacity}
+	for i := range 6 {
+		servers = append(servers, f.backend(fmt.Sprint("q", i), "quotes", "bytes"))
+		servers[i].Slots = capacity
+		servers[i].SetBehavior(normal)
+		servers[i].Register(f.store, "ready")
+	}
+	v := f.start("vm1", true)
+	// Until a VM knows the others, it opens few connections.
+	f.eventually(6*time.Second, "knows the other VMs", v.daemon.KnowsFleet)
+	// Nine tenths of what the four servers that do not pause can run.
+	interval := serviceTime * 10 / (9 * 4 * capacity)
+	var callers sync.WaitGroup
+	var asked, served atomic.Int64
+	ask := func() {
+		req, err := http.NewRequest(http.MethodGet, "http://"+v.settings.CallerAddress+"/quote/x", nil)
+		f.Check(err, qt.IsNil)
+		req.Host = host
+		req.Header.Set("X-Request-Id", fmt.Sprint("r", asked.Add(1)))
+		req.Header.Set("X-Deadline-Ms", "1000")
+		resp, err := oneShot.Do(req)
+		if err != nil {
+			return
+		}
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			served.Add(1)
+		}
+	}
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	inPause := 0
+	for turn := range turns {
+		pausing := servers[2*turn : 2*turn+2]
+		for _, b := range pausing {
+			b.SetBehavior(standin.Behavior{Refuse: true, Pause: pause})
+		}
+		for end := time.Now().Add(pause); time.Now().Before(end); <-ticker.C {
+			callers.Go(ask)
+		}
+		for _, b := range pausing {
+			b.SetBehavior(normal)
+			refusals := b.Refusals()
+			first := slices.IndexFunc(refusals, func(r standin.Refusal) bool { return r.Pause > 0 })
+			if first < 0 {
+				continue
+			}
+			n := 0
+			for _, r := range refusals[first:] {
+				if r.At.Sub(refusals[first].At) > inForce {
+					n++
+				}
+			}
+			f.Check(n <= maxArrivals, qt.IsTrue, qt.Commentf("%d requests to %s in its pause", n, b.ID))
+			inPause += n
+		}
+	}
+	callers.Wait()
+	arrivals := 0
+	for _, b := range servers {
+		arrivals += len(b.Runs()) + len(b.Refusals())
+	}
+	f.Logf("asked %d, served %.4f of them; arrivals beyond the first %d, in pauses %d", asked.Load(),
+		float64(served.Load())/float64(asked.Load()), arrivals-int(asked.Load()), inPause)
+}
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -42,6 +42,9 @@
 	ServiceTime time.Duration
 	// Refuse replies with 503 without running the request.
 	Refuse bool
+	// Queue, if above 0, makes the server run Slots requests at once. As many as
+	// Queue wait, and more are refused.
+	Queue int
 	// Pause, with Refuse, asks for no more requests for so long.
 	Pause time.Duration
 	// Leaving announces in each reply that the server leaves.
@@ -76,6 +79,8 @@
 	server            *httptest.Server
 	mu                sync.Mutex
 	runs              []Run
+	accepted          int           // requests that run or wait
+	slots             chan struct{} // holds one value for each request that runs, if Behavior.Queue is set
 	behavior          Behavior
 	connsOpened       int
 	refusals          []Refusal
@@ -112,6 +117,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.behavior = behavior
+	if behavior.Queue > 0 && b.slots == nil {
+		b.slots = make(chan struct{}, b.Slots)
+	}
 }
 
 // Runs returns the requests that the server has run.
@@ -167,7 +175,7 @@
 	if behavior.Leaving {
 		h.Set("Server-Leaving", "1")
 	}
-	if behavior.Refuse {
+	if behavior.Refuse || behavior.Queue > 0 && b.accepted >= cap(b.slots)+behavior.Queue {
 		b.refusals = append(b.refusals, Refusal{id, time.Now(), behavior.Pause})
 		b.mu.Unlock()
 		if behavior.Pause > 0 {
@@ -180,11 +188,17 @@
 	remainingMS, _ := strconv.ParseInt(r.Header.Get("X-Deadline-Ms"), 10, 64)
 	b.runs = append(b.runs, Run{ID: id, Method: r.Method, Target: r.RequestURI, Body: string(body), RemainingMS: remainingMS, At: time.Now(), Leaving: behavior.Leaving})
 	index := len(b.runs) - 1
+	b.accepted++
+	slots := b.slots
 	b.mu.Unlock()
 	defer b.endRun(index)
 	if behavior.Hang {
 		behavior.ServiceTime = time.Hour
 	}
+	if behavior.Queue > 0 {
+		slots <- struct{}{}
+		defer func() { <-slots }()
+	}
 	select {
 	case <-time.After(behavior.ServiceTime):
 	case <-r.Context().Done():
@@ -212,6 +226,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.runs[index].EndedAt = time.Now()
+	b.accepted--
 }
 
 // Signature returns the signature of the server's reply to a request.
