soak: signals, stops and changes in series, and callers that keep to their VM

The soak stopped VMs one after the other, its callers left a VM that was no longer named, SIGHUP found the settings unchanged, and requests in the last second of the grace period of a stop were not checked.

Change: faults in series at short intervals, which overlap (SIGTERM and SIGHUP with changed limits at one VM across its restarts, stops of several VMs, configurations); a third of the callers uses the VM of its connections until none can be opened; the check of planned stops covers the whole grace period.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"syscall"
 	"time"
@@ -23,6 +24,8 @@
 	minFaultTime  = 300 * time.Millisecond
 	maxFaultTime  = 3 * time.Second
 	maxFaultPause = 1200 * time.Millisecond
+	// maxSeriesPause limits the pause between the steps of a series.
+	maxSeriesPause = 400 * time.Millisecond
 )
 
 // injectFaults injects faults for the configured duration, and then ends those
@@ -130,11 +133,29 @@
 		return nil
 	}},
 	{"change settings", func(h *harness, d time.Duration) func() {
-		v := h.randomVM()
-		_ = v.writeSettings() // on an error the old file stays
-		v.signal(syscall.SIGHUP)
+		h.randomVM().changeSettings(h.rng)
 		return nil
 	}},
+	{"signals and restarts in series", func(h *harness, d time.Duration) func() {
+		v, rng := h.randomVM(), rand.New(rand.NewPCG(h.rng.Uint64(), 2))
+		return h.inSeries(d, rng, func() {
+			switch rng.IntN(4) {
+			case 0:
+				h.stopVM(v)
+			case 1:
+				v.changeSettings(rng)
+			default:
+				v.signal(syscall.SIGHUP)
+			}
+		})
+	}},
+	{"stops that overlap", func(h *harness, d time.Duration) func() {
+		rng := rand.New(rand.NewPCG(h.rng.Uint64(), 3))
+		return h.inSeries(d, rng, func() { h.stopVM(h.vms[rng.IntN(len(h.vms))]) })
+	}},
+	{"configurations in series", func(h *harness, d time.Duration) func() {
+		return h.inSeries(d, rand.New(rand.NewPCG(h.rng.Uint64(), 4)), h.publishVersion)
+	}},
 	{"store busy", storeFault(standin.Busy, false)},
 	{"store resets", storeFault(standin.Reset, false)},
 	{"store silent", storeFault(standin.Silent, false)},
@@ -227,6 +248,24 @@
 	}},
 }
 
+// inSeries calls step with short pauses, at most maxSeriesPause each, until d has
+// passed or the returned function is called.
+func (h *harness) inSeries(d time.Duration, rng *rand.Rand, step func()) (stop func()) {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for ctx.Err() == nil {
+			step()
+			time.Sleep(time.Duration(rng.Int64N(int64(maxSeriesPause))))
+		}
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
 // stopVM shuts a VM down gracefully with SIGTERM. The VM must not abort requests in
 // flight, unless another fault affects it.
 func (h *harness) stopVM(v *vm) {
@@ -236,7 +275,7 @@
 	v.signal(syscall.SIGTERM)
 	if planned {
 		h.mu.Lock()
-		h.plannedStops = append(h.plannedStops, plannedStop{v, start, start.Add((graceS - 1) * time.Second)})
+		h.plannedStops = append(h.plannedStops, plannedStop{v, start, start.Add(graceS * time.Second)})
 		h.mu.Unlock()
 	}
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -16,6 +16,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/briarstand/briarstand/standin"
@@ -249,14 +250,17 @@
 }
 
 // runCaller runs one caller until the context ends. It resolves addresses, keeps
-// its connections and retries no request.
+// its connections and retries no request. A sticky caller goes on with the address of
+// its connections until no connection to it can be opened: until the process is gone.
 func (h *harness) runCaller(ctx context.Context, n int) {
 	rng := rand.New(rand.NewPCG(h.cfg.Seed, uint64(100+n)))
 	region := fmt.Sprint("r", n%2)
 	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableCompression: true}
 	defer transport.CloseIdleConnections()
 	c := &standin.Caller{Zone: region + "-a", Region: region, Client: &http.Client{Transport: transport, Timeout: callerTimeout + time.Second}}
+	sticky := n%3 == 0
 	var addresses []string
+	var address string
 	var until time.Time
 	for ctx.Err() == nil {
 		time.Sleep(callerPause + rand.N(callerPause))
@@ -268,12 +272,17 @@
 		if len(addresses) == 0 {
 			continue
 		}
-		address := addresses[rng.IntN(len(addresses))]
-		h.sendRequest(ctx, c, address, rng.IntN(10))
+		if address == "" || !sticky {
+			address = addresses[rng.IntN(len(addresses))]
+		}
+		if err := h.sendRequest(ctx, c, address, rng.IntN(10)); errors.Is(err, syscall.ECONNREFUSED) {
+			address = ""
+		}
 	}
 }
 
-func (h *harness) sendRequest(ctx context.Context, c *standin.Caller, address string, kind int) {
+// sendRequest sends one request of a kind and returns the error if there is no answer.
+func (h *harness) sendRequest(ctx context.Context, c *standin.Caller, address string, kind int) error {
 	r := request{ID: fmt.Sprintf("q%d-%d", h.cfg.Seed, h.lastRequestID.Add(1)), VM: h.vmAt(address), Start: time.Now()}
 	method, path := http.MethodGet, "/quote/x"
 	switch {
@@ -306,6 +315,7 @@
 	defer h.mu.Unlock()
 	h.requests = append(h.requests, r)
 	h.violations = append(h.violations, checkAnswer(r, h.servers())...)
+	return r.Err
 }
 
 // recordDisturbance records that closes of connections may not arrive at a backend
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -34,6 +35,19 @@
 	wg            sync.WaitGroup
 }
 
+// changeSettings writes a settings file with other limits, none above those of the
+// checks, and tells the process to read it.
+func (v *vm) changeSettings(rng *rand.Rand) {
+	v.mu.Lock()
+	v.settings.BudgetSlack = budgetSlack - rng.IntN(20)
+	v.settings.MemoryMB = memoryLimitMB - rng.IntN(40)
+	err := v.writeSettings() // on an error the old file stays
+	v.mu.Unlock()
+	if err == nil {
+		v.signal(syscall.SIGHUP)
+	}
+}
+
 func (v *vm) writeSettings() error {
 	data, err := v.settings.File()
 	if err != nil {
