entry: judge only requests of TestSlowShard that the machine did not hold up

Cause, traced: with several processors the machine suspends the VM's thread while the ticks of the test go on, and shorter waits for a processor are below what ticks show. A VM that is held up for half of the 75 ms until its answer is due has no time left for the reply of a hedge; leaving the part out is then right.

Change: the test runs on one processor, takes the time that its threads waited for one from the scheduler's counts, and asks again if the process was held up for more than 25 ms. Every bound stays.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/http/httptrace"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -188,12 +189,36 @@
 	return answer{resp.StatusCode, resp.Header, string(data)}
 }
 
+// maxSuspended is how long the machine may suspend this process while a request is
+// timed. Routes of scattered queries leave 40 ms between the hedge and the answer.
+const maxSuspended = 25 * time.Millisecond
+
 // askTimed asks and returns how long the answer took, less the time for which
-// the machine suspended this process, as measured by ticks that come late. The
-// trace holds the caller's steps and the late ticks. Package forward tests the
-// times of hedges and retries themselves, on a fake clock.
+// the machine suspended this process. It asks again, with another id, if that was
+// more than maxSuspended. The trace holds the caller's steps, the late ticks and
+// the VM's log lines. Package forward tests the times of hedges and
+// retries themselves, on a fake clock.
 func (f *fixture) askTimed(v *vm, target, id string) (a answer, took time.Duration, trace string) {
+	f.Helper()
+	for try := range 30 {
+		tryID := fmt.Sprintf("%s-%d", id, try)
+		var suspended time.Duration
+		a, took, suspended, trace = f.askTraced(v, target, tryID)
+		trace += f.linesOf(tryID)
+		if suspended <= maxSuspended {
+			return a, took - suspended, trace
+		}
+	}
+	f.Fatalf("the machine suspends the process at each try; the last one:\n%s", trace)
+	return answer{}, 0, ""
+}
+
+// askTraced asks and returns how long the answer took, and for how much of that the
+// machine suspended this process: by ticks that come late, or by the time for which
+// its threads waited for a processor, whichever is longer.
+func (f *fixture) askTraced(v *vm, target, id string) (a answer, took, suspended time.Duration, trace string) {
 	const tick = time.Millisecond
+	waited := processorWait()
 	start := time.Now()
 	var mu sync.Mutex
 	note := func(format string, args ...any) {
@@ -230,8 +255,9 @@
 	took = time.Since(start)
 	close(stop)
 	<-done
-	note("answered after %v, held up for %v of it", took, held)
-	return a, took - held, trace
+	waited = processorWait() - waited
+	note("answered after %v, held up for %v of it, waited for a processor for %v", took, held, waited)
+	return a, took, max(held, waited), trace
 }
 
 func single(name, service, kind string) standin.Route {
@@ -358,8 +384,10 @@
 
 // Checks that a query is answered in time while one server of a shard hangs:
 // either the shard's other server answers a hedge, or the answer lacks the
-// shard.
+// shard. It uses one processor: with several, the machine may suspend the thread of
+// the VM while the ticks of askTimed go on.
 func TestSlowShard(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	f := newFixture(t)
 	f.backend("a1", "shard-a", record('a'))
 	slow := f.backend("b1", "shard-b", record('b'))
@@ -372,14 +400,14 @@
 	for i := range 6 {
 		a, took, trace := f.askTimed(v, "/find/x", fmt.Sprint("id-", i))
 		f.Check(a.status, qt.Equals, http.StatusOK)
-		f.Check(a.header.Get("X-Missing-Parts"), qt.Equals, "0", qt.Commentf("%s%s", trace, f.linesOf(fmt.Sprint("id-", i))))
-		f.Check(took < 100*time.Millisecond, qt.IsTrue, qt.Commentf("took %v\n%s%s", took, trace, f.linesOf(fmt.Sprint("id-", i))))
+		f.Check(a.header.Get("X-Missing-Parts"), qt.Equals, "0", qt.Commentf("%s", trace))
+		f.Check(took < 100*time.Millisecond, qt.IsTrue, qt.Commentf("took %v\n%s", took, trace))
 	}
 	other.SetBehavior(standin.Behavior{Hang: true})
 	a, took, trace := f.askTimed(v, "/find/x", "both")
 	f.Check(a.status, qt.Equals, http.StatusOK)
 	f.Check(a.header.Get("X-Missing-Parts"), qt.Equals, "1")
-	f.Check(took < 100*time.Millisecond, qt.IsTrue, qt.Commentf("took %v\n%s%s", took, trace, f.linesOf("both")))
+	f.Check(took < 100*time.Millisecond, qt.IsTrue, qt.Commentf("took %v\n%s", took, trace))
 	a = f.ask(v, "GET", "/all/x", "none", "", 400*time.Millisecond)
 	f.Check(a.status, qt.Equals, http.StatusGatewayTimeout)
 }
--- a/entry/machine_test.go
+++ b/entry/machine_test.go
@@ -5,6 +5,9 @@
 import (
 	"fmt"
 	"net"
+	"os"
+	"path/filepath"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -36,3 +39,24 @@
 	}
 	return fmt.Sprint(counts)
 }
+
+// processorWait returns for how long the threads of this process have been waiting for
+// a processor, as the scheduler counts it; 0 if it does not.
+func processorWait() time.Duration {
+	paths, err := filepath.Glob("/proc/self/task/*/schedstat")
+	if err != nil {
+		return 0
+	}
+	var total time.Duration
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			continue // the thread has ended
+		}
+		var ran, waited time.Duration
+		if _, err := fmt.Sscan(string(data), &ran, &waited); err == nil {
+			total += waited
+		}
+	}
+	return total
+}
