soak: check requests that are in flight when a planned stop begins

The check of planned stops took only requests that callers sent after SIGTERM, so one that was running at the signal and got no answer was not found.

TestChecksFire has the case.

--- a/soak/check.go
+++ b/soak/check.go
@@ -326,7 +326,7 @@
 }
 
 // plannedStop is a graceful stop of a VM that was stable when the stop began. The
-// VM must not abort requests that start between from and to.
+// VM must not abort requests that are in flight between from and to.
 type plannedStop struct {
 	vm       *vm
 	from, to time.Time
@@ -345,7 +345,7 @@
 			if s.vm.faultBegan(s.from, r.End) {
 				continue
 			}
-			if r.VM == s.vm.settings.ID && r.Err != nil && !r.Left && ran[r.ID] && r.Start.After(s.from) && r.Start.Before(s.to) {
+			if r.VM == s.vm.settings.ID && r.Err != nil && !r.Left && ran[r.ID] && r.End.After(s.from) && r.Start.Before(s.to) {
 				violations = append(violations, Violation{"planned stop", r.ID, fmt.Sprintf("%s: %v", r.VM, r.Err)})
 			}
 		}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -115,7 +115,8 @@
 	booking.Err, booking.End = errors.New("EOF"), at(3)
 	v := &vm{settings: standin.VMSettings{ID: "vm"}}
 	qt.Check(t, checkStops([]request{booking}, runs, []plannedStop{{v, at(0), at(2)}}), qt.HasLen, 1)
-	qt.Check(t, checkStops([]request{booking}, runs, []plannedStop{{v, at(2), at(4)}}), qt.HasLen, 0)
+	qt.Check(t, checkStops([]request{booking}, runs, []plannedStop{{v, at(2), at(4)}}), qt.HasLen, 1) // in flight at the signal
+	qt.Check(t, checkStops([]request{booking}, runs, []plannedStop{{v, at(4), at(6)}}), qt.HasLen, 0)
 	qt.Check(t, checkStops([]request{booking}, nil, []plannedStop{{v, at(0), at(2)}}), qt.HasLen, 0)
 	v.faultTimes = []time.Time{at(2)}
 	qt.Check(t, checkStops([]request{booking}, runs, []plannedStop{{v, at(0), at(2)}}), qt.HasLen, 0)
