--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -108,6 +108,41 @@
 	qt.Assert(t, errors.As(err, &old), qt.IsTrue, qt.Commentf("%v", err))
 }
 
+// Guards against a relayed query that goes on after its caller has left at the VM
+// that relays it.
+func TestRelayedQueryEndsWithItsCaller(t *testing.T) {
+	const maxWorkAfterDeparture = 500 * time.Millisecond
+	store := newMemoryStore()
+	started, ended := make(chan struct{}), make(chan time.Time, 1)
+	a := start(t, store, 0, func(c *ServerConfig) {
+		c.Query = func(ctx context.Context, _ *briarstandv1.QueryRequest) (*briarstandv1.QueryResponse, error) {
+			close(started)
+			<-ctx.Done()
+			ended <- time.Now()
+			return nil, ctx.Err()
+		}
+	})
+	b := start(t, store, 1, nil)
+	defer a.stop()
+	defer b.stop()
+	a.waitFresh(t)
+	b.waitFresh(t)
+	ctx, leave := context.WithCancel(t.Context())
+	go func() {
+		<-started
+		leave()
+	}()
+	_, err := b.client.RelayQuery(ctx, "vm000", 1, &briarstandv1.QueryRequest{Service: "stock", RequestId: "r1"})
+	left := time.Now()
+	qt.Assert(t, err, qt.ErrorIs, context.Canceled)
+	select {
+	case at := <-ended:
+		qt.Check(t, at.Sub(left) < maxWorkAfterDeparture, qt.IsTrue, qt.Commentf("%v", at.Sub(left)))
+	case <-time.After(2 * time.Second):
+		t.Error("the query goes on")
+	}
+}
+
 // A request body above the size limit must be refused.
 func TestLargeBodyIsRefused(t *testing.T) {
 	d := start(t, newMemoryStore(), 0, nil)
