server: refuse queries after the last answer of a leaving VM, before connections close

Cause: a VM that leaves lingered for 0.5 s from when it stopped accepting connections, and then waited for the last queries. If these took longer, as at a load average of 50, the connections closed as soon as the last one was answered. Its answer did not ask to close the connection, since that was decided when the query began, and the caller sent its next query on that connection or on another open one, in the moment of the close.

Change: Connection: close is decided when the response begins, and the VM lingers after the last answer.

TestQueryAfterLastAnswerOfLeavingVM fails on the code before, at both parts, and passes 3 of 3.

--- a/server/config.go
+++ b/server/config.go
@@ -116,7 +116,7 @@
 	// NOT_RUN before it stops accepting connections, so that a caller that is
 	// about to send on an open connection gets an answer instead of a reset.
 	refusalPeriod = time.Second
-	// lingerPeriod is how long the caller API still serves open connections after
-	// it has stopped accepting new ones.
+	// lingerPeriod is how long the caller API still refuses queries on open
+	// connections after it has stopped accepting new ones and answered the last.
 	lingerPeriod = 500 * time.Millisecond
 )
--- a/server/lifecycle.go
+++ b/server/lifecycle.go
@@ -202,26 +202,69 @@
 		// Refuse new connections before the server shuts down: one accepted
 		// during the shutdown could be reset with its first request in transit.
 		s.caller.stopAccepting()
-		sleep(drainCtx, lingerPeriod)
 	}
 	if err := s.engine.Wait(drainCtx); err != nil {
 		return &DrainError{Limit: set.DrainTimeout, InFlight: s.engine.InFlight(), Err: err}
 	}
+	if wasReady {
+		// The callers of the last queries may send the next ones on other open
+		// connections.
+		sleep(drainCtx, lingerPeriod)
+	}
 	return s.leave(drainCtx)
 }
 
-// closeWhileRefusing asks HTTP/1 callers to close their connections while the VM
-// refuses queries. http.Server.SetKeepAlivesEnabled(false) would close idle
-// connections at once and lose the requests in transit on them.
+// closeWhileRefusing asks HTTP/1 callers to close their connections if the VM
+// refuses queries when the response begins, also to a query that began before.
+// http.Server.SetKeepAlivesEnabled(false) would close idle connections at once and
+// lose the requests in transit on them.
 func (s *Server) closeWhileRefusing(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.ProtoMajor == 1 && s.phase.get() == PhaseRefusing {
-			w.Header().Set("Connection", "close")
+		if r.ProtoMajor == 1 {
+			w = &closingWriter{ResponseWriter: w, close: func() bool { return s.phase.get() == PhaseRefusing }}
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// closingWriter adds "Connection: close" to a response if close returns true when the
+// response begins.
+type closingWriter struct {
+	http.ResponseWriter
+	close func() bool
+	began bool
+}
+
+func (w *closingWriter) begin() {
+	if !w.began && w.close() {
+		w.Header().Set("Connection", "close")
+	}
+	w.began = true
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *closingWriter) WriteHeader(status int) {
+	w.begin()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *closingWriter) Write(p []byte) (int, error) {
+	w.begin()
+	return w.ResponseWriter.Write(p)
+}
+
+// Flush implements http.Flusher, which connect requires of streams.
+func (w *closingWriter) Flush() {
+	w.begin()
+	if f, ok := w.ResponseWriter.(http.Flusher); ok {
+		f.Flush()
+	}
+}
+
+// Unwrap lets http.ResponseController reach the wrapped writer.
+func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // leave closes the caller and operator APIs, deregisters the VM, and then closes
 // the peer and admin APIs. The peer API is closed late because other VMs may
 // still relay a query with a ticket that this VM issued, or ask whether this VM has
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -175,6 +175,58 @@
 	<-queryErr
 }
 
+// Guards against queries that are cut off because their callers were not told that the
+// VM leaves: on the connection of an answer that came last, and on another one that is
+// open. The callers' next queries cross the close of both.
+func TestQueryAfterLastAnswerOfLeavingVM(t *testing.T) {
+	c := qt.New(t)
+	srv, _ := newTestServer(t, "drain-timeout", "10s")
+	// The answer comes after the VM has stopped to accept connections and to linger.
+	serviceTime := srv.cfg.Settings.DrainServe + refusalPeriod + lingerPeriod + 500*time.Millisecond
+	backendServer := backendstandin.New(1, backendstandin.Settings{Slots: 1, ServiceBase: backendstandin.Duration(serviceTime)})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	go func() { _ = backendServer.Serve(l) }()
+	t.Cleanup(backendServer.Close)
+	stop, result := runServer(t, srv)
+	waitFor(c, "ready", func() bool { return srv.Ready() == nil })
+	policy := config.DefaultPolicy()
+	policy.DeadlineMS, policy.HedgePermille = 60_000, 0
+	srv.registry.Apply(&config.Service{
+		Name: "s", Revision: 1, Policy: policy,
+		Backends: []config.Backend{{ID: "b", Address: l.Addr().String(), Zone: "z", Slots: 1, MaxConnections: 2}},
+		Versions: []config.IndexVersion{{Name: "v1", Sequence: 1, Shards: [][]string{{"b"}}}},
+	})
+	transports := []*http.Transport{{MaxConnsPerHost: 1}, {MaxConnsPerHost: 1}}
+	ask := func(connection int, method, body string) (*http.Response, error) {
+		client := &http.Client{Transport: transports[connection]}
+		resp, err := client.Post("http://"+srv.Addresses().Caller+"/briarstand.v1.CallerService/"+method, "application/json", strings.NewReader(body))
+		if err == nil {
+			_, _ = io.Copy(io.Discard, resp.Body) // so that the connection is used again
+			resp.Body.Close()
+		}
+		return resp, err
+	}
+	_, err = ask(1, "Resolve", `{"service":"s"}`)
+	c.Assert(err, qt.IsNil)
+	last := make(chan *http.Response, 1)
+	go func() {
+		resp, _ := ask(0, "Query", `{"service":"s"}`)
+		last <- resp
+	}()
+	waitFor(c, "the sub-request runs", func() bool { return backendServer.Summary().Started == 1 })
+	stop()
+	resp := <-last
+	c.Assert(resp, qt.IsNotNil)
+	c.Check(resp.StatusCode, qt.Equals, http.StatusOK)
+	c.Check(resp.Close, qt.IsTrue)
+	time.Sleep(lingerPeriod / 5)
+	resp, err = ask(1, "Query", `{"service":"s"}`)
+	c.Assert(err, qt.IsNil)
+	c.Check(resp.Close, qt.IsTrue)
+	c.Assert(<-result, qt.IsNil)
+}
+
 // Checks that New already fails if an address is in use, before the VM joins the
 // membership, and that the error names the API.
 func TestTakenAddress(t *testing.T) {
