entry: refuse requests after the last answer of a leaving VM, before connections close

A VM that leaves closed its connections as soon as the last request was answered, and Connection: close was decided when a request began. A caller that gets the last answer sends its next request on that connection or on another open one, in the moment of the close, and gets no answer.

Change: Connection: close is also decided when the answer is written, and the VM refuses requests for 0.3 s after its last answer, within the stop grace period.

Measured: TestRequestAfterLastAnswerInPlannedStop fails on the code before (the connection of the answer is kept; connection refused on the other one) and passes, with the other tests of stops, bodies and leaving servers, -race.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -45,6 +45,9 @@
 	// giveUpMargin is how long before stopMargin requests that are still running
 	// are answered as given up, so that the answers reach their callers.
 	giveUpMargin = 200 * time.Millisecond
+	// lingerPeriod is how long a leaving VM still refuses requests after its last
+	// answer, before it closes its connections.
+	lingerPeriod = 300 * time.Millisecond
 	// stopPollInterval is the time between checks for requests in flight.
 	stopPollInterval = 10 * time.Millisecond
 	// sweepInterval is how often backend servers and VMs whose records are missing
@@ -487,9 +490,9 @@
 }
 
 // drain stops the daemon without aborting requests: it first marks the VM as
-// leaving, so that callers no longer get its address, then refuses new requests,
-// then waits for the last ones until stopMargin before the end of the stop grace
-// period, and then closes the listeners. Requests that are still running shortly
+// leaving, so that callers no longer get its address, then refuses new requests and
+// waits for the last ones, lingers, and closes the listeners at the latest stopMargin
+// before the end of the stop grace period. Requests that are still running shortly
 // before that are answered as given up.
 func (d *Daemon) drain(reg *registration) {
 	end := time.Now().Add(d.bounds.Load().StopGrace - stopMargin)
@@ -503,6 +506,9 @@
 		close(d.stopping)
 		d.awaitRequests(end)
 	}
+	// The callers of the last answers may send the next requests on other open
+	// connections.
+	time.Sleep(min(lingerPeriod, time.Until(end)))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	for _, l := range d.listeners {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -655,6 +655,42 @@
 	f.Check(a.status, qt.Equals, http.StatusGatewayTimeout)
 }
 
+// Guards against requests that are cut off because their callers were not told that the
+// VM leaves: on the connection of an answer that came last, and on another one that is
+// open. The callers' next requests cross the close of both.
+func TestRequestAfterLastAnswerInPlannedStop(t *testing.T) {
+	const grace = 4 * time.Second
+	f := newFixture(t)
+	b := f.backend("b1", "book", "ok")
+	b.SetBehavior(standin.Behavior{ServiceTime: 2 * time.Second}) // half of grace: when the VM refuses requests
+	f.store.Configure(1, standin.Route{Name: "book", Host: host, Prefix: "/book/", Kind: "non_idempotent", TimeoutMS: 8000, GoalMS: 300, MaxAttempts: 1, Service: "book"})
+	v := f.startWith("vm1", true, grace)
+	transports := []*http.Transport{{MaxConnsPerHost: 1}, {MaxConnsPerHost: 1}}
+	ask := func(connection int, path string) *http.Response {
+		req, err := http.NewRequest("GET", "http://"+v.settings.CallerAddress+path, nil)
+		f.Assert(err, qt.IsNil)
+		req.Host = host
+		req.Header.Set("X-Request-Id", "id")
+		resp, err := transports[connection].RoundTrip(req)
+		f.Assert(err, qt.IsNil)
+		_, _ = io.Copy(io.Discard, resp.Body) // so that the connection is used again
+		resp.Body.Close()
+		return resp
+	}
+	f.Check(ask(1, "/none").StatusCode, qt.Equals, http.StatusNotFound)
+	go func() {
+		f.eventually(time.Second, "running", func() bool { return len(b.Runs()) > 0 })
+		v.stop()
+	}()
+	resp := ask(0, "/book/x")
+	f.Check(resp.StatusCode, qt.Equals, http.StatusOK)
+	f.Check(resp.Close, qt.IsTrue)
+	time.Sleep(50 * time.Millisecond)
+	resp = ask(1, "/book/x")
+	f.Check(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	f.Check(resp.Close, qt.IsTrue)
+}
+
 // Guards against backend servers that work for a caller that left more than
 // maxWorkAfterDeparture ago, at direct and at relayed attempts.
 func TestWorkEndsAfterCallerLeft(t *testing.T) {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -152,6 +152,9 @@
 		d.logRequest(id, arrived, routeName, version, &a)
 		panic(http.ErrAbortHandler)
 	}
+	if d.leaving.Load() { // perhaps only since the request began
+		w.Header().Set("Connection", "close")
+	}
 	if err := d.platform.WriteAnswer(w, &a, id); err != nil {
 		d.logger.Info("answer not delivered", telemetry.FieldRequestID, id, telemetry.FieldError, err.Error())
 	}
