--- a/server/server_test.go
+++ b/server/server_test.go
@@ -140,25 +140,38 @@
 	}
 }
 
-// Checks that a drain ends at its time limit, and that it reports an error if it
-// aborted a query.
-func TestDrainTimeout(t *testing.T) {
-	c := qt.New(t)
-	backendServer := backendstandin.New(1, backendstandin.Settings{Slots: 1, ServiceBase: backendstandin.Duration(time.Minute)})
+// startBackend starts a backend server with one slot and returns its address.
+func startBackend(t *testing.T, serviceTime time.Duration) (b *backendstandin.Server, address string) {
+	t.Helper()
+	b = backendstandin.New(1, backendstandin.Settings{Slots: 1, ServiceBase: backendstandin.Duration(serviceTime)})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	go func() { _ = backendServer.Serve(l) }()
-	t.Cleanup(backendServer.Close)
-	srv, _ := newTestServer(t, "drain-timeout", "2500ms")
-	stop, result := runServer(t, srv)
-	waitFor(c, "ready", func() bool { return srv.Ready() == nil })
+	qt.Assert(t, err, qt.IsNil)
+	go func() { _ = b.Serve(l) }()
+	t.Cleanup(b.Close)
+	return b, l.Addr().String()
+}
+
+// applyService gives a daemon the service "s" with one backend server, whose queries
+// may take a minute.
+func applyService(srv *Server, address string) {
 	policy := config.DefaultPolicy()
 	policy.DeadlineMS, policy.HedgePermille = 60_000, 0
 	srv.registry.Apply(&config.Service{
 		Name: "s", Revision: 1, Policy: policy,
-		Backends: []config.Backend{{ID: "b", Address: l.Addr().String(), Zone: "z", Slots: 1, MaxConnections: 2}},
+		Backends: []config.Backend{{ID: "b", Address: address, Zone: "z", Slots: 1, MaxConnections: 2}},
 		Versions: []config.IndexVersion{{Name: "v1", Sequence: 1, Shards: [][]string{{"b"}}}},
 	})
+}
+
+// Checks that a drain ends at its time limit, and that it reports an error if it
+// aborted a query.
+func TestDrainTimeout(t *testing.T) {
+	c := qt.New(t)
+	backendServer, address := startBackend(t, time.Minute)
+	srv, _ := newTestServer(t, "drain-timeout", "2500ms")
+	stop, result := runServer(t, srv)
+	waitFor(c, "ready", func() bool { return srv.Ready() == nil })
+	applyService(srv, address)
 	queryErr := make(chan error, 1)
 	go func() {
 		resp, err := http.Post("http://"+srv.Addresses().Caller+"/briarstand.v1.CallerService/Query", "application/json", strings.NewReader(`{"service":"s"}`))
@@ -183,20 +196,10 @@
 	srv, _ := newTestServer(t, "drain-timeout", "10s")
 	// The answer comes after the VM has stopped to accept connections and to linger.
 	serviceTime := srv.cfg.Settings.DrainServe + refusalPeriod + lingerPeriod + 500*time.Millisecond
-	backendServer := backendstandin.New(1, backendstandin.Settings{Slots: 1, ServiceBase: backendstandin.Duration(serviceTime)})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	go func() { _ = backendServer.Serve(l) }()
-	t.Cleanup(backendServer.Close)
+	backendServer, address := startBackend(t, serviceTime)
 	stop, result := runServer(t, srv)
 	waitFor(c, "ready", func() bool { return srv.Ready() == nil })
-	policy := config.DefaultPolicy()
-	policy.DeadlineMS, policy.HedgePermille = 60_000, 0
-	srv.registry.Apply(&config.Service{
-		Name: "s", Revision: 1, Policy: policy,
-		Backends: []config.Backend{{ID: "b", Address: l.Addr().String(), Zone: "z", Slots: 1, MaxConnections: 2}},
-		Versions: []config.IndexVersion{{Name: "v1", Sequence: 1, Shards: [][]string{{"b"}}}},
-	})
+	applyService(srv, address)
 	transports := []*http.Transport{{MaxConnsPerHost: 1}, {MaxConnsPerHost: 1}}
 	ask := func(connection int, method, body string) (*http.Response, error) {
 		client := &http.Client{Transport: transports[connection]}
@@ -207,7 +210,7 @@
 		}
 		return resp, err
 	}
-	_, err = ask(1, "Resolve", `{"service":"s"}`)
+	_, err := ask(1, "Resolve", `{"service":"s"}`)
 	c.Assert(err, qt.IsNil)
 	last := make(chan *http.Response, 1)
 	go func() {
