mirror: assume an outage if the store answers after the source has lost it

Callers could find no server of a service, whose lease had expired in the outage, although the server lived.

Cause: a source that lost the store replies without changes. After three such replies (1.5 s) its follower calls the store itself. If the store answers again by then, the follower has seen no failed call, so it treats missing records as deleted at once, until it asks its source again. The source's backoff is random, so the outage sometimes lasts that long for the follower.

The follower now remembers that its source has lost the store, treats the first answer of the store as the end of an outage (records that are missing keep their grace for 4 s), and makes its first watch short, so that it soon asks the source again. The grace stays within the drain bound, also if only the source is cut off. A source that merely stops being one looks the same; the longer grace then does no harm.

--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -89,6 +89,9 @@
 	// sourceBackoffUntil is the end of the backoff after a failed call to the
 	// source. Only the goroutine that runs followStore uses it.
 	sourceBackoffUntil time.Time
+	// sourceLost is set if the source that this VM followed has lost the store, until
+	// the store or the source answers. Only the goroutine that runs followStore uses it.
+	sourceLost bool
 }
 
 // NewFollower returns a Follower, which starts to follow the store in Run.
@@ -206,7 +209,7 @@
 		return f.cfg.Mirror.Replace(l)
 	}
 	wait := f.cfg.WatchWait
-	if f.storeLost.Load() {
+	if f.storeLost.Load() || f.sourceLost {
 		// A short first watch detects the end of the outage sooner.
 		wait = f.cfg.BatchDelay
 	}
@@ -304,6 +307,12 @@
 func (f *Follower) markAvailable() {
 	f.fromStore.Store(true)
 	f.confirmedAt.Store(time.Now().UnixNano())
+	if f.sourceLost {
+		// The store may have been away for this VM too, between two of its calls.
+		f.outageEndedAt.Store(time.Now().UnixNano())
+		f.cfg.Logger.Info("store answers, which the source has lost", "revision", f.cfg.Mirror.Revision())
+		f.sourceLost = false
+	}
 	if f.storeLost.CompareAndSwap(true, false) {
 		if f.hasFailed.Load() {
 			f.outageEndedAt.Store(time.Now().UnixNano())
--- a/mirror/source.go
+++ b/mirror/source.go
@@ -71,9 +71,14 @@
 			f.cfg.Logger.Info("following the store itself", "revision", f.cfg.Mirror.Revision(), "error", err.Error())
 		}
 	}
-	if err != nil || !ok {
+	if err != nil {
+		return false
+	}
+	if !ok {
+		f.sourceLost = f.sourceLost || !f.fromStore.Load()
 		return false
 	}
+	f.sourceLost = false
 	if u.SinceOutage > 0 {
 		f.outageEndedAt.Store(time.Now().Add(-u.SinceOutage).UnixNano())
 	}
--- a/mirror/source_test.go
+++ b/mirror/source_test.go
@@ -117,6 +117,31 @@
 	})
 }
 
+// Guards against records that are treated as deleted because their leases expired in a
+// store outage that this VM did not notice: its source did, and the store answered
+// again when this VM called it.
+func TestSourceLosesStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		content := New()
+		sourceStore, ownStore := &fakeStore{content: content}, &fakeStore{content: content}
+		sourceStore.put("a", 1)
+		first := start(t, FollowerConfig{Mirror: New(), Store: sourceStore})
+		second := start(t, FollowerConfig{Mirror: New(), Store: ownStore, Source: &fakeSource{follower: first}})
+		time.Sleep(5 * time.Second)
+		c.Assert(second.Settling(time.Now()), qt.IsFalse)
+		before := ownStore.watches.Load()
+		sourceStore.set(flags{down: true})
+		const fallback = sourceWait + sourceAttempts*(sourceWait+sourceRetryDelay) + DefaultWatchWait
+		time.Sleep(fallback)
+		c.Assert(ownStore.watches.Load() > before, qt.IsTrue)
+		c.Assert(second.Settling(time.Now()), qt.IsTrue)
+		// The store keeps answering this VM, so records are not missing any longer.
+		time.Sleep(SettleTime)
+		c.Assert(second.Settling(time.Now()), qt.IsFalse)
+	})
+}
+
 // Checks that a VM whose calls the store rejects follows its source again, whose
 // calls the store still serves. The VM then has current records and makes no
 // more billed calls.
