entry, relay, server, peer: drop requests whose callers left before they were read

Callers that left while their requests waited unread at a VM, because it got little processor time, had work started for them: attempts reached backend servers at any time after the departure, and ran on for the grace of 0.35 s. The same at a relay whose origin had ended the exchange, in the RPC daemon, and for hedges that were due in the meantime.

Cause: net/http starts a handler and looks for the end of the connection at the same time. The engine sends its first attempts within microseconds, usually before that.

Before anything is sent, and before hedges, the handler now looks at the connection itself (a peek that neither waits nor consumes anything; package internal/disconnect). That is enough since the end of the connection is already in the kernel: it was sent before the request was read.

--- a/entry/callerconn.go
+++ b/entry/callerconn.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/briarstand/briarstand/limit"
@@ -116,6 +118,14 @@
 	return nil
 }
 
+// SyscallConn implements syscall.Conn for package disconnect.
+func (c *callerConn) SyscallConn() (syscall.RawConn, error) {
+	if s, ok := c.Conn.(syscall.Conn); ok {
+		return s.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 var processStart = time.Now()
 
 // monotonicNanos returns the time since the start of the process, which clock
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/briarstand/briarstand/config"
 	"github.com/briarstand/briarstand/forward"
 	"github.com/briarstand/briarstand/internal/contain"
+	"github.com/briarstand/briarstand/internal/disconnect"
 	"github.com/briarstand/briarstand/limit"
 	"github.com/briarstand/briarstand/membership"
 	"github.com/briarstand/briarstand/mirror"
@@ -261,7 +262,7 @@
 			return &ListenError{Address: *l.address, Err: err}
 		}
 		*l.address = socket.Addr().String()
-		server := &http.Server{Handler: d.panics.Handler(l.handler), ErrorLog: d.logger.StandardLog()}
+		server := d.newServer(l.handler)
 		if l.address == &d.settings.CallerAddress {
 			socket = &callerListener{Listener: socket, limits: d.callerLimits, memory: d.requestMemory}
 			server.ConnState = onCallerConnState
@@ -274,6 +275,10 @@
 	return nil
 }
 
+func (d *Daemon) newServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: d.panics.Handler(handler), ErrorLog: d.logger.StandardLog(), ConnContext: disconnect.ConnContext}
+}
+
 // Settings returns the daemon's settings, after Listen with the addresses in
 // use.
 func (d *Daemon) Settings() Settings { return d.settings }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/briarstand/briarstand/forward"
+	"github.com/briarstand/briarstand/internal/disconnect"
 	"github.com/briarstand/briarstand/limit"
 	"github.com/briarstand/briarstand/route"
 	"github.com/briarstand/briarstand/telemetry"
@@ -72,11 +73,12 @@
 	}
 	defer d.endForwarding()
 	answer := d.engine.Run(r.Context(), forward.Job{
-		Route:    rt,
-		Request:  &upstream.Request{Method: r.Method, Head: d.platform.EncodeHead(r, len(body)), Body: body, ID: id, MaxReplyBytes: maxReplyBytes(rt)},
-		Wait:     wait,
-		Arrived:  arrived,
-		Stopping: d.stopping,
+		Route:        rt,
+		Request:      &upstream.Request{Method: r.Method, Head: d.platform.EncodeHead(r, len(body)), Body: body, ID: id, MaxReplyBytes: maxReplyBytes(rt)},
+		Wait:         wait,
+		Arrived:      arrived,
+		Stopping:     d.stopping,
+		Disconnected: func() bool { return disconnect.Disconnected(r.Context()) },
 	})
 	d.finishRequest(w, r, id, arrived, rt.Name, table.Version, answer)
 }
--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -345,6 +345,33 @@
 	})
 }
 
+// Guards against attempts that are sent after the caller has disconnected, before the
+// server notices: first ones and hedges.
+func TestCallerLeftUnnoticed(t *testing.T) {
+	for name, leavesAfter := range map[string]time.Duration{"before": 0, "before the hedges": 5 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				registry, services := shards(4)
+				f := &fakeTransport{behaviors: map[string]behavior{}}
+				for _, s := range services {
+					f.behaviors[s+"a"], f.behaviors[s+"b"] = behavior{after: -1}, behavior{after: -1}
+				}
+				job := query(services, 1)
+				job.Disconnected = func() bool { return time.Since(job.Arrived) >= leavesAfter }
+				a := newTestEngine(f, registry, limit.BudgetShare{Burst: 100}, nil).Run(context.Background(), job)
+				c.Assert(a.Outcome, qt.Equals, CallerDisconnected)
+				c.Assert(a.Hedges, qt.Equals, 0)
+				f.wg.Wait()
+				c.Assert(f.sent, qt.HasLen, a.Attempts)
+				if leavesAfter == 0 {
+					c.Assert(a.Attempts, qt.Equals, 0)
+				}
+			})
+		})
+	}
+}
+
 // fakeRelay simulates a relay to the backend servers of zone "b". If silent is
 // set, it never answers.
 type fakeRelay struct {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -301,6 +301,10 @@
 	// Stopping is closed when the VM stops and the request has to be answered with
 	// what it has; nil if it never is.
 	Stopping <-chan struct{}
+	// Disconnected reports whether the caller has disconnected, also if the context of
+	// Run is not cancelled yet; nil if it never is. It is called before attempts are
+	// sent.
+	Disconnected func() bool
 }
 
 // Run runs a request and returns its answer. The context must be cancelled when
--- a/forward/run.go
+++ b/forward/run.go
@@ -110,6 +110,9 @@
 
 func (r *run) run(ctx context.Context) Answer {
 	defer r.cleanUp()
+	if r.disconnected(ctx) {
+		return r.callerDisconnected()
+	}
 	if reachable, pause := r.reachable(); !reachable {
 		reason := "too few shards have a backend server"
 		if pause > 0 {
@@ -132,16 +135,27 @@
 			r.handle(res)
 			r.drainResults()
 		case <-timer.C:
+			if r.disconnected(ctx) {
+				return r.callerDisconnected()
+			}
 		case <-r.job.Stopping:
 			r.drainResults()
 			r.schedule.GiveUp = min(r.schedule.GiveUp, time.Since(r.job.Arrived))
 		case <-ctx.Done():
-			r.answer.Outcome, r.answer.Reason = CallerDisconnected, "the caller left"
-			return r.answer
+			return r.callerDisconnected()
 		}
 	}
 }
 
+func (r *run) disconnected(ctx context.Context) bool {
+	return ctx.Err() != nil || r.job.Disconnected != nil && r.job.Disconnected()
+}
+
+func (r *run) callerDisconnected() Answer {
+	r.answer.Outcome, r.answer.Reason = CallerDisconnected, "the caller left"
+	return r.answer
+}
+
 func (r *run) drainResults() {
 	for {
 		select {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -5,12 +5,15 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/briarstand/briarstand/config"
 	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
 	"github.com/briarstand/briarstand/membership"
@@ -143,6 +146,24 @@
 	}
 }
 
+// Guards against a relayed query that runs although the origin disconnected before this
+// VM read it.
+func TestOriginLeftBeforeItsQueryWasRead(t *testing.T) {
+	var cfg ServerConfig
+	d := start(t, newMemoryStore(), 0, func(c *ServerConfig) { cfg = *c })
+	defer d.stop()
+	cfg.Metrics = metrics.NewSet()
+	cfg.Query = func(context.Context, *briarstandv1.QueryRequest) (*briarstandv1.QueryResponse, error) {
+		t.Error("the query runs")
+		return &briarstandv1.QueryResponse{}, nil
+	}
+	ctx, disconnect := context.WithCancel(context.Background())
+	disconnect()
+	r := httptest.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("%s?vm=%s&n=%d", PathQuery, cfg.VMID, cfg.Incarnation), strings.NewReader("{}"))
+	r.RemoteAddr = "127.0.0.1:1"
+	qt.Assert(t, func() { NewServer(cfg).ServeHTTP(httptest.NewRecorder(), r) }, qt.PanicMatches, http.ErrAbortHandler.Error())
+}
+
 // A request body above the size limit must be refused.
 func TestLargeBodyIsRefused(t *testing.T) {
 	d := start(t, newMemoryStore(), 0, nil)
--- a/peer/server.go
+++ b/peer/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+	"github.com/briarstand/briarstand/internal/disconnect"
 	"github.com/briarstand/briarstand/membership"
 	"github.com/briarstand/briarstand/rollout"
 	"github.com/go-chi/chi/v5"
@@ -287,6 +288,9 @@
 		writeError(w, http.StatusBadRequest, codeMalformed, err.Error())
 		return
 	}
+	if disconnect.Disconnected(r.Context()) {
+		panic(http.ErrAbortHandler)
+	}
 	resp, err := s.cfg.Query(context.WithValue(r.Context(), relayedKey{}, true), req)
 	if err != nil {
 		writeError(w, http.StatusBadRequest, codeMalformed, err.Error())
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -18,6 +19,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/internal/disconnect"
 	"github.com/briarstand/briarstand/internal/heaptest"
 	"github.com/briarstand/briarstand/membership"
 	"github.com/briarstand/briarstand/topk"
@@ -115,6 +117,50 @@
 	return g
 }
 
+// gatedListener accepts connections once open is closed; until then they wait in the
+// kernel, as they do while a VM gets no processor time.
+type gatedListener struct {
+	net.Listener
+	open chan struct{}
+}
+
+func (l *gatedListener) Accept() (net.Conn, error) {
+	<-l.open
+	return l.Listener.Accept()
+}
+
+// Guards against work for origins that disconnected before a slow relay read their
+// requests.
+func TestOriginLeftBeforeItsRequestWasRead(t *testing.T) {
+	c := qt.New(t)
+	f := &fakeTransport{}
+	var running sync.WaitGroup
+	handler := newHandler(f)
+	running.Add(20)
+	web := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer running.Done()
+		handler.ServeHTTP(w, r)
+	}))
+	gate := &gatedListener{web.Listener, make(chan struct{})}
+	web.Listener, web.Config.ConnContext = gate, disconnect.ConnContext
+	web.Start()
+	defer web.Close()
+	body, err := json.Marshal(request{ID: "1", Method: "GET", Backends: []string{"a", "hang"}, Limit: 10, RemainingMS: 2000, FlushMS: 20})
+	c.Assert(err, qt.IsNil)
+	for range 20 {
+		conn, err := net.Dial("tcp", gate.Addr().String())
+		c.Assert(err, qt.IsNil)
+		fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", Path, len(body), body)
+		conn.Close()
+	}
+	time.Sleep(50 * time.Millisecond)
+	close(gate.open)
+	running.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c.Assert(f.sent, qt.HasLen, 0)
+}
+
 // Checks that a late part follows in a batch of its own and does not delay the
 // parts that have arrived, and that refusals and failures are reported to the
 // origin as what they are.
--- a/relay/server.go
+++ b/relay/server.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 
+	"github.com/briarstand/briarstand/internal/disconnect"
 	"github.com/briarstand/briarstand/limit"
 	"github.com/briarstand/briarstand/telemetry"
 	"github.com/briarstand/briarstand/topk"
@@ -44,6 +45,10 @@
 		http.Error(w, "the request could not be read", http.StatusBadRequest)
 		return
 	}
+	if disconnect.Disconnected(r.Context()) {
+		h.Logger.Debug("relay request dropped, the origin has disconnected", telemetry.FieldRequestID, req.ID, "from", r.RemoteAddr)
+		panic(http.ErrAbortHandler)
+	}
 	s := &session{handler: h, req: &req, start: start, results: make(chan upstream.Result, len(req.Backends)), out: json.NewEncoder(w)}
 	s.flusher, _ = w.(http.Flusher)
 	w.Header().Set("Content-Type", "application/json")
--- a/server/listener.go
+++ b/server/listener.go
@@ -14,6 +14,8 @@
 	"github.com/charmbracelet/log"
 	"github.com/go-chi/chi/v5"
 	"github.com/go-chi/chi/v5/middleware"
+
+	"github.com/briarstand/briarstand/internal/disconnect"
 )
 
 // ListenError reports an API whose address cannot be listened on.
@@ -74,6 +76,7 @@
 		Protocols:         protocols,
 		ReadHeaderTimeout: cfg.ReadHeaderTimeout,
 		IdleTimeout:       cfg.IdleTimeout,
+		ConnContext:       disconnect.ConnContext,
 		MaxHeaderBytes:    cfg.MaxHeaderBytes,
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: min(cfg.MaxConcurrent, maxStreamsPerConnection)},
 		ErrorLog:          cfg.Logger.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel}),
--- a/server/server.go
+++ b/server/server.go
@@ -20,6 +20,7 @@
 	"github.com/briarstand/briarstand/config/command"
 	configquery "github.com/briarstand/briarstand/config/query"
 	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+	"github.com/briarstand/briarstand/internal/disconnect"
 	"github.com/briarstand/briarstand/membership"
 	"github.com/briarstand/briarstand/peer"
 	"github.com/briarstand/briarstand/query"
@@ -191,6 +192,7 @@
 func (s *Server) callerHandler() http.Handler {
 	set := s.cfg.Settings
 	r := newRouter(s.cfg.apiConfig("caller", "", set.MaxCallerBodyBytes))
+	r.Use(disconnect.Handler)
 	r.Use(s.closeWhileRefusing)
 	path, h := callerapi.New(callerapi.Config{
 		Engine: s.engine, Address: set.CallerAdvertise, MaxMessageBytes: set.MaxCallerBodyBytes, Metrics: s.cfg.Metrics,
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -230,6 +230,46 @@
 	c.Assert(<-result, qt.IsNil)
 }
 
+// gatedListener accepts connections once open is closed; until then they wait in the
+// kernel, as they do while a VM gets no processor time.
+type gatedListener struct {
+	net.Listener
+	open chan struct{}
+}
+
+func (l *gatedListener) Accept() (net.Conn, error) {
+	<-l.open
+	return l.Listener.Accept()
+}
+
+// Guards against work for callers that left before a slow VM read their queries.
+func TestCallerLeftBeforeItsQueryWasRead(t *testing.T) {
+	c := qt.New(t)
+	backendServer, address := startBackend(t, 10*time.Millisecond)
+	srv, _ := newTestServer(t)
+	gate := &gatedListener{srv.caller.net, make(chan struct{})}
+	srv.caller.net = gate
+	stop, result := runServer(t, srv)
+	waitFor(c, "ready", func() bool { return srv.Ready() == nil })
+	applyService(srv, address)
+	const path, body = "/briarstand.v1.CallerService/Query", `{"service":"s"}`
+	for range 20 {
+		conn, err := net.Dial("tcp", srv.Addresses().Caller)
+		c.Assert(err, qt.IsNil)
+		fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+		conn.Close()
+	}
+	time.Sleep(100 * time.Millisecond)
+	close(gate.open)
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Post("http://"+srv.Addresses().Caller+path, "application/json", strings.NewReader(body))
+	c.Assert(err, qt.IsNil)
+	resp.Body.Close()
+	c.Check(resp.StatusCode, qt.Equals, http.StatusOK)
+	c.Check(backendServer.Summary().Started, qt.Equals, int64(1))
+	stop()
+	c.Assert(<-result, qt.IsNil)
+}
+
 // Checks that New already fails if an address is in use, before the VM joins the
 // membership, and that the error names the API.
 func TestTakenAddress(t *testing.T) {
