peer, relay, server, entry: share the gated listener of tests, fix a test that raced

Cause: it cancelled the context of its request, and the router's throttle picks at random between a cancelled context and a free slot, so that the handler was often not reached.

--- a/entry/departure_test.go
+++ b/entry/departure_test.go
@@ -7,19 +7,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-)
-
-// gatedListener accepts connections once open is closed; until then they wait in the
-// kernel, as they do while a VM gets no processor time.
-type gatedListener struct {
-	net.Listener
-	open chan struct{}
-}
 
-func (l *gatedListener) Accept() (net.Conn, error) {
-	<-l.open
-	return l.Listener.Accept()
-}
+	"github.com/briarstand/briarstand/internal/nettest"
+)
 
 // Guards against work for callers that left before a slow VM read their requests.
 func TestCallerLeftBeforeItsRequestWasRead(t *testing.T) {
@@ -33,7 +23,7 @@
 	v := f.start("vm1", true)
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	f.Assert(err, qt.IsNil)
-	gate := &gatedListener{socket, make(chan struct{})}
+	gate := nettest.NewGatedListener(socket)
 	server := v.daemon.NewCallerServer()
 	go func() { _ = server.Serve(gate) }()
 	defer server.Close()
@@ -44,7 +34,7 @@
 		conn.Close()
 	}
 	time.Sleep(100 * time.Millisecond)
-	close(gate.open)
+	close(gate.Open)
 	f.eventually(5*time.Second, "all requests are over", func() bool {
 		for i := range requests {
 			if f.linesOf(fmt.Sprintf("left-%d", i)) == "" {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -6,16 +6,19 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
-	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/briarstand/briarstand/config"
 	briarstandv1 "github.com/briarstand/briarstand/gen/briarstand/v1"
+	"github.com/briarstand/briarstand/internal/disconnect"
+	"github.com/briarstand/briarstand/internal/nettest"
 	"github.com/briarstand/briarstand/membership"
 	"github.com/briarstand/briarstand/rollout"
 	qt "github.com/frankban/quicktest"
@@ -157,11 +160,24 @@
 		t.Error("the query runs")
 		return &briarstandv1.QueryResponse{}, nil
 	}
-	ctx, disconnect := context.WithCancel(context.Background())
-	disconnect()
-	r := httptest.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("%s?vm=%s&n=%d", PathQuery, cfg.VMID, cfg.Incarnation), strings.NewReader("{}"))
-	r.RemoteAddr = "127.0.0.1:1"
-	qt.Assert(t, func() { NewServer(cfg).ServeHTTP(httptest.NewRecorder(), r) }, qt.PanicMatches, http.ErrAbortHandler.Error())
+	handler := NewServer(cfg)
+	var running sync.WaitGroup
+	running.Add(1)
+	web := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer running.Done()
+		handler.ServeHTTP(w, r)
+	}))
+	gate := nettest.NewGatedListener(web.Listener)
+	web.Listener, web.Config.ConnContext = gate, disconnect.ConnContext
+	web.Start()
+	defer web.Close()
+	conn, err := net.Dial("tcp", gate.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	fmt.Fprintf(conn, "POST %s?vm=%s&n=%d HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}", PathQuery, cfg.VMID, cfg.Incarnation)
+	conn.Close()
+	time.Sleep(50 * time.Millisecond)
+	close(gate.Open)
+	running.Wait()
 }
 
 // A request body above the size limit must be refused.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -21,6 +21,7 @@
 	"github.com/briarstand/briarstand/config"
 	"github.com/briarstand/briarstand/internal/disconnect"
 	"github.com/briarstand/briarstand/internal/heaptest"
+	"github.com/briarstand/briarstand/internal/nettest"
 	"github.com/briarstand/briarstand/membership"
 	"github.com/briarstand/briarstand/topk"
 	"github.com/briarstand/briarstand/upstream"
@@ -117,18 +118,6 @@
 	return g
 }
 
-// gatedListener accepts connections once open is closed; until then they wait in the
-// kernel, as they do while a VM gets no processor time.
-type gatedListener struct {
-	net.Listener
-	open chan struct{}
-}
-
-func (l *gatedListener) Accept() (net.Conn, error) {
-	<-l.open
-	return l.Listener.Accept()
-}
-
 // Guards against work for origins that disconnected before a slow relay read their
 // requests.
 func TestOriginLeftBeforeItsRequestWasRead(t *testing.T) {
@@ -141,7 +130,7 @@
 		defer running.Done()
 		handler.ServeHTTP(w, r)
 	}))
-	gate := &gatedListener{web.Listener, make(chan struct{})}
+	gate := nettest.NewGatedListener(web.Listener)
 	web.Listener, web.Config.ConnContext = gate, disconnect.ConnContext
 	web.Start()
 	defer web.Close()
@@ -154,7 +143,7 @@
 		conn.Close()
 	}
 	time.Sleep(50 * time.Millisecond)
-	close(gate.open)
+	close(gate.Open)
 	running.Wait()
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -19,6 +19,7 @@
 
 	backendstandin "github.com/briarstand/briarstand/backend/standin"
 	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/internal/nettest"
 	platformstandin "github.com/briarstand/briarstand/kvstore/standin"
 	"github.com/briarstand/briarstand/settings"
 )
@@ -230,24 +231,12 @@
 	c.Assert(<-result, qt.IsNil)
 }
 
-// gatedListener accepts connections once open is closed; until then they wait in the
-// kernel, as they do while a VM gets no processor time.
-type gatedListener struct {
-	net.Listener
-	open chan struct{}
-}
-
-func (l *gatedListener) Accept() (net.Conn, error) {
-	<-l.open
-	return l.Listener.Accept()
-}
-
 // Guards against work for callers that left before a slow VM read their queries.
 func TestCallerLeftBeforeItsQueryWasRead(t *testing.T) {
 	c := qt.New(t)
 	backendServer, address := startBackend(t, 10*time.Millisecond)
 	srv, _ := newTestServer(t)
-	gate := &gatedListener{srv.caller.net, make(chan struct{})}
+	gate := nettest.NewGatedListener(srv.caller.net)
 	srv.caller.net = gate
 	stop, result := runServer(t, srv)
 	waitFor(c, "ready", func() bool { return srv.Ready() == nil })
@@ -260,7 +249,7 @@
 		conn.Close()
 	}
 	time.Sleep(100 * time.Millisecond)
-	close(gate.open)
+	close(gate.Open)
 	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Post("http://"+srv.Addresses().Caller+path, "application/json", strings.NewReader(body))
 	c.Assert(err, qt.IsNil)
 	resp.Body.Close()
--- a/upstream/notice_test.go
+++ b/upstream/notice_test.go
@@ -70,7 +70,7 @@
 	a, _ := c.Availability(other, time.Now())
 	qt.Check(t, a, qt.Equals, Available)
 	c.cfg.NoticeRetention = 0
-	time.Sleep(1)
+	time.Sleep(time.Nanosecond)
 	c.Update(nil)
 	qt.Check(t, availability(0), qt.Equals, Available)
 }
