soak: pause VMs while callers leave, check requests that begin after the departure

The check of departures counted only runs that go on, and skipped those near a pause of a VM, so that it could not see the second cause of GONE. It now also counts requests that begin to run over half a second after their callers have left, also at a VM that was paused, and allows five. A request counts once: the rule speaks of requests, and a query has a run for each shard.

--- a/soak/check.go
+++ b/soak/check.go
@@ -293,9 +293,11 @@
 	maxLateDepartures     = 5
 )
 
-// checkDepartures returns a violation if too many runs went on after their callers
-// had left. It skips runs near a disturbance, in which the close of a connection may
-// not arrive: those of all servers are under the key "".
+// checkDepartures returns a violation if too many runs went on, or requests began to run,
+// after their callers had left. It skips runs near a disturbance, in which the close of a connection
+// may not arrive: those of all servers are under the key "". Runs that began late are
+// skipped only near a disturbance of their server: a VM that was paused must not send
+// them when it goes on.
 func checkDepartures(requests []request, runs []run, disturbances map[string][]span) []Violation {
 	left := map[string]time.Time{}
 	for _, r := range requests {
@@ -303,10 +305,20 @@
 			left[r.ID] = r.End
 		}
 	}
+	var violations []Violation
+	begun, firstBegun := map[string]bool{}, ""
 	total, late, first := 0, 0, ""
 	for _, r := range runs {
 		leftAt, ok := left[r.ID]
-		if !ok || !r.Cancelled || r.EndedAt.Before(leftAt) {
+		if !ok {
+			continue
+		}
+		beforeRun := func(s span) bool { return s.overlaps(leftAt, r.At) }
+		if r.At.Sub(leftAt) > maxWorkAfterDeparture && !slices.ContainsFunc(disturbances[r.Backend], beforeRun) {
+			begun[r.ID] = true
+			firstBegun = cmp.Or(firstBegun, r.ID)
+		}
+		if !r.Cancelled || r.EndedAt.Before(leftAt) {
 			continue
 		}
 		near := func(s span) bool { return s.overlaps(r.At, r.EndedAt) }
@@ -320,9 +332,12 @@
 		}
 	}
 	if late > maxLateDepartures && float64(late) > lateDepartureFraction*float64(total) {
-		return []Violation{{"departure", first, fmt.Sprintf("%d of %d runs went on for more than %v after their callers had left", late, total, maxWorkAfterDeparture)}}
+		violations = append(violations, Violation{"departure", first, fmt.Sprintf("%d of %d runs went on for more than %v after their callers had left", late, total, maxWorkAfterDeparture)})
+	}
+	if len(begun) > maxLateDepartures {
+		violations = append(violations, Violation{"departure", firstBegun, fmt.Sprintf("runs of %d requests began more than %v after their callers had left", len(begun), maxWorkAfterDeparture)})
 	}
-	return nil
+	return violations
 }
 
 // plannedStop is a graceful stop of a VM that was stable when the stop began. The
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -111,6 +111,14 @@
 	qt.Check(t, checkDepartures(lookups, cancelled, nil), qt.HasLen, 1)
 	qt.Check(t, checkDepartures(lookups, cancelled[1:], nil), qt.HasLen, 0)
 	qt.Check(t, checkDepartures(lookups, cancelled, map[string][]span{"a1": {{at(0), at(3)}}}), qt.HasLen, 0)
+	var begun []run
+	for i := range 6 {
+		begun = append(begun, run{Run: standin.Run{ID: fmt.Sprint("left-", i), At: at(2.6), EndedAt: at(2.7)}, Backend: "a1"})
+	}
+	paused := map[string][]span{"": {{at(1), at(2.6)}}}
+	qt.Check(t, checkDepartures(lookups, begun, paused), qt.HasLen, 1)
+	qt.Check(t, checkDepartures(lookups, begun[1:], paused), qt.HasLen, 0)
+	qt.Check(t, checkDepartures(lookups, begun, map[string][]span{"a1": {{at(1), at(2.6)}}}), qt.HasLen, 0)
 
 	booking.Err, booking.End = errors.New("EOF"), at(3)
 	v := &vm{settings: standin.VMSettings{ID: "vm"}}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -121,6 +121,17 @@
 		v.signal(syscall.SIGSTOP)
 		return func() { v.signal(syscall.SIGCONT) }
 	}},
+	{"pause a VM while callers leave", func(h *harness, d time.Duration) func() {
+		v := h.randomVM()
+		v.recordFault(d + stabilityPeriod)
+		h.recordDisturbance("", d)
+		h.departures.Add(1)
+		v.signal(syscall.SIGSTOP)
+		return func() {
+			v.signal(syscall.SIGCONT)
+			h.departures.Add(-1)
+		}
+	}},
 	{"stop a VM", func(h *harness, d time.Duration) func() {
 		h.stopVM(h.randomVM())
 		return nil
