--- a/internal/disconnect/disconnect.go
+++ b/internal/disconnect/disconnect.go
@@ -49,12 +49,16 @@
 	return peekErr == nil && n == 0 || errors.Is(peekErr, syscall.ECONNRESET) || errors.Is(peekErr, syscall.EPIPE)
 }
 
-// Handler wraps a handler so that it is not called for clients that have disconnected.
-func Handler(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if Disconnected(r.Context()) {
-			panic(http.ErrAbortHandler)
-		}
-		next.ServeHTTP(w, r)
-	})
+// Handler returns middleware that does not call the next handler for clients that have
+// disconnected, but dropped.
+func Handler(dropped func(r *http.Request)) func(next http.Handler) http.Handler {
+	return func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if Disconnected(r.Context()) {
+				dropped(r)
+				panic(http.ErrAbortHandler)
+			}
+			next.ServeHTTP(w, r)
+		})
+	}
 }
--- a/internal/disconnect/disconnect_test.go
+++ b/internal/disconnect/disconnect_test.go
@@ -61,7 +61,8 @@
 // that have a body.
 func TestHandler(t *testing.T) {
 	c := qt.New(t)
-	web := httptest.NewUnstartedServer(Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {})))
+	dropped := func(*http.Request) { t.Error("dropped") }
+	web := httptest.NewUnstartedServer(Handler(dropped)(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})))
 	web.Config.ConnContext = ConnContext
 	web.Start()
 	defer web.Close()
--- a/peer/server.go
+++ b/peer/server.go
@@ -18,6 +18,7 @@
 	"github.com/briarstand/briarstand/internal/disconnect"
 	"github.com/briarstand/briarstand/membership"
 	"github.com/briarstand/briarstand/rollout"
+	"github.com/briarstand/briarstand/telemetry"
 	"github.com/go-chi/chi/v5"
 	"github.com/go-chi/chi/v5/middleware"
 	"golang.org/x/time/rate"
@@ -289,6 +290,7 @@
 		return
 	}
 	if disconnect.Disconnected(r.Context()) {
+		s.cfg.Logger.Debug("query dropped, the origin has disconnected", telemetry.FieldRequestID, req.GetRequestId(), "from", r.RemoteAddr)
 		panic(http.ErrAbortHandler)
 	}
 	resp, err := s.cfg.Query(context.WithValue(r.Context(), relayedKey{}, true), req)
--- a/server/server.go
+++ b/server/server.go
@@ -192,7 +192,9 @@
 func (s *Server) callerHandler() http.Handler {
 	set := s.cfg.Settings
 	r := newRouter(s.cfg.apiConfig("caller", "", set.MaxCallerBodyBytes))
-	r.Use(disconnect.Handler)
+	r.Use(disconnect.Handler(func(r *http.Request) {
+		s.cfg.Logger.Debug("request dropped, the caller has disconnected", "path", r.URL.Path, "from", r.RemoteAddr)
+	}))
 	r.Use(s.closeWhileRefusing)
 	path, h := callerapi.New(callerapi.Config{
 		Engine: s.engine, Address: set.CallerAdvertise, MaxMessageBytes: set.MaxCallerBodyBytes, Metrics: s.cfg.Metrics,
