--- a/soak/check.go
+++ b/soak/check.go
@@ -293,11 +293,11 @@
 	maxLateDepartures     = 5
 )
 
-// checkDepartures returns a violation if too many runs went on, or requests began to run,
-// after their callers had left. It skips runs near a disturbance, in which the close of a connection
-// may not arrive: those of all servers are under the key "". Runs that began late are
-// skipped only near a disturbance of their server: a VM that was paused must not send
-// them when it goes on.
+// checkDepartures returns a violation if too many runs went on, or too many requests
+// began to run, after their callers had left. It skips runs near a disturbance, in which
+// the close of a connection may not arrive: those of all servers are under the key "".
+// Runs that began late are skipped only near a disturbance of their server: a VM that was
+// paused must not send them when it goes on.
 func checkDepartures(requests []request, runs []run, disturbances map[string][]span) []Violation {
 	left := map[string]time.Time{}
 	for _, r := range requests {
