entry: TestSlowShard accepts an answer in time although the machine held the test up

The trace of the last of the 30 tries: the process waited for a processor for 32.8 ms of the 95.1 ms that the answer took, so the try was discarded, although the answer came within the bound of 100 ms as it was.

A try now counts also if its answer meets the bounds without any deduction.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -195,16 +195,19 @@
 
 // askTimed asks and returns how long the answer took, less the time for which
 // the machine suspended this process. It asks again, with another id, if that was
-// more than maxSuspended. The trace holds the caller's steps, the late ticks and
+// more than maxSuspended, unless the answer met the bounds nevertheless. The trace holds the caller's steps, the late ticks and
 // the VM's log lines. Package forward tests the times of hedges and
 // retries themselves, on a fake clock.
-func (f *fixture) askTimed(v *vm, target, id string) (a answer, took time.Duration, trace string) {
+func (f *fixture) askTimed(v *vm, target, id string, met func(a answer, took time.Duration) bool) (a answer, took time.Duration, trace string) {
 	f.Helper()
 	for try := range 30 {
 		tryID := fmt.Sprintf("%s-%d", id, try)
 		var suspended time.Duration
 		a, took, suspended, trace = f.askTraced(v, target, tryID)
 		trace += f.linesOf(tryID)
+		if met(a, took) {
+			return a, took, trace
+		}
 		if suspended <= maxSuspended {
 			return a, took - suspended, trace
 		}
@@ -397,14 +400,19 @@
 	// Until a VM knows the others, its budget allows few hedges.
 	f.eventually(6*time.Second, "knows the other VMs", v.daemon.KnowsFleet)
 	slow.SetBehavior(standin.Behavior{Hang: true})
+	inTime := func(missing string) func(a answer, took time.Duration) bool {
+		return func(a answer, took time.Duration) bool {
+			return a.status == http.StatusOK && a.header.Get("X-Missing-Parts") == missing && took < 100*time.Millisecond
+		}
+	}
 	for i := range 6 {
-		a, took, trace := f.askTimed(v, "/find/x", fmt.Sprint("id-", i))
+		a, took, trace := f.askTimed(v, "/find/x", fmt.Sprint("id-", i), inTime("0"))
 		f.Check(a.status, qt.Equals, http.StatusOK)
 		f.Check(a.header.Get("X-Missing-Parts"), qt.Equals, "0", qt.Commentf("%s", trace))
 		f.Check(took < 100*time.Millisecond, qt.IsTrue, qt.Commentf("took %v\n%s", took, trace))
 	}
 	other.SetBehavior(standin.Behavior{Hang: true})
-	a, took, trace := f.askTimed(v, "/find/x", "both")
+	a, took, trace := f.askTimed(v, "/find/x", "both", inTime("1"))
 	f.Check(a.status, qt.Equals, http.StatusOK)
 	f.Check(a.header.Get("X-Missing-Parts"), qt.Equals, "1")
 	f.Check(took < 100*time.Millisecond, qt.IsTrue, qt.Commentf("took %v\n%s", took, trace))
