--- a/review/standin/garble.go
+++ b/review/standin/garble.go
@@ -182,7 +182,7 @@
 					count("lookup", d.send(client, v, "GET", "/lookup/w5/x", "", time.Second))
 					time.Sleep(200 * time.Millisecond)
 				} else {
-					count("quote", d.send(client, v, "POST", "/quote/w40/x", "a quote, please", 3*time.Second))
+					count("quote", d.send(client, v, "POST", "/quote/w20/x", "a quote, please", 3*time.Second))
 				}
 				time.Sleep(20 * time.Millisecond)
 			}
