--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -13,14 +13,13 @@
 
 // answer is what a client got for a request.
 type answer struct {
-	ID, VM   string
-	Sent     time.Time
-	Ended    time.Time
-	Status   int // 0 if there was none
-	Seal     string
-	Body     string
-	Err      error
-	Executed bool
+	ID, VM string
+	Sent   time.Time
+	Ended  time.Time
+	Status int // 0 if there was none
+	Seal   string
+	Body   string
+	Err    error
 }
 
 var lastRequest atomic.Int64
--- a/review/standin/garble.go
+++ b/review/standin/garble.go
@@ -88,6 +88,7 @@
 	h.Set("X-Server-Seal", s.seal(id))
 	h.Set("Content-Length", fmt.Sprint(len(s.body)))
 	_, _ = w.Write(s.body) // fails if the connection is closed
+	s.d.logf("searcher %s has run %s", s.id, id)
 }
 
 // tally counts how requests ended.
