--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -9,10 +9,11 @@
 
 func init() { cases["drain"] = drain }
 
-// drain plays a rolling replacement of a slow searcher: the new one starts, then
-// the old one reports that it drains. Requests of clients that came before wait
-// in a VM for a connection to the old one. It checks that no request reaches the
-// old one later than drain_ms after the store's acknowledgement.
+// drain plays a rolling replacement of one of two searchers while they work on long
+// requests: the new one starts, then the old one reports that it drains. Requests of
+// clients that came before wait in a VM for a connection to the old one. It checks
+// that no request reaches the old one later than drain_ms after the store's
+// acknowledgement.
 func drain(record string) (held bool, err error) {
 	// Figures of the service ticket-desk and the bounds of its site.
 	d, err := newDeployment(record, bounds{DrainMS: 4000, ConfigApplyMS: 4000, StabilityMS: 5000, GraceS: 6})
@@ -28,6 +29,12 @@
 	}
 	defer old.close()
 	old.report("ready")
+	other, err := d.newSearcher("i-other", "booking", order[0], 2, 12)
+	if err != nil {
+		return false, err
+	}
+	defer other.close()
+	other.report("ready")
 	d.configure(1, map[string]int{"booking": 56}, standin.Route{
 		Name: "booking-fetch", Host: host, Prefix: "/booking/", Kind: "idempotent", TimeoutMS: 8000, GoalMS: 400, Priority: 2, MaxAttempts: 1, Service: "booking",
 	})
@@ -35,30 +42,23 @@
 		return false, err
 	}
 
-	const (
-		slow    = 12 // as srv_slow
-		slowFor = 8 * time.Second
-	)
-	old.setSlow(slow)
-	time.AfterFunc(slowFor, func() { old.setSlow(1) })
 	client := newClient()
 	var clients sync.WaitGroup
-	send := func(path string) {
-		clients.Go(func() { d.send(client, d.vms[0], "GET", path, "", 8*time.Second) })
-		time.Sleep(20 * time.Millisecond)
-	}
-	send("/booking/w300/x") // takes 3.6 s
-	send("/booking/w400/x") // 4.8 s
-	for range 10 {
-		send("/booking/w90/x") // 1.1 s
+	send := func(path string, n int) {
+		for range n {
+			clients.Go(func() { d.send(client, d.vms[0], "GET", path, "", 8*time.Second) })
+			time.Sleep(10 * time.Millisecond)
+		}
 	}
+	send("/booking/w5000/x", 6)
+	send("/booking/w1000/x", 18)
 	next, err := d.newSearcher("i-new", "booking", order[1], 2, 12)
 	if err != nil {
 		return false, err
 	}
 	defer next.close()
 	next.report("ready")
-	time.Sleep(100 * time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
 	var acked time.Time
 	if d.trouble {
 		acked = old.report("draining")
--- a/review/standin/garble.go
+++ b/review/standin/garble.go
@@ -21,7 +21,7 @@
 	garbleFor    = 5500 * time.Millisecond
 	garblePause  = 500 * time.Millisecond
 	garbleSpells = 8
-	// quoteBytes is the size of an answer of the service quotes.
+	// quoteBytes is the size of an answer of the service order-desk.
 	quoteBytes = 512 << 10
 	// garbleEnd is when the load ends.
 	garbleEnd = 104 * time.Second
@@ -119,8 +119,8 @@
 		return false, err
 	}
 	defer d.close()
-	zones := map[string]string{"attica-a": "attica", "makedonia-a": "makedonia"}
-	order := []string{"attica-a", "makedonia-a"}
+	zones := map[string]string{"muenchen-nord": "oberbayern", "nuernberg-sued": "franken"}
+	order := []string{"muenchen-nord", "nuernberg-sued"}
 	add := func(id, service, zone string, size int) (*spoiler, error) {
 		s, err := d.newSearcher(id, service, zone, 2, 8)
 		if err != nil {
@@ -133,17 +133,17 @@
 	}
 	var quotes []*spoiler
 	for i := range 4 {
-		s, err := add(fmt.Sprintf("i-quotes-%d", i), "quotes", order[i%2], quoteBytes)
+		s, err := add(fmt.Sprintf("i-order-desk-%d", i), "order-desk", order[i%2], quoteBytes)
 		if err != nil {
 			return false, err
 		}
 		defer s.close()
 		quotes = append(quotes, s)
 	}
-	conns := map[string]int{"quotes": 248}
+	conns := map[string]int{"order-desk": 244}
 	var shards []string
 	for i := range 4 {
-		name := fmt.Sprintf("fieldapp-%d", i)
+		name := fmt.Sprintf("counter-search-%d", i)
 		for j, zone := range order {
 			s, err := add(fmt.Sprintf("i-%s-%d", name, j), name, zone, 400)
 			if err != nil {
@@ -155,7 +155,7 @@
 		conns[name] = 58
 	}
 	d.configure(1, conns,
-		standin.Route{Name: "quote", Host: host, Prefix: "/quote/", Kind: "non_idempotent", TimeoutMS: 3000, GoalMS: 300, Priority: 2, MaxAttempts: 1, Service: "quotes"},
+		standin.Route{Name: "quote", Host: host, Prefix: "/quote/", Kind: "non_idempotent", TimeoutMS: 3000, GoalMS: 300, Priority: 2, MaxAttempts: 1, Service: "order-desk"},
 		standin.Route{Name: "lookup", Host: host, Prefix: "/lookup/", Kind: "idempotent", TimeoutMS: 1000, GoalMS: 100, Priority: 1, MaxAttempts: 2, Shards: shards, Limit: 20, MinShare: 0.75},
 	)
 	if err := d.startVMs(zones, order, 1); err != nil {
@@ -194,7 +194,7 @@
 		for j, s := range quotes {
 			s.set(float64(j) < garbleShare*float64(len(quotes)))
 		}
-		d.logf("spell %d: %.0f in 100 searchers of quotes spoil %.0f in 100 answers", i+1, 100*garbleShare, 100*garblePart)
+		d.logf("spell %d: %.0f in 100 searchers of order-desk spoil %.0f in 100 answers", i+1, 100*garbleShare, 100*garblePart)
 		time.Sleep(garbleFor)
 		for _, s := range quotes {
 			s.set(false)
--- a/review/standin/restart.go
+++ b/review/standin/restart.go
@@ -13,7 +13,7 @@
 func init() { cases["restart"] = restart }
 
 // restart kills the processes of all VMs. As they start again, one of them has a
-// link that loses packets, and a searcher leaves whose entry is removed. The rule
+// link that loses packets at first, and a searcher leaves whose entry is removed. The rule
 // is checked when all VMs are in touch again: no request reaches that searcher
 // later than drain_ms after the acknowledgement.
 func restart(record string) (held bool, err error) {
@@ -23,13 +23,13 @@
 	}
 	defer d.close()
 	d.store.SetPageSize(pageItems)
-	zones := map[string]string{"attica-a": "attica", "makedonia-a": "makedonia"}
-	order := []string{"attica-a", "makedonia-a"}
+	zones := map[string]string{"muenchen-nord": "oberbayern", "nuernberg-sued": "franken"}
+	order := []string{"muenchen-nord", "nuernberg-sued"}
 	conns := map[string]int{}
 	var shards []string
 	var leaver *searcher
 	for i := range 20 {
-		name := fmt.Sprintf("fieldapp-%02d", i)
+		name := fmt.Sprintf("counter-search-%02d", i)
 		shards = append(shards, name)
 		conns[name] = 58
 		for j, zone := range order {
@@ -45,44 +45,32 @@
 		}
 	}
 	for i := range 8 { // so that all entries need a second page
-		s, err := d.newSearcher(fmt.Sprintf("a-quotes-%d", i), "quotes", order[i%2], 2, 8)
+		s, err := d.newSearcher(fmt.Sprintf("a-order-desk-%d", i), "order-desk", order[i%2], 2, 8)
 		if err != nil {
 			return false, err
 		}
 		defer s.close()
 		s.report("ready")
 	}
-	conns["quotes"] = 248
+	conns["order-desk"] = 244
 	d.configure(1, conns, standin.Route{
-		Name: "lookup", Host: host, Prefix: "/lookup/", Kind: "idempotent", TimeoutMS: 1000, GoalMS: 100, Priority: 1, MaxAttempts: 2, Shards: shards, Limit: 20, MinShare: 0.75,
+		Name: "catalogue-sweep", Host: host, Prefix: "/lookup/", Kind: "idempotent", TimeoutMS: 1000, GoalMS: 100, Priority: 1, MaxAttempts: 2, Shards: shards, Limit: 10, MinShare: 0.75,
 	})
 	if err := d.startVMs(zones, order, 3); err != nil {
 		return false, err
 	}
 
-	for _, v := range d.vms {
-		d.kill(v)
-	}
-	time.Sleep(700 * time.Millisecond)
 	if d.trouble {
-		d.vms[0].link.setDelay(100 * time.Millisecond)
-	}
-	for i, v := range d.vms {
-		if err := d.startVM(v); err != nil {
+		if err := d.restartAll(); err != nil {
 			return false, err
 		}
-		if i == 0 {
-			time.Sleep(10 * time.Millisecond)
-		}
 	}
-	time.Sleep(45 * time.Millisecond)
 	leaver.leave()
 	d.store.Delete("servers/" + leaver.id)
 	acked := time.Now()
 	d.logf("the entry of %s is removed: acknowledged by the store", leaver.id)
-	time.Sleep(2 * time.Second)
-	d.vms[0].link.setDelay(0)
-	time.Sleep(time.Duration(d.bounds.StabilityMS)*time.Millisecond + 500*time.Millisecond)
+	// Until all VMs have run for longer than the stability time.
+	time.Sleep(time.Duration(d.bounds.StabilityMS)*time.Millisecond + 2500*time.Millisecond)
 
 	client := newClient()
 	var served atomic.Int64
@@ -90,7 +78,7 @@
 	for range 10 {
 		for _, v := range d.vms[1:] {
 			clients.Go(func() {
-				if a := d.send(client, v, "GET", "/lookup/w7/x", "", time.Second); a.Err == nil && a.Status == http.StatusOK {
+				if a := d.send(client, v, "GET", "/lookup/w15/x", "", time.Second); a.Err == nil && a.Status == http.StatusOK {
 					served.Add(1)
 				}
 			})
@@ -109,5 +97,28 @@
 	return held, nil
 }
 
+// restartAll kills the processes of all VMs and starts them again. The first answers
+// of the store to the first VM are lost, and sent again after 200 ms.
+func (d *deployment) restartAll() error {
+	for _, v := range d.vms {
+		d.kill(v)
+	}
+	time.Sleep(700 * time.Millisecond)
+	first := d.vms[0]
+	first.link.setDelay(200 * time.Millisecond)
+	if err := d.startVM(first); err != nil {
+		return err
+	}
+	time.Sleep(10 * time.Millisecond)
+	for _, v := range d.vms[1:] {
+		if err := d.startVM(v); err != nil {
+			return err
+		}
+	}
+	time.Sleep(45 * time.Millisecond)
+	first.link.setDelay(0)
+	return nil
+}
+
 // pageItems is how many items a page of the store has at most.
 const pageItems = 50
--- a/review/standin/searcher.go
+++ b/review/standin/searcher.go
@@ -32,7 +32,6 @@
 	born              time.Time
 
 	mu       sync.Mutex
-	slow     float64 // how many times as long requests take
 	leaving  bool
 	sequence int
 	accepted int
@@ -45,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &searcher{d: d, id: id, service: service, zone: zone, slots: slots, queue: queue, listener: l, born: time.Now(), slow: 1, free: make(chan struct{}, slots)}
+	s := &searcher{d: d, id: id, service: service, zone: zone, slots: slots, queue: queue, listener: l, born: time.Now(), free: make(chan struct{}, slots)}
 	s.server = &http.Server{Handler: s}
 	go func() { _ = s.server.Serve(l) }() // ends with Close
 	return s, nil
@@ -80,12 +79,6 @@
 	s.leaving = true
 }
 
-func (s *searcher) setSlow(times float64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.slow = times
-}
-
 // seen returns the requests that have reached the searcher.
 func (s *searcher) seen() []arrival {
 	s.mu.Lock()
@@ -111,7 +104,7 @@
 	if runs {
 		s.accepted++
 	}
-	work := time.Duration(s.slow * float64(workOf(r.URL.Path)))
+	work := workOf(r.URL.Path)
 	s.mu.Unlock()
 	s.d.logf("request %s reaches searcher %s (deadline %s ms)", id, s.id, r.Header.Get("X-Deadline-Ms"))
 	if !runs {
