discovery, upstream, entry: say how long an attempt waited and what was known of its server

Change: histogram briarstand_entry_send_wait_seconds; a log line, limited like those of ordinary requests, for each request that is sent to a server that is not ready: time since the VM learned of it, wait since the choice, age of the records. Registry.Standing returns what is known of an incarnation.

Result: tests of the three packages pass; no decision is changed.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -60,9 +60,19 @@
 	server      Server
 	backend     *config.Backend // one pointer per incarnation; connection pools use it as their key
 	status      Status
+	since       time.Time // when this VM learned of the status
 	usableUntil time.Time // when a server that is not ready stops getting requests
 }
 
+// Standing is the status of one incarnation of a server and what it allows.
+type Standing struct {
+	Status Status
+	// Since is when this VM learned of the status.
+	Since time.Time
+	// UsableUntil is when a server that is not ready stops getting requests.
+	UsableUntil time.Time
+}
+
 // Change is a change of a server's status, for logs.
 type Change struct {
 	Server Server
@@ -112,13 +122,19 @@
 	Retention time.Duration
 }
 
-// Registry tracks the backend servers. Replicas and Services take no lock.
+// Registry tracks the backend servers. Replicas, Services and Standing take no lock.
 type Registry struct {
 	cfg       Config
 	mu        sync.Mutex
 	servers   map[string]*serverState
 	removed   map[string]removedServer
-	published atomic.Pointer[map[string]*Replicas]
+	published atomic.Pointer[published]
+}
+
+// published is an immutable snapshot of the registry.
+type published struct {
+	services  map[string]*Replicas
+	standings map[*config.Backend]Standing
 }
 
 // removedServer is a server that is no longer listed nor used.
@@ -130,12 +146,19 @@
 // NewRegistry returns an empty Registry.
 func NewRegistry(cfg Config) *Registry {
 	r := &Registry{cfg: cfg, servers: map[string]*serverState{}, removed: map[string]removedServer{}}
-	r.published.Store(&map[string]*Replicas{})
+	r.published.Store(&published{})
 	return r
 }
 
 // Replicas returns the backend servers of a service, nil if none is known.
-func (r *Registry) Replicas(service string) *Replicas { return (*r.published.Load())[service] }
+func (r *Registry) Replicas(service string) *Replicas { return r.published.Load().services[service] }
+
+// Standing returns the standing of an incarnation; ok is false if it is not known, or
+// no longer.
+func (r *Registry) Standing(b *config.Backend) (s Standing, ok bool) {
+	s, ok = r.published.Load().standings[b]
+	return s, ok
+}
 
 // Usable returns the server with an id if it may get requests now.
 func (r *Registry) Usable(id string, now time.Time) (*config.Backend, bool) {
@@ -150,7 +173,7 @@
 
 // Services returns the backend servers of all known services. The map must not be
 // modified.
-func (r *Registry) Services() map[string]*Replicas { return *r.published.Load() }
+func (r *Registry) Services() map[string]*Replicas { return r.published.Load().services }
 
 // Update applies the listed servers, keyed by id, and returns the changes.
 // grace is how long a ready server that is no longer listed may still get
@@ -194,7 +217,7 @@
 
 // nextState returns the new state of a listed server.
 func (r *Registry) nextState(old *serverState, s Server, now time.Time) *serverState {
-	st := &serverState{server: s, status: Ready}
+	st := &serverState{server: s, status: Ready, since: now}
 	known := old != nil && old.server.sameIncarnation(s)
 	if s.Draining {
 		// A server that was never seen ready has been draining for an unknown
@@ -208,6 +231,9 @@
 	}
 	if known {
 		st.backend = old.backend
+		if old.status == st.status {
+			st.since = old.since
+		}
 		return st
 	}
 	b := s.Backend
@@ -222,7 +248,7 @@
 	st := r.servers[id]
 	if st.status == Ready {
 		next := *st
-		next.status, next.usableUntil = Expired, now.Add(grace)
+		next.status, next.since, next.usableUntil = Expired, now, now.Add(grace)
 		r.servers[id] = &next
 		return Change{Server: st.server, From: Ready, To: Expired, Until: next.usableUntil}, true
 	}
@@ -236,8 +262,10 @@
 
 func (r *Registry) publish() {
 	next := map[string]*Replicas{}
+	standings := make(map[*config.Backend]Standing, len(r.servers))
 	for _, id := range slices.Sorted(maps.Keys(r.servers)) {
 		st := r.servers[id]
+		standings[st.backend] = Standing{Status: st.status, Since: st.since, UsableUntil: st.usableUntil}
 		replicas := next[st.server.Service]
 		if replicas == nil {
 			replicas = &Replicas{}
@@ -252,5 +280,5 @@
 	for _, replicas := range next {
 		slices.SortFunc(replicas.Ready, func(a, b *config.Backend) int { return strings.Compare(a.ID, b.ID) })
 	}
-	r.published.Store(&next)
+	r.published.Store(&published{services: next, standings: standings})
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -18,6 +18,7 @@
 
 	"github.com/briarstand/briarstand/balance"
 	"github.com/briarstand/briarstand/config"
+	"github.com/briarstand/briarstand/discovery"
 	"github.com/briarstand/briarstand/forward"
 	"github.com/briarstand/briarstand/internal/contain"
 	"github.com/briarstand/briarstand/internal/disconnect"
@@ -113,6 +114,7 @@
 	selfListedAfter   atomic.Int64  // when this VM's record was first seen, in nanoseconds since started
 	requestLogLimiter *rate.Limiter // for log lines of ordinary requests
 	metrics           *metrics.Set
+	sendWait          *metrics.Histogram // see recordSent
 	// replyMemory and requestMemory limit the bytes that are held at once.
 	replyMemory, requestMemory *limit.Memory
 	panics                     *contain.Panics
@@ -140,6 +142,7 @@
 		replyMemory:       limit.NewMemory(0), requestMemory: limit.NewMemory(0),
 		stopping: make(chan struct{}),
 	}
+	d.sendWait = d.metrics.NewHistogram("briarstand_entry_send_wait_seconds")
 	d.limitHeldMemory(set.MemoryBytes)
 	d.panics = contain.New(logger, d.metrics.NewCounter("briarstand_entry_panics_total"))
 	d.backgroundCtx, d.cancelBackground = context.WithCancel(context.Background())
@@ -147,7 +150,7 @@
 	d.state = newState(p, set.VMID, logger, d.panics, lastResortPeriod(set.DrainBound))
 	d.client = upstream.NewClient(upstream.Config{
 		Protocol: p, Memory: d.replyMemory, Panics: d.panics,
-		LeavingPeriod: lastResortPeriod(set.DrainBound), NoticeRetention: serverRetention, Noticed: d.logNotice, PauseEnded: d.logPauseEnd,
+		LeavingPeriod: lastResortPeriod(set.DrainBound), NoticeRetention: serverRetention, Noticed: d.logNotice, PauseEnded: d.logPauseEnd, Sent: d.recordSent,
 	})
 	d.picker = balance.NewPicker(balance.Config{})
 	d.queues = balance.NewQueues()
@@ -494,6 +497,19 @@
 	d.logger.Info("pause of a backend server is over", "backend", b.ID, "address", b.Address)
 }
 
+// recordSent records how long an attempt waited between the choice of its server and
+// the write of its request, and logs requests to servers that are not ready.
+func (d *Daemon) recordSent(b *config.Backend, requestID string, waited time.Duration) {
+	d.sendWait.Update(waited.Seconds())
+	standing, known := d.state.registry.Standing(b)
+	if known && standing.Status == discovery.Ready || !d.requestLogLimiter.Allow() {
+		return
+	}
+	now := time.Now()
+	d.logger.Info("request sent to a backend server that is not ready", "backend", b.ID, telemetry.FieldRequestID, requestID, "status", standing.Status.String(),
+		"known_ms", now.Sub(standing.Since).Milliseconds(), "waited_ms", waited.Milliseconds(), "records_age_ms", d.state.age(now).Milliseconds())
+}
+
 // drain stops the daemon without aborting requests: it first marks the VM as
 // leaving, so that callers no longer get its address, then refuses new requests and
 // waits for the last ones, lingers, and closes the listeners at the latest stopMargin
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -56,6 +56,9 @@
 	// request to a server after its pause. Both may be nil.
 	Noticed    func(b *config.Backend, requestID string, n Notice)
 	PauseEnded func(b *config.Backend)
+	// Sent is called before a request is written, with the time since Send; nil means
+	// none.
+	Sent func(b *config.Backend, requestID string, waited time.Duration)
 	// Memory limits the total size of the replies that are held at once; nil
 	// means no limit.
 	Memory *limit.Memory
@@ -182,6 +185,7 @@
 // call is one attempt in flight.
 type call struct {
 	backend   *config.Backend
+	start     time.Time
 	ctx       context.Context
 	cancel    context.CancelFunc
 	mu        sync.Mutex
@@ -249,7 +253,7 @@
 // Abandon; the channel must have buffer space for it.
 func (c *Client) Send(b *config.Backend, req *Request, deadline time.Time, tag int, results chan<- Result) Attempt {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	a := &call{backend: b, ctx: ctx, cancel: cancel}
+	a := &call{backend: b, start: time.Now(), ctx: ctx, cancel: cancel}
 	go func() {
 		defer cancel()
 		defer c.cfg.Panics.Recover("attempt", func(err error) {
@@ -288,6 +292,9 @@
 		p.put(conn)
 		return nil, &UnsentError{Backend: b.ID, Err: context.DeadlineExceeded}
 	}
+	if c.cfg.Sent != nil {
+		c.cfg.Sent(b, req.ID, time.Since(call.start))
+	}
 	head := c.cfg.Protocol.AppendAttempt(append(make([]byte, 0, len(req.Head)+len(req.Body)+128), req.Head...), remaining, b.ID)
 	buffer := c.readers.Get().(*bufio.Reader)
 	buffer.Reset(conn)
