--- a/standin/backend.go
+++ b/standin/backend.go
@@ -84,6 +84,7 @@
 	behavior          Behavior
 	connsOpened       int
 	refusals          []Refusal
+	startedMS         int64 // Unix time of the start that Register last reported
 	stop              chan struct{}
 }
 
@@ -143,15 +144,22 @@
 	return slices.Clone(b.refusals)
 }
 
-// Register writes the server's discovery entry to the store.
+// Register writes the server's discovery entry to the store. A server that registers as
+// "ready" has started again; in any other state it is the one that registered last.
 func (b *Backend) Register(s *Store, state string) { b.RegisterAt(s, state, b.Address()) }
 
 // RegisterAt is like Register, but enters another address, such as that of a proxy
 // in front of the server.
 func (b *Backend) RegisterAt(s *Store, state, address string) {
+	b.mu.Lock()
+	if state == "ready" || b.startedMS == 0 {
+		b.startedMS = time.Now().UnixMilli()
+	}
+	startedMS := b.startedMS
+	b.mu.Unlock()
 	value, err := json.Marshal(map[string]any{
 		"service": b.Service, "address": address, "zone": b.Zone, "version": "v1", "slots": b.Slots,
-		"state": state, "warmup_left_ms": 0, "sequence": 1, "born": time.Now().UnixMilli(),
+		"state": state, "warmup_left_ms": 0, "sequence": 1, "born": startedMS,
 	})
 	if err != nil {
 		panic(err) // cannot happen: the map has only plain values
--- a/standin/operator.go
+++ b/standin/operator.go
@@ -58,7 +58,7 @@
 	}
 	serviceList := []map[string]any{}
 	for name := range services {
-		serviceList = append(serviceList, map[string]any{"name": name, "health_path": "/health", "max_conns": 58, "protocol": "h1", "tls": false})
+		serviceList = append(serviceList, map[string]any{"name": name, "health_path": "/health", "max_conns": s.maxConnections, "protocol": "h1", "tls": false})
 	}
 	value, err := json.Marshal(map[string]any{
 		"version": version, "routes": routes, "services": serviceList,
--- a/standin/store.go
+++ b/standin/store.go
@@ -64,8 +64,15 @@
 	calls      map[string]int
 	pageSize   int
 	stop       chan struct{}
+	// maxConnections is what configurations name as the connections that each
+	// backend server accepts.
+	maxConnections int
 }
 
+// defaultMaxConnections is the number of connections that each backend server accepts
+// unless SetMaxConnections changes it.
+const defaultMaxConnections = 58
+
 type lease struct {
 	ttl   time.Duration
 	timer *time.Timer
@@ -75,7 +82,7 @@
 func NewStore() *Store {
 	s := &Store{
 		items: map[string]Item{}, leases: map[int64]*lease{}, calls: map[string]int{}, rev: 100, compactRev: 100,
-		changed: make(chan struct{}), pageSize: 500, stop: make(chan struct{}),
+		changed: make(chan struct{}), pageSize: 500, stop: make(chan struct{}), maxConnections: defaultMaxConnections,
 	}
 	s.server = httptest.NewServer(s)
 	return s
@@ -122,6 +129,14 @@
 	s.pageSize = n
 }
 
+// SetMaxConnections sets how many connections each backend server accepts in
+// configurations that are written from now on.
+func (s *Store) SetMaxConnections(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.maxConnections = n
+}
+
 // Compact drops all events. A watch from an older revision gets 410.
 func (s *Store) Compact() {
 	s.mu.Lock()
