upstream, forward, entry: place requests again whose server leaves while they wait

The server was chosen within its last resort, the request then waited for a connection, and nothing asked again when it got one.

Cause: a decision is taken before a wait and not checked at the step that depends on it. Only notices in answers were asked again after the wait, not the record.

Change: before a request is written, its server's record and notices are asked (Config.UsableUntil). Waits and dials end with the use of the server. Those that wait are withdrawn at once if their server gives notice, is retired, or is no longer used since its service has another one (Client.WithdrawWaiting); the engine places them again, without counting an attempt. Waits also end when the limit of connections grows.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -171,6 +171,16 @@
 	return st.backend, true
 }
 
+// UsableUntil returns until when an incarnation may get requests, the zero time if there
+// is no limit. ok is false if it is not known, or no longer.
+func (r *Registry) UsableUntil(b *config.Backend) (until time.Time, ok bool) {
+	s, ok := r.Standing(b)
+	if ok && s.Status != Ready {
+		until = s.UsableUntil
+	}
+	return until, ok
+}
+
 // Services returns the backend servers of all known services. The map must not be
 // modified.
 func (r *Registry) Services() map[string]*Replicas { return r.published.Load().services }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -149,7 +149,7 @@
 	d.bounds.Store(&set.Bounds)
 	d.state = newState(p, set.VMID, logger, d.panics, lastResortPeriod(set.DrainBound))
 	d.client = upstream.NewClient(upstream.Config{
-		Protocol: p, Memory: d.replyMemory, Panics: d.panics,
+		Protocol: p, Memory: d.replyMemory, Panics: d.panics, UsableUntil: d.state.registry.UsableUntil,
 		LeavingPeriod: lastResortPeriod(set.DrainBound), NoticeRetention: serverRetention, Noticed: d.logNotice, PauseEnded: d.logPauseEnd, Sent: d.recordSent,
 	})
 	d.picker = balance.NewPicker(balance.Config{})
@@ -391,6 +391,7 @@
 	defer d.applyMu.Unlock()
 	limits := d.state.connectionLimits(d.updateShares())
 	d.client.Update(limits)
+	d.withdrawWaiting()
 	serving := resolve.Serving(d.members())
 	serves := slices.ContainsFunc(serving, func(m membership.Member) bool { return m.ID == d.settings.VMID })
 	d.relay.SetMembers(d.backgroundCtx, serving)
@@ -417,6 +418,19 @@
 	d.engine.RetainServices(used)
 }
 
+// withdrawWaiting ends the waits for connections to servers that requests are no longer
+// placed at, so that these requests go to other servers of their services.
+func (d *Daemon) withdrawWaiting() {
+	now := time.Now()
+	usable := map[*config.Backend]bool{}
+	for _, replicas := range d.state.registry.Services() {
+		for _, b := range replicas.Usable(now) {
+			usable[b] = true
+		}
+	}
+	d.client.WithdrawWaiting(func(b *config.Backend) bool { return usable[b] })
+}
+
 // updateShares sets this VM's share of the budget of hedges and retries, and
 // returns the fraction of all shared limits that this VM may use.
 func (d *Daemon) updateShares() float64 {
--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -29,6 +29,8 @@
 	unsent  bool
 	// unreachable is set, with unsent, if no connection could be opened.
 	unreachable bool
+	// withdrawn is how many attempts end with upstream.ErrWithdrawn first.
+	withdrawn int
 }
 
 // fakeTransport simulates backend servers on the fake clock of synctest.
@@ -66,10 +68,25 @@
 	do, ok := f.behaviors[b.ID]
 	f.sent = append(f.sent, b.ID)
 	f.mu.Unlock()
+	withdrawn := do.withdrawn > 0
+	if withdrawn {
+		f.mu.Lock()
+		next := do
+		next.withdrawn--
+		f.behaviors[b.ID] = next
+		f.mu.Unlock()
+	}
 	if !ok {
 		do = behavior{after: 8 * time.Millisecond, verdict: upstream.Served}
 	}
 	call := &fakeCall{done: make(chan struct{})}
+	if withdrawn {
+		f.wg.Go(func() {
+			time.Sleep(do.after)
+			results <- upstream.Result{Tag: tag, Err: &upstream.UnsentError{Backend: b.ID, Err: upstream.ErrWithdrawn}}
+		})
+		return call
+	}
 	f.wg.Go(func() { results <- f.end(b, do, deadline, tag, call) })
 	return call
 }
@@ -468,3 +485,26 @@
 	e.RetainServices(map[string]bool{services[0]: true})
 	c.Assert(e.Budgets(), qt.HasLen, 1)
 }
+
+// Guards against a request that is given up, or counted as attempted, because its server
+// was withdrawn while it waited: it is placed again, at the same server if its service
+// has no other, but not without end.
+func TestWithdrawnAttemptIsPlacedAgain(t *testing.T) {
+	for _, test := range []struct {
+		withdrawn, sent int
+		outcome         Outcome
+	}{{1, 2, Answered}, {maxWithdrawn, maxWithdrawn + 1, Answered}, {1000, maxWithdrawn + 1, Refused}} {
+		synctest.Test(t, func(t *testing.T) {
+			registry := discovery.NewRegistry(discovery.Config{})
+			registry.Update(map[string]discovery.Server{"a": {Backend: config.Backend{ID: "a"}, Service: "s"}}, time.Now(), time.Second)
+			f := &fakeTransport{behaviors: map[string]behavior{"a": {after: time.Millisecond, verdict: upstream.Served, withdrawn: test.withdrawn}}}
+			e := newTestEngine(f, registry, limit.BudgetShare{}, nil)
+			job := query(nil, 1)
+			job.Route.Targets, job.Route.MaxAttempts = []route.Target{{Service: "s", Weight: 1}}, 1
+			a := e.Run(context.Background(), job)
+			f.wg.Wait()
+			qt.Check(t, a.Outcome, qt.Equals, test.outcome)
+			qt.Check(t, f.sent, qt.HasLen, test.sent)
+		})
+	}
+}
--- a/forward/policy.go
+++ b/forward/policy.go
@@ -215,6 +215,9 @@
 	// maxTotalAttempts bounds the attempts of one sub-request, including refused
 	// ones, which do not count against the route's MaxAttempts.
 	maxTotalAttempts = 3
+	// maxWithdrawn bounds how often a sub-request is placed again because its server
+	// was withdrawn while it waited, without counting that as an attempt.
+	maxWithdrawn = 8
 	// defaultTimeout applies where neither the route nor the caller sets one.
 	defaultTimeout = 10 * time.Second
 )
--- a/forward/run.go
+++ b/forward/run.go
@@ -21,6 +21,7 @@
 	mayHaveRun int           // attempts that a backend server may have run, including those in flight
 	delivered  int           // attempts that reached a backend server, including those in flight
 	running    int           // attempts in flight
+	withdrawn  int           // attempts that were placed again since their servers were withdrawn
 	hedgeAt    time.Duration // time since the request arrived; 0 if no hedge is planned
 	distance   distance      // of the first attempt
 	reply      *upstream.Reply
@@ -319,6 +320,12 @@
 	case endNotRun:
 		sub.mayHaveRun--
 	}
+	if errors.Is(res.Err, upstream.ErrWithdrawn) && sub.withdrawn < maxWithdrawn {
+		// Not an attempt: the server may be chosen again if its service has no other.
+		sub.withdrawn++
+		sub.sent--
+		sub.tried = slices.DeleteFunc(sub.tried, func(id string) bool { return id == a.backend.ID })
+	}
 	if end == endServed {
 		r.acceptReply(sub, a, res.Reply)
 		return
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -36,6 +36,9 @@
 var (
 	ErrNoConnection = errors.New("no connection became free in time")
 	ErrAbandoned    = errors.New("abandoned before it was sent")
+	// ErrWithdrawn means that the server was no longer to get the request when the
+	// request could be sent. It has to be placed again.
+	ErrWithdrawn = errors.New("withdrawn from a backend server that is no longer to get it")
 )
 
 // Config configures a Client. Protocol is required.
@@ -51,6 +54,10 @@
 	// NoticeRetention is how long the notices of a server that Update no longer
 	// names are kept, in case that it is named again.
 	NoticeRetention time.Duration
+	// UsableUntil returns until when a server may get requests according to its record,
+	// the zero time if there is no limit. ok is false if it may get none. nil means that
+	// there is never a limit.
+	UsableUntil func(b *config.Backend) (until time.Time, ok bool)
 	// Noticed is called when a server begins to leave, asks for a longer pause, or
 	// sends the first pause that is unreadable. PauseEnded is called before the first
 	// request to a server after its pause. Both may be nil.
@@ -147,6 +154,16 @@
 	return p
 }
 
+// WithdrawWaiting ends the attempts that wait for a connection to a server for which
+// keep returns false, with ErrWithdrawn.
+func (c *Client) WithdrawWaiting(keep func(b *config.Backend) bool) {
+	for b, p := range *c.pools.Load() {
+		if p.hasWaiters() && !keep(b) {
+			p.withdrawWaiters()
+		}
+	}
+}
+
 // HasCapacity reports whether a request to the backend server could start
 // without waiting for a connection: one is idle or another may be opened.
 func (c *Client) HasCapacity(b *config.Backend) bool {
@@ -269,18 +286,27 @@
 func (c *Client) attempt(call *call, req *Request, deadline time.Time) (*Reply, error) {
 	b := call.backend
 	p := c.pool(b)
-	if err := c.checkAvailable(b); err != nil {
+	until, err := c.checkUsable(b)
+	if err != nil {
 		return nil, err
 	}
-	conn, err := c.acquire(call.ctx, p)
+	acquireCtx, stop := call.ctx, context.CancelFunc(func() {})
+	if !until.IsZero() && until.Before(deadline) {
+		acquireCtx, stop = context.WithDeadline(call.ctx, until)
+	}
+	conn, err := c.acquire(acquireCtx, p)
+	stop()
+	// What was known when the server was chosen may no longer hold after the wait.
+	if _, unusable := c.checkUsable(b); unusable != nil {
+		if conn != nil {
+			p.put(conn)
+		}
+		return nil, unusable
+	}
 	if err != nil {
 		// A dial that failed because the attempt ended does not mean that the
 		// server is down.
-		return nil, &UnsentError{Backend: b.ID, Err: err, Unreachable: DialFailed(err) && call.ctx.Err() == nil}
-	}
-	if err := c.checkAvailable(b); err != nil { // the notice came while acquire waited
-		p.put(conn)
-		return nil, err
+		return nil, &UnsentError{Backend: b.ID, Err: err, Unreachable: DialFailed(err) && acquireCtx.Err() == nil}
 	}
 	if !call.attach(conn, deadline) {
 		p.put(conn)
@@ -346,15 +372,19 @@
 		}
 		if wait != nil {
 			c.stats.Waited.Add(1)
+			var grant grant
 			select {
-			case conn = <-wait:
+			case grant = <-wait:
 			case <-ctx.Done():
 				if p.removeWaiter(wait) {
 					return nil, ErrNoConnection
 				}
-				conn = <-wait
+				grant = <-wait
+			}
+			if grant.withdrawn {
+				return nil, ErrWithdrawn
 			}
-			if conn == nil {
+			if conn = grant.conn; conn == nil {
 				continue // a slot is free: retry
 			}
 		}
--- a/upstream/notice.go
+++ b/upstream/notice.go
@@ -100,6 +100,9 @@
 		return
 	}
 	leaves, pauses, unreadable := c.noticesOf(b).record(notice, c.elapsed(time.Now()))
+	if leaves || pauses {
+		c.WithdrawWaiting(func(other *config.Backend) bool { return other != b })
+	}
 	if leaves {
 		c.stats.Leaving.Add(1)
 	}
@@ -125,21 +128,35 @@
 	return a, pause
 }
 
-// checkAvailable returns an UnsentError if a backend server is Withheld.
-func (c *Client) checkAvailable(b *config.Backend) error {
+// checkUsable returns until when a request may be sent to a backend server, the zero
+// time without a limit, or an UnsentError if it may not be.
+func (c *Client) checkUsable(b *config.Backend) (until time.Time, err error) {
+	now := time.Now()
+	if c.cfg.UsableUntil != nil {
+		var ok bool
+		if until, ok = c.cfg.UsableUntil(b); !ok || !until.IsZero() && !now.Before(until) {
+			c.stats.Withheld.Add(1)
+			return until, &UnsentError{Backend: b.ID, Err: ErrWithdrawn}
+		}
+	}
 	n, ok := (*c.notices.Load())[b]
 	if !ok {
-		return nil
+		return until, nil
 	}
-	now := time.Now()
-	if a, pause := c.Availability(b, now); a == Withheld {
+	switch a, pause := c.Availability(b, now); a {
+	case Withheld:
 		c.stats.Withheld.Add(1)
-		return &UnsentError{Backend: b.ID, Err: &WithheldError{Notice{Leaving: pause == 0, Pause: pause}}}
+		return until, &UnsentError{Backend: b.ID, Err: &WithheldError{Notice{Leaving: pause == 0, Pause: pause}}}
+	case LastResort:
+		end := c.started.Add(time.Duration(n.leavingSince.Load()) + c.cfg.LeavingPeriod)
+		if until.IsZero() || end.Before(until) {
+			until = end
+		}
 	}
 	if n.endPause(c.elapsed(now)) && c.cfg.PauseEnded != nil {
 		c.cfg.PauseEnded(b)
 	}
-	return nil
+	return until, nil
 }
 
 // noticesOf returns the notices of a backend server, to record one.
--- a/upstream/notice_test.go
+++ b/upstream/notice_test.go
@@ -42,12 +42,14 @@
 	qt.Check(t, rest, qt.Equals, 2*time.Second)
 
 	for range 2 {
-		qt.Check(t, c.checkAvailable(b), qt.ErrorMatches, "backend server b: not sent: the backend server wants no requests for 2s")
+		_, err := c.checkUsable(b)
+		qt.Check(t, err, qt.ErrorMatches, "backend server b: not sent: the backend server wants no requests for 2s")
 		qt.Check(t, ended, qt.Equals, 0)
 	}
 	time.Sleep(2 * time.Second)
 	for range 2 {
-		qt.Check(t, c.checkAvailable(b), qt.IsNil)
+		_, err := c.checkUsable(b)
+		qt.Check(t, err, qt.IsNil)
 		qt.Check(t, ended, qt.Equals, 1)
 	}
 	c.Observe(b, "2a", Notice{UnreadablePause: "soon"})
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -15,10 +15,17 @@
 	idle    []*conn // ordered by last use, the most recent last
 	open    int     // connections that are idle, in use or being dialed; each takes a slot
 	limit   int
-	waiters []chan *conn // receives a connection, or nil when a slot is free
+	waiters []chan grant
 	retired bool
 }
 
+// grant ends the wait of an attempt: with a connection or, if conn is nil, with a free
+// slot. withdrawn is set if the attempt is not to be sent to this server.
+type grant struct {
+	conn      *conn
+	withdrawn bool
+}
+
 func newPool(b *config.Backend, limit int) *pool { return &pool{backend: b, limit: max(1, limit)} }
 
 // setLimit changes the maximum number of open connections. If it shrinks,
@@ -27,14 +34,23 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.limit = max(1, limit)
+	for free := p.limit - p.open; free > 0 && len(p.waiters) > 0; free-- {
+		p.waiters[0] <- grant{}
+		p.waiters = p.waiters[1:]
+	}
 }
 
-// get returns an idle connection or, if the limit is reached, a channel to wait
-// on. If both are nil, it has reserved a slot: the caller must dial, and call
+// get returns an idle connection or, if the limit is reached or the pool retired, a
+// channel to wait on. If both are nil, it has reserved a slot: the caller must dial, and call
 // releaseSlot if that fails.
-func (p *pool) get() (*conn, chan *conn) {
+func (p *pool) get() (*conn, chan grant) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.retired {
+		wait := make(chan grant, 1)
+		wait <- grant{withdrawn: true}
+		return nil, wait
+	}
 	if n := len(p.idle); n > 0 {
 		c := p.idle[n-1]
 		p.idle = p.idle[:n-1]
@@ -44,7 +60,7 @@
 		p.open++
 		return nil, nil
 	}
-	wait := make(chan *conn, 1)
+	wait := make(chan grant, 1)
 	p.waiters = append(p.waiters, wait)
 	return nil, wait
 }
@@ -70,7 +86,7 @@
 
 // removeWaiter removes a waiter. It returns false if the waiter has already been
 // sent a connection or a free slot, which it must then receive.
-func (p *pool) removeWaiter(wait chan *conn) bool {
+func (p *pool) removeWaiter(wait chan grant) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	i := slices.Index(p.waiters, wait)
@@ -89,7 +105,7 @@
 	defer p.mu.Unlock()
 	c.idleSince = time.Now()
 	if len(p.waiters) > 0 {
-		p.waiters[0] <- c
+		p.waiters[0] <- grant{conn: c}
 		p.waiters = p.waiters[1:]
 		return
 	}
@@ -113,13 +129,31 @@
 	defer p.mu.Unlock()
 	p.open--
 	if len(p.waiters) > 0 {
-		p.waiters[0] <- nil
+		p.waiters[0] <- grant{}
 		p.waiters = p.waiters[1:]
 	}
 }
 
-// retire closes idle connections now, and those in use when they are put back.
+func (p *pool) hasWaiters() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.waiters) > 0
+}
+
+// withdrawWaiters ends the waits of all attempts.
+func (p *pool) withdrawWaiters() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, wait := range p.waiters {
+		wait <- grant{withdrawn: true}
+	}
+	p.waiters = nil
+}
+
+// retire ends all waits, and closes idle connections now and those in use when they are
+// put back.
 func (p *pool) retire() {
+	p.withdrawWaiters()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.retired = true
