mirror, discovery, entry: count from when the records were last known to be current

Cause: the bounds start at the acknowledgement, the VM's periods when it learns. The waits between a VM and the store each had their own limit, and their sum was checked without three of them.

Change: a follower knows the last moment at which its records were known to be current (the start of a call, or the end of a watch without changes; replies of a source say how old its own are, and how long it held the call). Before they are three quarters of the drain bound old, the VM calls the store itself, whatever its source says. The last resort of a leaving or missing server counts from that moment, less 400 ms for the way of a request. A source that has lost the store says so at once. If only the source's link is lost, as the renewals of the VM's own lease show, missing servers get no longer grace. Times are kept on the steady clock.

Evidence: TestChangeIsInForceWhenSourceIsCut plays cuts of the source from the store, from the VM and from both at about 3,000 positions around a change, for bounds of 3, 4 and 6 s, and replaces the sum of chosen terms in TestLastResortStaysInDrainBound.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -114,9 +114,6 @@
 
 // Config configures a Registry.
 type Config struct {
-	// LastResort is how long a draining server may still get requests while its
-	// service has no ready one.
-	LastResort time.Duration
 	// Retention is how long a removed server is remembered. If it is listed again
 	// meanwhile, it is the same incarnation, with the same *config.Backend.
 	Retention time.Duration
@@ -185,10 +182,16 @@
 // modified.
 func (r *Registry) Services() map[string]*Replicas { return r.published.Load().services }
 
+// Until says until when servers may get requests, while their service has no ready one,
+// that an Update finds to be no longer ready.
+type Until struct {
+	// Leaving applies to servers that begin to drain, Expired to those that are no
+	// longer listed.
+	Leaving, Expired time.Time
+}
+
 // Update applies the listed servers, keyed by id, and returns the changes.
-// grace is how long a ready server that is no longer listed may still get
-// requests while its service has no ready one.
-func (r *Registry) Update(listed map[string]Server, now time.Time, grace time.Duration) []Change {
+func (r *Registry) Update(listed map[string]Server, now time.Time, until Until) []Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var changes []Change
@@ -201,7 +204,7 @@
 			before = r.removed[id].serverState
 			delete(r.removed, id)
 		}
-		next := r.nextState(before, s, now)
+		next := r.nextState(before, s, now, until.Leaving)
 		if old == nil || old.status != next.status || old.backend != next.backend {
 			c := Change{Server: s, To: next.status, Until: next.usableUntil}
 			if old != nil {
@@ -215,7 +218,7 @@
 		if _, ok := listed[id]; ok {
 			continue
 		}
-		if c, ok := r.markMissing(id, now, grace); ok {
+		if c, ok := r.markMissing(id, now, until.Expired); ok {
 			changes = append(changes, c)
 		}
 	}
@@ -226,7 +229,7 @@
 }
 
 // nextState returns the new state of a listed server.
-func (r *Registry) nextState(old *serverState, s Server, now time.Time) *serverState {
+func (r *Registry) nextState(old *serverState, s Server, now, leavingUntil time.Time) *serverState {
 	st := &serverState{server: s, status: Ready, since: now}
 	known := old != nil && old.server.sameIncarnation(s)
 	if s.Draining {
@@ -234,7 +237,7 @@
 		// time and gets no requests.
 		st.status, st.usableUntil = Leaving, now
 		if known && old.status == Ready {
-			st.usableUntil = now.Add(r.cfg.LastResort)
+			st.usableUntil = leavingUntil
 		} else if known {
 			st.usableUntil = old.usableUntil
 		}
@@ -254,11 +257,11 @@
 // markMissing updates the state of a server that is not listed. A ready server
 // becomes expired; a leaving or expired one is removed after its usableUntil.
 // It returns false if nothing changed.
-func (r *Registry) markMissing(id string, now time.Time, grace time.Duration) (Change, bool) {
+func (r *Registry) markMissing(id string, now, expiredUntil time.Time) (Change, bool) {
 	st := r.servers[id]
 	if st.status == Ready {
 		next := *st
-		next.status, next.since, next.usableUntil = Expired, now, now.Add(grace)
+		next.status, next.since, next.usableUntil = Expired, now, expiredUntil
 		r.servers[id] = &next
 		return Change{Server: st.server, From: Ready, To: Expired, Until: next.usableUntil}, true
 	}
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -33,12 +33,12 @@
 // last one.
 func TestLeavingAndExpired(t *testing.T) {
 	c := qt.New(t)
-	r := NewRegistry(Config{LastResort: grace})
-	r.Update(map[string]Server{"a": server("a", false, 1), "b": server("b", false, 1)}, start, grace)
+	r := NewRegistry(Config{})
+	r.Update(map[string]Server{"a": server("a", false, 1), "b": server("b", false, 1)}, start, within(start, grace))
 	c.Assert(ids(r.Replicas("s").Usable(start)), qt.DeepEquals, []string{"a", "b"})
-	r.Update(map[string]Server{"a": server("a", true, 1), "b": server("b", false, 1)}, at(time.Second), grace)
+	r.Update(map[string]Server{"a": server("a", true, 1), "b": server("b", false, 1)}, at(time.Second), within(at(time.Second), grace))
 	c.Assert(ids(r.Replicas("s").Usable(at(time.Second))), qt.DeepEquals, []string{"b"})
-	r.Update(map[string]Server{"a": server("a", true, 1)}, at(1500*time.Millisecond), grace)
+	r.Update(map[string]Server{"a": server("a", true, 1)}, at(1500*time.Millisecond), within(at(1500*time.Millisecond), grace))
 	c.Assert(ids(r.Replicas("s").Usable(at(1600*time.Millisecond))), qt.DeepEquals, []string{"a", "b"})
 	c.Assert(ids(r.Replicas("s").Usable(at(3100*time.Millisecond))), qt.DeepEquals, []string{"b"}, qt.Commentf("a has been draining since 1 s"))
 	c.Assert(ids(r.Replicas("s").Usable(at(3600*time.Millisecond))), qt.HasLen, 0)
@@ -51,9 +51,9 @@
 // writes.
 func TestDrainIsNotExtended(t *testing.T) {
 	c := qt.New(t)
-	r := NewRegistry(Config{LastResort: grace})
+	r := NewRegistry(Config{})
 	for d := time.Duration(0); d <= 3*time.Second; d += 100 * time.Millisecond {
-		r.Update(map[string]Server{"a": server("a", true, 1)}, at(d), grace)
+		r.Update(map[string]Server{"a": server("a", true, 1)}, at(d), within(at(d), grace))
 	}
 	c.Assert(ids(r.Replicas("s").Usable(at(grace))), qt.HasLen, 0)
 }
@@ -62,13 +62,13 @@
 // that one whose record only expired and reappears keeps its connections.
 func TestRuns(t *testing.T) {
 	c := qt.New(t)
-	r := NewRegistry(Config{LastResort: grace})
-	r.Update(map[string]Server{"a": server("a", false, 1)}, start, grace)
+	r := NewRegistry(Config{})
+	r.Update(map[string]Server{"a": server("a", false, 1)}, start, within(start, grace))
 	first := r.Replicas("s").Ready[0]
-	r.Update(map[string]Server{}, at(time.Second), grace)
-	r.Update(map[string]Server{"a": server("a", false, 1)}, at(2*time.Second), grace)
+	r.Update(map[string]Server{}, at(time.Second), within(at(time.Second), grace))
+	r.Update(map[string]Server{"a": server("a", false, 1)}, at(2*time.Second), within(at(2*time.Second), grace))
 	c.Assert(r.Replicas("s").Ready[0] == first, qt.IsTrue)
-	r.Update(map[string]Server{"a": server("a", false, 2)}, at(3*time.Second), grace)
+	r.Update(map[string]Server{"a": server("a", false, 2)}, at(3*time.Second), within(at(3*time.Second), grace))
 	c.Assert(r.Replicas("s").Ready[0] == first, qt.IsFalse)
 }
 
@@ -77,7 +77,7 @@
 // after it was last listed as ready.
 func TestRegistryRules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		r := NewRegistry(Config{LastResort: grace})
+		r := NewRegistry(Config{})
 		now := start
 		since := map[string]time.Time{} // when a server was last listed as ready
 		for range 50 {
@@ -98,7 +98,7 @@
 					since[id] = now
 				}
 			}
-			r.Update(listed, now, grace)
+			r.Update(listed, now, within(now, grace))
 			later := now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "later")) * time.Millisecond)
 			usable := r.Replicas("s").Usable(later)
 			if ready > 0 && len(usable) != ready {
@@ -125,21 +125,26 @@
 		return map[string]Server{"b": s}
 	}
 	missingFor := func(d time.Duration) {
-		r.Update(nil, now, 0)
-		r.Update(nil, now.Add(time.Millisecond), 0)
+		r.Update(nil, now, within(now, 0))
+		r.Update(nil, now.Add(time.Millisecond), within(now.Add(time.Millisecond), 0))
 		now = now.Add(d)
 	}
-	r.Update(listed(1), now, 0)
+	r.Update(listed(1), now, within(now, 0))
 	first := r.Replicas("s").Ready[0]
 	missingFor(30 * time.Second)
 	qt.Assert(t, r.Replicas("s"), qt.IsNil)
-	r.Update(listed(1), now, 0)
+	r.Update(listed(1), now, within(now, 0))
 	qt.Check(t, r.Replicas("s").Ready[0] == first, qt.IsTrue)
 	missingFor(2 * time.Minute)
-	r.Update(listed(1), now, 0)
+	r.Update(listed(1), now, within(now, 0))
 	second := r.Replicas("s").Ready[0]
 	qt.Check(t, second != first, qt.IsTrue)
 	missingFor(30 * time.Second)
-	r.Update(listed(2), now, 0)
+	r.Update(listed(2), now, within(now, 0))
 	qt.Check(t, r.Replicas("s").Ready[0] != second, qt.IsTrue)
 }
+
+// within lets servers that are not ready any more get requests for some time.
+func within(now time.Time, period time.Duration) Until {
+	return Until{Leaving: now.Add(period), Expired: now.Add(period)}
+}
--- a/entry/bounds_test.go
+++ b/entry/bounds_test.go
@@ -1,9 +1,15 @@
 package entry
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
+	"iter"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -15,19 +21,227 @@
 	"github.com/briarstand/briarstand/telemetry"
 )
 
-// Checks that three sums, each with the propagation delay, stay within the
-// drain bound: the batch delay and the time for which a server that left may
-// still get requests; the batch delay and the time until a VM notices that its
-// source (the VM of its zone that calls the store) has lost the store; and,
-// after an outage of the store, the shorter batch delay and the longer grace
-// period.
-func TestLastResortStaysInDrainBound(t *testing.T) {
-	const propagation = 400 * time.Millisecond // delays of a slow store and a late timer
+// chainStore is a store whose link to one VM can be cut.
+type chainStore struct {
+	content *mirror.Mirror
+	latency time.Duration
+	cut     atomic.Int32 // a linkState
+	calls   atomic.Int64
+}
+
+type linkState int32
+
+const (
+	linkUp linkState = iota
+	linkSilent
+	linkRefused
+)
+
+var errCut = errors.New("link is cut")
+
+// pass waits for one direction of a call and fails if the link is cut meanwhile.
+func (s *chainStore) pass(ctx context.Context) error {
+	time.Sleep(s.latency)
+	switch linkState(s.cut.Load()) {
+	case linkRefused:
+		return errCut
+	case linkSilent:
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return ctx.Err()
+}
+
+func (s *chainStore) List(ctx context.Context) (mirror.Listing, error) {
+	s.calls.Add(1)
+	if err := s.pass(ctx); err != nil {
+		return mirror.Listing{}, err
+	}
+	l := s.content.Listing()
+	return l, s.pass(ctx)
+}
+
+func (s *chainStore) Watch(ctx context.Context, after int64, wait time.Duration) (mirror.Changes, error) {
+	s.calls.Add(1)
+	if err := s.pass(ctx); err != nil {
+		return mirror.Changes{}, err
+	}
+	s.content.Wait(ctx, after, wait)
+	c, _ := s.content.Since(after)
+	return c, s.pass(ctx)
+}
+
+// chainSource is the source of a VM, behind a link.
+type chainSource struct {
+	follower *mirror.Follower
+	link     chainStore
+}
+
+func (s *chainSource) Available() bool { return true }
+
+func (s *chainSource) Follow(ctx context.Context, after int64, wait time.Duration) (u mirror.Update, ok bool, err error) {
+	if err := s.link.pass(ctx); err != nil {
+		return u, false, err
+	}
+	u, ok = s.follower.Serve(ctx, after, wait)
+	return u, ok, s.link.pass(ctx)
+}
+
+// chain is a VM that follows the source of its zone.
+type chain struct {
+	content           *mirror.Mirror
+	sourceLink, own   *chainStore
+	source            *chainSource
+	view              *mirror.Mirror
+	revision          int64
+	currentAt, knewAt time.Time // of the last change
+	stop              func()
+}
+
+func newChain(bound time.Duration) *chain {
+	c := &chain{content: mirror.New(), view: mirror.New()}
+	c.put()
+	const toStore, toSource = 4 * time.Millisecond, time.Millisecond
+	c.sourceLink, c.own = &chainStore{content: c.content, latency: toStore}, &chainStore{content: c.content, latency: toStore}
+	ctx, cancel := context.WithCancel(context.Background())
+	follow := func(view *mirror.Mirror, s *chainStore, source mirror.Source, changed func(time.Time)) *mirror.Follower {
+		return mirror.NewFollower(mirror.FollowerConfig{
+			Mirror: view, Store: s, Source: source, Logger: log.New(io.Discard), Changed: changed,
+			BatchDelay: bound / batchDelayDivisor, WatchWait: bound / watchWaitDivisor, WatchGrace: watchGrace, MaxAge: maxRecordsAge(bound),
+		})
+	}
+	first := follow(mirror.New(), c.sourceLink, nil, func(time.Time) {})
+	c.source = &chainSource{follower: first, link: chainStore{latency: toSource}}
+	second := follow(c.view, c.own, c.source, func(currentAt time.Time) { c.currentAt, c.knewAt = currentAt, time.Now() })
+	var wg sync.WaitGroup
+	wg.Go(func() { first.Run(ctx) })
+	wg.Go(func() { second.Run(ctx) })
+	wg.Go(func() { // as the renewals of the VM's lease
+		for ctx.Err() == nil {
+			second.StoreAnswered()
+			select {
+			case <-ctx.Done():
+			case <-time.After(leaseTTL / renewalsPerTTL):
+			}
+		}
+	})
+	c.stop = func() { cancel(); wg.Wait() }
+	return c
+}
+
+// put makes a change, which the store acknowledges at once.
+func (c *chain) put() {
+	c.revision++
+	c.content.Apply(mirror.Changes{Changes: []mirror.Change{{Record: mirror.Record{Key: "k", Revision: c.revision}}}, Revision: c.revision})
+}
+
+// position says when a link is cut. phase shifts the first of two changes against the
+// watches, apart is the time between the changes, and after is the time from the second
+// one to the cut.
+type position struct{ phase, apart, after time.Duration }
+
+// positions returns the positions of a cut around two changes, about 50 ms apart.
+func positions(bound time.Duration) iter.Seq[position] {
+	const step, steps = 50 * time.Millisecond, 15
+	return func(yield func(position) bool) {
+		for phase := range steps {
+			for apart := range steps {
+				for after := -2; after <= steps; after++ {
+					// Coprime factors spread the positions over the whole space.
+					if (phase+2*apart+3*(after+2))%5 != 0 {
+						continue
+					}
+					scale := func(n int) time.Duration { return time.Duration(n) * step * (bound / time.Second) / 3 }
+					if !yield(position{scale(phase), scale(apart), 2 * scale(after)}) {
+						return
+					}
+				}
+			}
+		}
+	}
+}
+
+// Guards against VMs that act on records of before a change for longer than the drain
+// bound, within which configurations are to be in force as well, when the source of
+// their zone loses its link to the store, to them, or both at any moment around the
+// change. Checks that the last resort of a leaving server, which counts from when the
+// records before the change were known to be current, cannot outlast the bound.
+func TestChangeIsInForceWhenSourceIsCut(t *testing.T) {
+	for _, bound := range []time.Duration{3 * time.Second, 4 * time.Second, 6 * time.Second} {
+		narrowest, oldest := bound, time.Duration(0)
+		for _, state := range []linkState{linkUp, linkSilent, linkRefused} {
+			for _, ends := range []struct{ store, vm bool }{{true, false}, {false, true}, {true, true}} {
+				for position := range positions(bound) {
+					phase, apart, after := position.phase, position.apart, position.after
+					synctest.Test(t, func(t *testing.T) {
+						c := newChain(bound)
+						defer c.stop()
+						time.Sleep(bound + phase)
+						c.put()
+						time.Sleep(apart)
+						cut := func() {
+							if ends.store {
+								c.sourceLink.cut.Store(int32(state))
+							}
+							if ends.vm {
+								c.source.link.cut.Store(int32(state))
+							}
+						}
+						if after < 0 {
+							cut()
+							time.Sleep(-after)
+						}
+						acknowledged := time.Now()
+						c.put()
+						if after >= 0 {
+							time.Sleep(after)
+							cut()
+						}
+						time.Sleep(time.Until(acknowledged.Add(bound)))
+						synctest.Wait()
+						name := qt.Commentf("bound %v, link %d, cut %+v, position %+v", bound, state, ends, position)
+						qt.Assert(t, c.view.Revision(), qt.Equals, c.revision, name)
+						margin := bound - c.knewAt.Sub(acknowledged)
+						qt.Assert(t, margin >= sendTime, qt.IsTrue, qt.Commentf("%v: margin %v", name, margin))
+						narrowest = min(narrowest, margin)
+						lastUse := c.currentAt.Add(lastResortPeriod(bound))
+						qt.Assert(t, lastUse.Sub(acknowledged) <= bound-sendTime, qt.IsTrue, name)
+						oldest = max(oldest, acknowledged.Sub(c.currentAt))
+					})
+				}
+			}
+		}
+		t.Logf("bound %v: narrowest margin %v; the records before the change were known to be current at most %v before it", bound, narrowest, oldest)
+	}
+}
+
+// Checks that a server that leaves remains a last resort, while no link is cut, for the
+// batch delay at least after a VM has learned of it: a server that takes its place may be
+// known so much later. Checks that the VM makes no calls to the store.
+func TestLastResortRemainsWhenVMLearns(t *testing.T) {
+	const bound = 3 * time.Second
+	for apart := time.Duration(0); apart <= 2*bound/batchDelayDivisor; apart += 10 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			c := newChain(bound)
+			defer c.stop()
+			time.Sleep(bound)
+			calls := c.own.calls.Load()
+			c.put()
+			time.Sleep(apart)
+			c.put()
+			time.Sleep(bound)
+			rest := c.currentAt.Add(lastResortPeriod(bound)).Sub(c.knewAt)
+			qt.Assert(t, rest >= bound/batchDelayDivisor, qt.IsTrue, qt.Commentf("%v left, %v after another change", rest, apart))
+			qt.Assert(t, c.own.calls.Load(), qt.Equals, calls)
+		})
+	}
+}
+
+// Checks that, after an outage of the store, the shorter batch delay and the longer
+// grace period of missing servers stay within the drain bound.
+func TestGraceAfterOutageStaysInDrainBound(t *testing.T) {
 	for _, bound := range []time.Duration{3 * time.Second, 4 * time.Second} {
-		qt.Check(t, bound/batchDelayDivisor+lastResortPeriod(bound)+propagation <= bound, qt.IsTrue, qt.Commentf("%v", bound))
-		lostSource := bound/batchDelayDivisor + bound/watchWaitDivisor + watchGrace + 2*100*time.Millisecond // two pauses between three calls to the source
-		qt.Check(t, lostSource+propagation <= bound, qt.IsTrue, qt.Commentf("%v", bound))
-		qt.Check(t, mirror.SettleBatchDelay+max(expiredServerGrace, lastResortPeriod(bound))+propagation <= bound, qt.IsTrue, qt.Commentf("%v", bound))
+		qt.Check(t, mirror.SettleBatchDelay+expiredServerGrace+sendTime <= bound, qt.IsTrue, qt.Commentf("%v", bound))
 	}
 }
 
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -150,7 +150,7 @@
 	d.state = newState(p, set.VMID, logger, d.panics, lastResortPeriod(set.DrainBound))
 	d.client = upstream.NewClient(upstream.Config{
 		Protocol: p, Memory: d.replyMemory, Panics: d.panics, UsableUntil: d.state.registry.UsableUntil,
-		LeavingPeriod: lastResortPeriod(set.DrainBound), NoticeRetention: serverRetention, Noticed: d.logNotice, PauseEnded: d.logPauseEnd, Sent: d.recordSent,
+		LeavingPeriod: leavingPeriod(set.DrainBound), NoticeRetention: serverRetention, Noticed: d.logNotice, PauseEnded: d.logPauseEnd, Sent: d.recordSent,
 	})
 	d.picker = balance.NewPicker(balance.Config{})
 	d.queues = balance.NewQueues()
@@ -170,11 +170,25 @@
 // remembered. Its record may have expired only because of a store outage.
 const serverRetention = 10 * time.Minute
 
-// lastResortPeriod returns how long a backend server that drains or is no
-// longer listed may get requests while its service has no ready one. That is
-// half of the drain bound. In the other half the change of the server's record
-// has to reach all VMs; batching may take half of that, a quarter of the bound.
-func lastResortPeriod(drain time.Duration) time.Duration { return drain / 2 }
+// lastResortPeriod returns how long a backend server that drains or is no longer listed
+// may get requests while its service has no ready one. It counts from the last moment at
+// which the VM knew that the server's record was as before, since the drain bound starts
+// when the store acknowledges the change.
+func lastResortPeriod(drain time.Duration) time.Duration { return max(drain/2, drain-sendTime) }
+
+// sendTime is the time from the last check of a server's record until a request reaches
+// the server: the network between regions and a VM with little processor time.
+const sendTime = 400 * time.Millisecond
+
+// leavingPeriod returns how long a server that says in an answer that it leaves may get
+// requests while its service has no other. It counts from the answer.
+func leavingPeriod(drain time.Duration) time.Duration { return drain / 2 }
+
+// maxRecordsAge returns the age of the records at which a VM calls the store itself,
+// whatever its source says. It is above what the batch delay, a watch and a call to the
+// source add up to, and leaves time for a call to the store before the drain bound,
+// within which all changes must be in force.
+func maxRecordsAge(drain time.Duration) time.Duration { return drain * 3 / 4 }
 
 // batchDelayDivisor divides the drain bound; the result is
 // mirror.FollowerConfig.BatchDelay, the time for which changes of the store are
@@ -202,10 +216,10 @@
 	peers := newPeerClient(d.state, &d.settings)
 	follower := mirror.NewFollower(mirror.FollowerConfig{
 		Mirror: d.state.mirror, Store: d.platform, Logger: d.logger, Panics: d.panics, Changed: d.refresh, Peers: peers, Source: peers,
-		BatchDelay: d.settings.DrainBound / batchDelayDivisor, WatchWait: d.settings.DrainBound / watchWaitDivisor, WatchGrace: watchGrace,
+		BatchDelay: d.settings.DrainBound / batchDelayDivisor, WatchWait: d.settings.DrainBound / watchWaitDivisor, WatchGrace: watchGrace, MaxAge: maxRecordsAge(d.settings.DrainBound),
 	})
 	d.state.follower.Store(follower)
-	reg := newRegistration(d.platform, d.logger, d.selfMember(), d.settings.MinLease, follower.CheckStore)
+	reg := newRegistration(d.platform, d.logger, d.selfMember(), d.settings.MinLease, follower.StoreAnswered, follower.CheckStore)
 	d.background.Go(func() { follower.Run(d.backgroundCtx) })
 	d.background.Go(func() { d.panics.Loop(d.backgroundCtx, "registration", reg.run) })
 	d.background.Go(func() { d.panics.Loop(d.backgroundCtx, "sweep", d.sweep) })
@@ -363,9 +377,10 @@
 	return members
 }
 
-// refresh applies a change of the mirror.
-func (d *Daemon) refresh() {
-	d.state.refresh(time.Now())
+// refresh applies a change of the mirror. currentAt is the last moment at which the
+// records before it were known to be current.
+func (d *Daemon) refresh(currentAt time.Time) {
+	d.state.refresh(time.Now(), currentAt)
 	d.apply()
 }
 
--- a/entry/registration.go
+++ b/entry/registration.go
@@ -30,7 +30,8 @@
 	logger   *log.Logger
 	member   membership.Member
 	ttl      time.Duration
-	// onFailure is called when a call to the store fails.
+	// onSuccess and onFailure are called after the calls to the store.
+	onSuccess   func()
 	onFailure   func()
 	leaving     atomic.Bool
 	wake        chan struct{}
@@ -39,8 +40,8 @@
 	failing     bool
 }
 
-func newRegistration(p Platform, logger *log.Logger, m membership.Member, minLease time.Duration, onFailure func()) *registration {
-	return &registration{platform: p, logger: logger, member: m, ttl: max(leaseTTL, minLease), onFailure: onFailure, wake: make(chan struct{}, 1)}
+func newRegistration(p Platform, logger *log.Logger, m membership.Member, minLease time.Duration, onSuccess, onFailure func()) *registration {
+	return &registration{platform: p, logger: logger, member: m, ttl: max(leaseTTL, minLease), onSuccess: onSuccess, onFailure: onFailure, wake: make(chan struct{}, 1)}
 }
 
 // leave marks the record as leaving, so that callers no longer get this VM's
@@ -64,9 +65,12 @@
 				r.onFailure()
 			}
 			pause = registerRetryPause/2 + rand.N(registerRetryPause)
-		} else if r.failing {
-			r.failing = false
-			r.logger.Info("this VM is registered again")
+		} else {
+			r.onSuccess()
+			if r.failing {
+				r.failing = false
+				r.logger.Info("this VM is registered again")
+			}
 		}
 		timer := time.NewTimer(pause)
 		select {
--- a/entry/state.go
+++ b/entry/state.go
@@ -38,6 +38,9 @@
 	configRevision   int64 // revision of the configuration in force
 	rejectedRevision int64 // revision of the last configuration that was rejected
 	vms              *vmTable
+	// currentAt is the last moment at which the records before the last refresh were
+	// known to be current.
+	currentAt time.Time
 }
 
 // decoded is a record's cached content; only records that changed are decoded
@@ -51,7 +54,7 @@
 func newState(p Platform, vmID string, logger *log.Logger, panics *contain.Panics, lastResortPeriod time.Duration) *state {
 	s := &state{
 		platform: p, mirror: mirror.New(), logger: logger, panics: panics,
-		registry: discovery.NewRegistry(discovery.Config{LastResort: lastResortPeriod, Retention: serverRetention}), lastResortPeriod: lastResortPeriod,
+		registry: discovery.NewRegistry(discovery.Config{Retention: serverRetention}), lastResortPeriod: lastResortPeriod,
 		servers: map[string]decoded[discovery.Server]{}, members: map[string]decoded[membership.Member]{},
 		vms: newVMTable(vmID),
 	}
@@ -73,10 +76,12 @@
 	return unknownAge
 }
 
-// refresh decodes what changed in the mirror.
-func (s *state) refresh(now time.Time) {
+// refresh decodes what changed in the mirror. currentAt is the last moment at which the
+// records before the change were known to be current; the zero time if they never were.
+func (s *state) refresh(now, currentAt time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.currentAt = currentAt
 	l := s.mirror.Listing()
 	s.listedServers = map[string]discovery.Server{}
 	members := map[string]membership.Member{}
@@ -96,7 +101,7 @@
 		}
 	}
 	s.servers, s.members = seenServers, seenMembers
-	changes := s.registry.Update(s.listedServers, now, s.serverGrace(now))
+	changes := s.updateServers(now)
 	for _, c := range changes {
 		s.logger.Info("backend server", "backend", c.Server.ID, telemetry.FieldService, c.Server.Service, "address", c.Server.Address,
 			"from", c.From.String(), "to", c.To.String(), telemetry.FieldRevision, l.Revision)
@@ -107,15 +112,18 @@
 	}
 }
 
-// serverGrace returns how long a backend server that is no longer listed may
-// get requests while its service has no ready one. It is longer right after an
-// outage of the store: servers whose leases expired meanwhile register again
-// within about two seconds.
-func (s *state) serverGrace(now time.Time) time.Duration {
+// updateServers applies the listed servers to the registry. Right after an outage of the
+// store, a server whose record is missing may get requests for longer: servers whose
+// leases expired meanwhile register again within about two seconds. mu must be held.
+func (s *state) updateServers(now time.Time) []discovery.Change {
+	until := discovery.Until{Leaving: s.currentAt.Add(s.lastResortPeriod)}
+	until.Expired = until.Leaving
 	if f := s.follower.Load(); f != nil && f.Settling(now) {
-		return max(expiredServerGrace, s.lastResortPeriod)
+		if settled := now.Add(expiredServerGrace); settled.After(until.Expired) {
+			until.Expired = settled
+		}
 	}
-	return s.lastResortPeriod
+	return s.registry.Update(s.listedServers, now, until)
 }
 
 // vmGrace returns how long callers still get the address of a VM that is no
@@ -127,8 +135,8 @@
 	return 0
 }
 
-// expiredServerGrace is the grace period of serverGrace right after an outage
-// of the store. Backend servers whose records expired need that long to
+// expiredServerGrace is how long servers whose records are missing may get requests
+// right after an outage of the store. Backend servers whose records expired need that long to
 // register again, and may still get requests meanwhile if their service has no
 // ready one. The sum with mirror.SettleBatchDelay is below the shortest drain
 // bound of 3 s.
@@ -141,7 +149,7 @@
 	defer s.mu.Unlock()
 	s.fleet.Store(s.vms.update(nil, now, 0))
 	if s.listedServers != nil {
-		s.registry.Update(s.listedServers, now, s.serverGrace(now))
+		s.updateServers(now)
 	}
 }
 
--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -124,7 +124,7 @@
 
 // shards returns a registry with two replicas of each of n shards.
 func shards(n int) (*discovery.Registry, []string) {
-	r := discovery.NewRegistry(discovery.Config{LastResort: time.Second})
+	r := discovery.NewRegistry(discovery.Config{})
 	listed := map[string]discovery.Server{}
 	var services []string
 	for i := range n {
@@ -135,7 +135,7 @@
 			listed[id] = discovery.Server{Backend: config.Backend{ID: id, Zone: replica}, Service: service}
 		}
 	}
-	r.Update(listed, time.Now(), time.Second)
+	r.Update(listed, time.Now(), withinSecond())
 	return r, services
 }
 
@@ -496,7 +496,7 @@
 	}{{1, 2, Answered}, {maxWithdrawn, maxWithdrawn + 1, Answered}, {1000, maxWithdrawn + 1, Refused}} {
 		synctest.Test(t, func(t *testing.T) {
 			registry := discovery.NewRegistry(discovery.Config{})
-			registry.Update(map[string]discovery.Server{"a": {Backend: config.Backend{ID: "a"}, Service: "s"}}, time.Now(), time.Second)
+			registry.Update(map[string]discovery.Server{"a": {Backend: config.Backend{ID: "a"}, Service: "s"}}, time.Now(), withinSecond())
 			f := &fakeTransport{behaviors: map[string]behavior{"a": {after: time.Millisecond, verdict: upstream.Served, withdrawn: test.withdrawn}}}
 			e := newTestEngine(f, registry, limit.BudgetShare{}, nil)
 			job := query(nil, 1)
@@ -508,3 +508,9 @@
 		})
 	}
 }
+
+// withinSecond lets servers that are not ready any more get requests for a second.
+func withinSecond() discovery.Until {
+	end := time.Now().Add(time.Second)
+	return discovery.Until{Leaving: end, Expired: end}
+}
--- a/forward/queue_test.go
+++ b/forward/queue_test.go
@@ -95,7 +95,7 @@
 	served := 0
 	synctest.Test(t, func(*testing.T) {
 		servers := &slotServers{serviceTime: map[string]time.Duration{}, slots: map[string]chan struct{}{}, load: map[string]int{}}
-		registry := discovery.NewRegistry(discovery.Config{LastResort: time.Second})
+		registry := discovery.NewRegistry(discovery.Config{})
 		listed := map[string]discovery.Server{}
 		rt := &route.Route{Name: "find", Idempotent: true, Timeout: time.Second, Goal: 150 * time.Millisecond, MaxAttempts: 2, Limit: 3, MinCoverage: 0.95}
 		for i := range shards {
@@ -112,7 +112,7 @@
 				}
 			}
 		}
-		registry.Update(listed, time.Now(), time.Second)
+		registry.Update(listed, time.Now(), withinSecond())
 		engines := make([]*Engine, vms)
 		for i := range engines {
 			engines[i] = NewEngine(Config{
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -31,6 +32,12 @@
 	// for that delay, changes are then batched only for SettleBatchDelay.
 	SettleTime       = 4 * time.Second
 	SettleBatchDelay = 100 * time.Millisecond
+	// maxReplyTime is the time that a reply of a store without impairment takes to this
+	// VM at most, including the time until the VM reads it.
+	maxReplyTime = 200 * time.Millisecond
+	// maxAnswerGap is the time without an answer of the store, to calls that are made
+	// about every second, after which it may have been away.
+	maxAnswerGap = 1500 * time.Millisecond
 	// DefaultRetryMin and DefaultRetryMax bound the backoff after a failed call.
 	DefaultRetryMin = 100 * time.Millisecond
 	DefaultRetryMax = time.Second
@@ -67,22 +74,31 @@
 	// Panics recovers from panics and restarts the work; nil lets them propagate.
 	Panics *contain.Panics
 	// Changed is called after each change of the mirror, by one goroutine at a
-	// time.
-	Changed func()
+	// time. currentAt is the last moment at which the records before the change were
+	// known to be current, so the store acknowledged the change later; the zero time if
+	// they never were.
+	Changed func(currentAt time.Time)
+	// MaxAge is the age of the records at which the VM calls the store itself,
+	// whatever its source says; 0 means that only the source's word counts.
+	MaxAge time.Duration
 	// Zero durations take the defaults above.
 	WatchWait, WatchGrace, BatchDelay, RetryMin, RetryMax, PeerInterval time.Duration
 }
 
 // Follower keeps a mirror up to date.
 type Follower struct {
-	cfg           FollowerConfig
-	changedMu     sync.Mutex // serializes Changed
-	storeLost     atomic.Bool
-	hasFailed     atomic.Bool  // a call has failed since the start
-	outageEndedAt atomic.Int64 // end of the last outage, in Unix ns
-	confirmedAt   atomic.Int64 // when the store last confirmed the revision, in Unix ns
-	cancelMu      sync.Mutex
-	cancelWatch   context.CancelFunc // cancels the waiting watch
+	cfg       FollowerConfig
+	epoch     time.Time  // the times below count from it, so that steps of the clock do not change them
+	changedMu sync.Mutex // serializes Changed
+	storeLost atomic.Bool
+	hasFailed atomic.Bool // a call has failed since the start
+	// outageEndedAt is the end of the last outage, confirmedAt the last moment at which
+	// the records are known to have been current, and answeredAt when the store last
+	// answered a call of this VM that is not the Follower's. They are in nanoseconds
+	// since epoch; 0 if there was none.
+	outageEndedAt, confirmedAt, answeredAt atomic.Int64
+	cancelMu                               sync.Mutex
+	cancelWatch                            context.CancelFunc // cancels the waiting watch
 	// fromStore is set if the last answer came from the store itself, and not from
 	// the source.
 	fromStore atomic.Bool
@@ -102,7 +118,7 @@
 	defaults.Set(&cfg.RetryMin, DefaultRetryMin)
 	defaults.Set(&cfg.RetryMax, DefaultRetryMax)
 	defaults.Set(&cfg.PeerInterval, DefaultPeerInterval)
-	f := &Follower{cfg: cfg}
+	f := &Follower{cfg: cfg, epoch: time.Now()}
 	f.storeLost.Store(true) // until the first answer
 	return f
 }
@@ -115,14 +131,50 @@
 // Age returns how long ago the store last confirmed the mirror's revision, to
 // this VM or to its source. ok is false if it never did.
 func (f *Follower) Age(now time.Time) (age time.Duration, ok bool) {
-	confirmed := f.confirmedAt.Load()
-	return now.Sub(time.Unix(0, confirmed)), confirmed != 0
+	confirmed, ok := f.since(&f.confirmedAt)
+	return now.Sub(confirmed), ok
 }
 
 // Settling reports whether the last store outage ended less than SettleTime
 // ago, so that records may still be missing.
 func (f *Follower) Settling(now time.Time) bool {
-	return now.Sub(time.Unix(0, f.outageEndedAt.Load())) < SettleTime
+	ended, ok := f.since(&f.outageEndedAt)
+	return ok && now.Sub(ended) < SettleTime
+}
+
+// since returns a moment that is kept in nanoseconds since epoch.
+func (f *Follower) since(at *atomic.Int64) (moment time.Time, ok bool) {
+	ns := at.Load()
+	if ns == 0 {
+		return time.Time{}, false
+	}
+	return f.epoch.Add(time.Duration(ns)), true
+}
+
+// advanceTo stores a moment unless a later one is stored.
+func (f *Follower) advanceTo(at *atomic.Int64, moment time.Time) {
+	ns := max(1, int64(moment.Sub(f.epoch)))
+	for old := at.Load(); old < ns && !at.CompareAndSwap(old, ns); old = at.Load() {
+	}
+}
+
+// confirmed returns the last moment at which the records are known to have been
+// current, the zero time if there is none.
+func (f *Follower) confirmed() time.Time {
+	at, _ := f.since(&f.confirmedAt)
+	return at
+}
+
+// untilMaxAge returns how long it is until the records reach MaxAge; 0 if they have.
+func (f *Follower) untilMaxAge() time.Duration {
+	if f.cfg.MaxAge == 0 {
+		return math.MaxInt64
+	}
+	age, ok := f.Age(time.Now())
+	if !ok {
+		return 0
+	}
+	return max(0, f.cfg.MaxAge-age)
 }
 
 // batchDelay returns how long changes are batched.
@@ -133,6 +185,10 @@
 	return f.cfg.BatchDelay
 }
 
+// StoreAnswered records that the store has answered another call of this VM. It tells an
+// outage of the store from one of the source's link to it.
+func (f *Follower) StoreAnswered() { f.advanceTo(&f.answeredAt, time.Now()) }
+
 // CheckStore cancels a waiting watch, so that a new call checks whether the
 // store answers. Call it when another call to the store has failed.
 func (f *Follower) CheckStore() {
@@ -164,7 +220,8 @@
 			f.fromStore.Store(false)
 			continue
 		}
-		changed, err := f.readStore(ctx, list)
+		before := f.confirmed()
+		changed, currentAt, err := f.readStore(ctx, list)
 		if ctx.Err() != nil {
 			return
 		}
@@ -176,7 +233,10 @@
 			list = false
 			pause = f.cfg.RetryMin
 			if changed {
-				f.notifyChanged()
+				f.notifyChanged(before)
+			}
+			f.advanceTo(&f.confirmedAt, currentAt)
+			if changed {
 				sleep(ctx, f.batchDelay())
 			}
 		case compacted:
@@ -186,6 +246,7 @@
 		case errors.As(err, &stale):
 			// Another VM's records were newer; the next watch starts at their revision.
 			f.markAvailable()
+			f.advanceTo(&f.confirmedAt, currentAt)
 			list = false
 		default:
 			f.markLost(err)
@@ -195,18 +256,22 @@
 	}
 }
 
-func (f *Follower) readStore(ctx context.Context, list bool) (changed bool, err error) {
+// readStore lists all records or watches for changes. currentAt is a moment at which the
+// records were current in the state that they have after the call.
+func (f *Follower) readStore(ctx context.Context, list bool) (changed bool, currentAt time.Time, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.cancelMu.Lock()
 	f.cancelWatch = cancel
 	f.cancelMu.Unlock()
+	start := time.Now()
 	if list {
 		l, err := f.list(ctx)
 		if err != nil {
-			return false, err
+			return false, start, err
 		}
-		return f.cfg.Mirror.Replace(l)
+		changed, err = f.cfg.Mirror.Replace(l)
+		return changed, start, err
 	}
 	wait := f.cfg.WatchWait
 	if f.storeLost.Load() || f.sourceLost {
@@ -217,9 +282,17 @@
 	defer stop()
 	c, err := f.cfg.Store.Watch(ctx, f.cfg.Mirror.Revision(), wait)
 	if err != nil {
-		return false, err
+		return false, start, err
+	}
+	// Without changes the store waited to the end, with changes it replied at once.
+	replied := time.Now().Add(-maxReplyTime)
+	if len(c.Changes) == 0 {
+		replied = start.Add(wait)
 	}
-	return f.cfg.Mirror.Apply(c), nil
+	if now := time.Now(); replied.After(start) && !replied.After(now) {
+		start = replied
+	}
+	return f.cfg.Mirror.Apply(c), start, nil
 }
 
 // list reads all records from the store. While the mirror is empty, it makes up
@@ -275,6 +348,7 @@
 		if !f.storeLost.Load() || ctx.Err() != nil {
 			continue
 		}
+		before := f.confirmed()
 		l, ok, err := f.cfg.Peers.Fetch(ctx, f.cfg.Mirror.Revision())
 		if err != nil {
 			if !failing {
@@ -293,29 +367,33 @@
 		}
 		f.cfg.Logger.Info("records read from another VM", "revision", l.Revision, "records", len(l.Records), "changed", changed)
 		if changed {
-			f.notifyChanged()
+			f.notifyChanged(before)
 		}
 	}
 }
 
-func (f *Follower) notifyChanged() {
+func (f *Follower) notifyChanged(currentAt time.Time) {
 	f.changedMu.Lock()
 	defer f.changedMu.Unlock()
-	f.cfg.Changed()
+	f.cfg.Changed(currentAt)
 }
 
 func (f *Follower) markAvailable() {
+	now := time.Now()
 	f.fromStore.Store(true)
-	f.confirmedAt.Store(time.Now().UnixNano())
 	if f.sourceLost {
 		// The store may have been away for this VM too, between two of its calls.
-		f.outageEndedAt.Store(time.Now().UnixNano())
-		f.cfg.Logger.Info("store answers, which the source has lost", "revision", f.cfg.Mirror.Revision())
+		answered, ok := f.since(&f.answeredAt)
+		away := !ok || now.Sub(answered) > maxAnswerGap
+		if away {
+			f.advanceTo(&f.outageEndedAt, now)
+		}
+		f.cfg.Logger.Info("store answers, which the source has lost", "revision", f.cfg.Mirror.Revision(), "outage", away)
 		f.sourceLost = false
 	}
 	if f.storeLost.CompareAndSwap(true, false) {
 		if f.hasFailed.Load() {
-			f.outageEndedAt.Store(time.Now().UnixNano())
+			f.advanceTo(&f.outageEndedAt, now)
 		}
 		f.cfg.Logger.Info("store answers", "revision", f.cfg.Mirror.Revision())
 	}
--- a/mirror/source.go
+++ b/mirror/source.go
@@ -11,8 +11,10 @@
 	// after the requested revision.
 	Listing *Listing `json:"listing,omitempty"`
 	Changes Changes  `json:"changes"`
-	// Age is the time since the store last confirmed the source's revision.
-	Age time.Duration `json:"age"`
+	// Age is the time since the store last confirmed the source's revision, and Held
+	// how long the source held the call, both when it replied.
+	Age  time.Duration `json:"age"`
+	Held time.Duration `json:"held,omitempty"`
 	// SinceOutage is the time since the last store outage ended, or 0 if that was
 	// more than SettleTime ago. Until then records may be missing.
 	SinceOutage time.Duration `json:"back,omitempty"`
@@ -38,6 +40,9 @@
 	// sourceGrace is how long after sourceWait the call times out. It covers a
 	// round trip in the zone and a busy source.
 	sourceGrace = 300 * time.Millisecond
+	// sourceReplyTime is the time that a call to the source takes beside its wait. A
+	// call that could not end before FollowerConfig.MaxAge is not made.
+	sourceReplyTime = 50 * time.Millisecond
 	// sourceAttempts is the maximum number of calls to a source that replies that
 	// it has lost the store, and sourceRetryDelay the pause between them. A source
 	// usually restores a broken watch at once.
@@ -49,20 +54,29 @@
 )
 
 // followSource gets one update from the source and applies it. It returns false
-// if it got none, and the caller must then call the store.
+// if it got none, or if the records reach FollowerConfig.MaxAge without a word of the
+// store through the source; the caller must then call the store.
 func (f *Follower) followSource(ctx context.Context) bool {
 	if f.cfg.Source == nil || !f.cfg.Source.Available() || f.cfg.Mirror.Revision() == 0 || time.Now().Before(f.sourceBackoffUntil) {
 		return false
 	}
+	before := f.confirmed()
 	var u Update
 	var ok bool
 	var err error
+	var start time.Time
 	for attempt := 0; !ok && err == nil && attempt < sourceAttempts && ctx.Err() == nil; attempt++ {
 		if attempt > 0 {
 			sleep(ctx, sourceRetryDelay)
 		}
-		call, cancel := context.WithTimeout(ctx, sourceWait+sourceGrace)
-		u, ok, err = f.cfg.Source.Follow(call, f.cfg.Mirror.Revision(), sourceWait)
+		left := f.untilMaxAge() - sourceReplyTime
+		if left <= 0 {
+			f.sourceLost = f.sourceLost || !f.fromStore.Load()
+			return false
+		}
+		start = time.Now()
+		call, cancel := context.WithTimeout(ctx, min(left+sourceReplyTime, sourceWait+sourceGrace))
+		u, ok, err = f.cfg.Source.Follow(call, f.cfg.Mirror.Revision(), min(left, sourceWait))
 		cancel()
 	}
 	if err != nil {
@@ -80,7 +94,7 @@
 	}
 	f.sourceLost = false
 	if u.SinceOutage > 0 {
-		f.outageEndedAt.Store(time.Now().Add(-u.SinceOutage).UnixNano())
+		f.advanceTo(&f.outageEndedAt, time.Now().Add(-u.SinceOutage))
 	}
 	changed := false
 	if u.Listing != nil {
@@ -90,29 +104,38 @@
 	} else {
 		changed = f.cfg.Mirror.Apply(u.Changes)
 	}
-	f.confirmedAt.Store(time.Now().Add(-u.Age).UnixNano())
 	if f.storeLost.CompareAndSwap(true, false) {
 		f.cfg.Logger.Info("store answers another VM, which is followed", "revision", f.cfg.Mirror.Revision())
 	}
 	if changed {
-		f.notifyChanged()
+		f.notifyChanged(before)
 	}
+	// The source replied no earlier than Held after the start of the call.
+	f.advanceTo(&f.confirmedAt, start.Add(u.Held-u.Age))
 	return true
 }
 
+// servesStore reports whether this VM gets its records from the store at present.
+func (f *Follower) servesStore() bool { return f.fromStore.Load() && !f.storeLost.Load() }
+
 // Serve is the source's side of Source.Follow: it returns the changes after a
 // revision, as soon as there are any or when wait has passed. ok is false if
 // this VM gets its records from a source itself, or if it has lost the store.
 func (f *Follower) Serve(ctx context.Context, after int64, wait time.Duration) (u Update, ok bool) {
+	start := time.Now()
+	if !f.servesStore() {
+		return u, false
+	}
 	f.cfg.Mirror.Wait(ctx, after, wait)
 	now := time.Now()
 	age, confirmed := f.Age(now)
-	if !confirmed || !f.fromStore.Load() || f.storeLost.Load() {
+	if !confirmed || !f.servesStore() {
 		return u, false
 	}
-	u.Age = age
+	u.Age, u.Held = age, now.Sub(start)
 	if f.Settling(now) {
-		u.SinceOutage = max(1, now.Sub(time.Unix(0, f.outageEndedAt.Load())))
+		ended, _ := f.since(&f.outageEndedAt)
+		u.SinceOutage = max(1, now.Sub(ended))
 	}
 	var complete bool
 	if u.Changes, complete = f.cfg.Mirror.Since(after); !complete {
--- a/mirror/source_test.go
+++ b/mirror/source_test.go
@@ -170,3 +170,52 @@
 		c.Assert(ownStore.watches.Load()+ownStore.lists.Load(), qt.Equals, calls)
 	})
 }
+
+// Guards against a grace period for missing records when only the source has lost the
+// store: the store has answered this VM all the while, so no leases expired.
+func TestSourceLosesLinkOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		content := New()
+		sourceStore, ownStore := &fakeStore{content: content}, &fakeStore{content: content}
+		sourceStore.put("a", 1)
+		first := start(t, FollowerConfig{Mirror: New(), Store: sourceStore})
+		second := start(t, FollowerConfig{Mirror: New(), Store: ownStore, Source: &fakeSource{follower: first}})
+		time.Sleep(5 * time.Second)
+		before := ownStore.watches.Load()
+		sourceStore.set(flags{down: true})
+		for range 10 {
+			second.StoreAnswered()
+			time.Sleep(time.Second)
+			c.Assert(second.Settling(time.Now()), qt.IsFalse)
+		}
+		c.Assert(ownStore.watches.Load() > before, qt.IsTrue)
+	})
+}
+
+// Guards against a VM that trusts its source although the source has not heard from the
+// store for long, and does not know it.
+func TestStaleSourceIsNotFollowed(t *testing.T) {
+	const maxAge, wait = 3 * time.Second, 750 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		content := New()
+		sourceStore, ownStore := &fakeStore{content: content}, &fakeStore{content: content}
+		sourceStore.put("a", 1)
+		first := start(t, FollowerConfig{Mirror: New(), Store: sourceStore, WatchWait: wait, WatchGrace: time.Minute})
+		second := start(t, FollowerConfig{Mirror: New(), Store: ownStore, Source: &fakeSource{follower: first}, MaxAge: maxAge})
+		time.Sleep(5 * time.Second)
+		sourceStore.set(flags{unserved: true}) // the source does not notice
+		time.Sleep(wait)                       // the watch from before is served to its end
+		before := ownStore.watches.Load()
+		unserved := time.Now()
+		for ownStore.watches.Load() == before {
+			time.Sleep(10 * time.Millisecond)
+		}
+		c.Assert(time.Since(unserved) <= maxAge, qt.IsTrue, qt.Commentf("%v", time.Since(unserved)))
+		c.Assert(first.StoreLost(), qt.IsFalse)
+		time.Sleep(DefaultWatchWait)
+		age, ok := second.Age(time.Now())
+		c.Assert(ok && age <= maxAge, qt.IsTrue, qt.Commentf("%v", age))
+	})
+}
