mirror: a follower drops what its source does not hold

Cause: a VM that follows another one relied on the deletions that the other remembers. A key that was deleted between two pages of the source's listing, or that was created and deleted between two of its listings, is not among them.

Change: an update carries a digest of the source's keys and revisions. A follower at the same revision with another digest reads all records, and drops those that the source does not hold. A deletion of a key that the mirror does not hold leaves a tombstone.

--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -108,6 +108,9 @@
 	// sourceLost is set if the source that this VM followed has lost the store, until
 	// the store or the source answers. Only the goroutine that runs followStore uses it.
 	sourceLost bool
+	// sourceDiffers is set if the records differ from the source's at the same revision.
+	// Only the goroutine that runs followStore uses it.
+	sourceDiffers bool
 }
 
 // NewFollower returns a Follower, which starts to follow the store in Run.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -11,8 +11,11 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"fmt"
+	"hash/fnv"
+	"io"
 	"maps"
 	"slices"
 	"strings"
@@ -27,6 +30,16 @@
 	Revision int64  `json:"revision"`
 }
 
+// hash returns a hash of the key and the revision.
+func (r *Record) hash() uint64 {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, r.Key) // cannot fail
+	var revision [8]byte
+	binary.LittleEndian.PutUint64(revision[:], uint64(r.Revision))
+	_, _ = h.Write(revision[:])
+	return h.Sum64()
+}
+
 // Change is a write or a deletion of one key.
 type Change struct {
 	Record
@@ -63,6 +76,10 @@
 	mu       sync.Mutex
 	records  map[string]Record
 	revision int64
+	// sum is the sum of the hashes of all records. newest is the highest revision of a
+	// record so far, which may be above revision after a listing.
+	sum    uint64
+	newest int64
 	// tombstones holds the latest deletions in the order in which they arrived. All
 	// deletions after the revision compactRevision are among them.
 	tombstones      []Record
@@ -111,7 +128,11 @@
 			m.addTombstone(key, l.Revision)
 		}
 	}
-	m.records = next
+	m.records, m.sum = next, 0
+	for _, r := range next {
+		m.sum += r.hash()
+		m.newest = max(m.newest, r.Revision)
+	}
 	m.advance(l.Revision)
 	return changed, nil
 }
@@ -127,10 +148,19 @@
 		case ok && held.Revision >= change.Revision:
 		case change.Deleted && ok:
 			delete(m.records, change.Key)
+			m.sum -= held.hash()
 			m.addTombstone(change.Key, change.Revision)
 			changed = true
+		case change.Deleted && change.Revision > m.revision:
+			// The key was missing from a page of a listing; other VMs may hold it.
+			m.addTombstone(change.Key, change.Revision)
 		case !change.Deleted && change.Revision > m.revision:
 			m.records[change.Key] = change.Record
+			m.sum += change.hash()
+			if ok {
+				m.sum -= held.hash()
+			}
+			m.newest = max(m.newest, change.Revision)
 			changed = true
 		}
 	}
@@ -179,6 +209,48 @@
 	return c, true
 }
 
+// digest returns a digest of the keys and revisions of all records, by which two mirrors
+// at the same revision are compared. It returns 0, for unknown, while the mirror may hold
+// records that are newer than its revision. mu must be held.
+func (m *Mirror) digest() uint64 {
+	if m.newest > m.revision {
+		return 0
+	}
+	return m.sum | 1
+}
+
+// UpdateSince returns what another VM needs that holds a revision: the changes after it
+// or, if the mirror no longer has all of them, all records.
+func (m *Mirror) UpdateSince(after int64) Update {
+	changes, ok := m.Since(after)
+	if !ok {
+		l := m.Listing()
+		return Update{Listing: &l}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	u := Update{Changes: changes}
+	if m.revision == changes.Revision {
+		u.Digest = m.digest()
+	}
+	return u
+}
+
+// Merge applies an update from another VM. differs is set if the mirrors still differ
+// afterwards: this one lacks a change that the other VM no longer knows of, and needs all
+// its records. A listing older than the mirror fails with a *StaleListingError.
+func (m *Mirror) Merge(u Update) (changed, differs bool, err error) {
+	if u.Listing != nil {
+		changed, err = m.Replace(*u.Listing)
+		return changed, false, err
+	}
+	changed = m.Apply(u.Changes)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	own := m.digest()
+	return changed, m.revision == u.Changes.Revision && u.Digest != 0 && own != 0 && own != u.Digest, nil
+}
+
 // Wait blocks until the mirror's revision exceeds after, wait has passed, or the
 // context has ended.
 func (m *Mirror) Wait(ctx context.Context, after int64, wait time.Duration) {
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -94,3 +94,140 @@
 	c.Assert(m.Apply(Changes{Changes: []Change{put("a", 8), put("a", 9), put("b", 10)}, Revision: 10}), qt.IsTrue)
 	c.Assert(m.Listing().Records, qt.DeepEquals, []Record{{Key: "a", Revision: 9}, {Key: "b", Revision: 10}})
 }
+
+// modelStore is a store with a history of revisions.
+type modelStore struct {
+	records  map[string]Record
+	history  []Change
+	revision int64
+	compact  int64
+}
+
+func (s *modelStore) change(key string, deleted bool) {
+	if _, ok := s.records[key]; deleted && !ok {
+		return
+	}
+	s.revision++
+	c := Change{Record: Record{Key: key, Revision: s.revision}, Deleted: deleted}
+	if deleted {
+		delete(s.records, key)
+	} else {
+		s.records[key] = c.Record
+	}
+	s.history = append(s.history, c)
+}
+
+func (s *modelStore) since(after int64) (c Changes, ok bool) {
+	c.Revision = s.revision
+	for _, change := range s.history {
+		if change.Revision > after {
+			c.Changes = append(c.Changes, change)
+		}
+	}
+	return c, after >= s.compact
+}
+
+// modelVM is a VM that lists the store page by page, watches it, or follows another VM.
+type modelVM struct {
+	mirror  *Mirror
+	listing *Listing // in progress
+	after   string   // last key of the last page
+	differs bool
+}
+
+// page reads the next page of a listing, of two keys.
+func (v *modelVM) page(s *modelStore, keys []string) {
+	if v.listing == nil {
+		v.listing, v.after = &Listing{Revision: s.revision}, ""
+	}
+	read := 0
+	for _, key := range keys {
+		r, ok := s.records[key]
+		if !ok || key <= v.after {
+			continue
+		}
+		v.listing.Records = append(v.listing.Records, r)
+		if v.after = key; read == 1 {
+			return
+		}
+		read++
+	}
+	_, _ = v.mirror.Replace(*v.listing) // a listing that is too old changes nothing
+	v.listing = nil
+}
+
+func (v *modelVM) watch(s *modelStore) (ok bool) {
+	if v.mirror.Revision() == 0 {
+		return false
+	}
+	c, ok := s.since(v.mirror.Revision())
+	if ok {
+		v.mirror.Apply(c)
+	}
+	return ok
+}
+
+func (v *modelVM) follow(source *modelVM) {
+	if source.mirror.Revision() == 0 || v.mirror.Revision() == 0 {
+		return
+	}
+	after := v.mirror.Revision()
+	if v.differs {
+		after = 0
+	}
+	_, differs, err := v.mirror.Merge(source.mirror.UpdateSince(after))
+	v.differs = differs && err == nil
+}
+
+// Guards against a VM that keeps a record which its source does not hold: deleted between
+// two pages of a listing or between two listings, while it followed the store, another
+// listing, or its source. After the changes have ended both VMs hold what the store holds.
+func TestFollowerEndsWithRecordsOfStore(t *testing.T) {
+	keys := []string{"a", "b", "c", "d", "e"}
+	rapid.Check(t, func(t *rapid.T) {
+		s := &modelStore{records: map[string]Record{}}
+		vms := []*modelVM{{mirror: New()}, {mirror: New()}}
+		for _, key := range keys {
+			s.change(key, false)
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			v := vms[rapid.IntRange(0, 1).Draw(t, "vm")]
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0, 1:
+				s.change(rapid.SampledFrom(keys).Draw(t, "put"), false)
+			case 2, 3:
+				s.change(rapid.SampledFrom(keys).Draw(t, "delete"), true)
+			case 4, 5:
+				v.page(s, keys)
+			case 6:
+				v.watch(s)
+			case 7:
+				vms[1].follow(vms[0])
+			case 8:
+				s.compact = s.revision
+			case 9:
+				*v = modelVM{mirror: New()}
+			}
+		}
+		for range 8 {
+			if !vms[0].watch(s) {
+				vms[0].page(s, keys)
+			}
+		}
+		for vms[1].mirror.Revision() == 0 {
+			vms[1].page(s, keys)
+		}
+		for range 3 {
+			vms[1].follow(vms[0])
+		}
+		for i, v := range vms {
+			got := map[string]Record{}
+			for _, r := range v.mirror.Listing().Records {
+				got[r.Key] = r
+			}
+			if !reflect.DeepEqual(got, s.records) {
+				t.Fatalf("VM %d holds %v, the store %v", i, got, s.records)
+			}
+		}
+	})
+}
--- a/mirror/source.go
+++ b/mirror/source.go
@@ -11,6 +11,8 @@
 	// after the requested revision.
 	Listing *Listing `json:"listing,omitempty"`
 	Changes Changes  `json:"changes"`
+	// Digest is the digest of the source's records at Changes.Revision; 0 if unknown.
+	Digest uint64 `json:"digest,omitempty"`
 	// Age is the time since the store last confirmed the source's revision, and Held
 	// how long the source held the call, both when it replied.
 	Age  time.Duration `json:"age"`
@@ -76,7 +78,11 @@
 		}
 		start = time.Now()
 		call, cancel := context.WithTimeout(ctx, min(left+sourceReplyTime, sourceWait+sourceGrace))
-		u, ok, err = f.cfg.Source.Follow(call, f.cfg.Mirror.Revision(), min(left, sourceWait))
+		after := f.cfg.Mirror.Revision()
+		if f.sourceDiffers {
+			after = 0 // all records
+		}
+		u, ok, err = f.cfg.Source.Follow(call, after, min(left, sourceWait))
 		cancel()
 	}
 	if err != nil {
@@ -96,13 +102,12 @@
 	if u.SinceOutage > 0 {
 		f.advanceTo(&f.outageEndedAt, time.Now().Add(-u.SinceOutage))
 	}
-	changed := false
-	if u.Listing != nil {
-		if changed, err = f.cfg.Mirror.Replace(*u.Listing); err != nil {
-			return false // the source lags behind this VM
-		}
-	} else {
-		changed = f.cfg.Mirror.Apply(u.Changes)
+	changed, differs, err := f.cfg.Mirror.Merge(u)
+	if err != nil {
+		return false // the source lags behind this VM
+	}
+	if f.sourceDiffers = differs; differs {
+		f.cfg.Logger.Warn("records differ from the source's, reading all of them", "revision", f.cfg.Mirror.Revision())
 	}
 	if f.storeLost.CompareAndSwap(true, false) {
 		f.cfg.Logger.Info("store answers another VM, which is followed", "revision", f.cfg.Mirror.Revision())
@@ -132,15 +137,11 @@
 	if !confirmed || !f.servesStore() {
 		return u, false
 	}
+	u = f.cfg.Mirror.UpdateSince(after)
 	u.Age, u.Held = age, now.Sub(start)
 	if f.Settling(now) {
 		ended, _ := f.since(&f.outageEndedAt)
 		u.SinceOutage = max(1, now.Sub(ended))
 	}
-	var complete bool
-	if u.Changes, complete = f.cfg.Mirror.Since(after); !complete {
-		l := f.cfg.Mirror.Listing()
-		u.Listing, u.Changes = &l, Changes{}
-	}
 	return u, true
 }
