upstream, forward, entry: give back what an attempt holds on every way out

Cause: such a status was taken for a reply, writing it to the caller panicked, and the release of the reply's memory came after it. The same class: a panic in a dial, in a hook between the dial and the write, or in the end of a request left connections, replies or in-flight counts behind.

Change: a status below 200 that is no interim reply fails the attempt. What an attempt holds is given back by deferred calls: the use of a connection is a lease that ends once, a dial releases its slot unless it yields a connection, a reply releases its memory unless its body is complete and it is delivered. A VM that could read no reply for 2 s for lack of memory is not ready.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -87,6 +87,8 @@
 	replyMemoryFraction   = 0.15
 	requestMemoryFraction = 0.1
 	defaultMemoryBytes    = 512 << 20
+	// maxStarvation is how long a VM stays ready that can read no reply.
+	maxStarvation = 2 * time.Second
 	// readHeaderTimeout limits the time to read the headers of a request, and
 	// idleTimeout that of an idle connection, where the configuration has no
 	// limits of its own.
@@ -321,6 +323,8 @@
 		return &NotReadyError{Reason: "no configuration is known yet"}
 	case !d.state.synced.Load():
 		return &NotReadyError{Reason: "no backend servers are known yet"}
+	case d.client.Starved(time.Now()) > maxStarvation:
+		return &NotReadyError{Reason: "no reply can be read for lack of memory"}
 	}
 	return nil
 }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -148,6 +148,9 @@
 
 // finishRequest writes the answer and logs the request.
 func (d *Daemon) finishRequest(w http.ResponseWriter, r *http.Request, id string, arrived time.Time, routeName string, version int64, a forward.Answer) {
+	if a.Reply != nil {
+		defer a.Reply.Release()
+	}
 	if a.Outcome == forward.CallerDisconnected {
 		// The caller has disconnected. Aborting the handler keeps the server from
 		// sending an empty success response.
@@ -160,9 +163,6 @@
 	if err := d.platform.WriteAnswer(w, &a, id); err != nil {
 		d.logger.Info("answer not delivered", telemetry.FieldRequestID, id, telemetry.FieldError, err.Error())
 	}
-	if a.Reply != nil {
-		a.Reply.Release()
-	}
 	d.logRequest(id, arrived, routeName, version, &a)
 }
 
--- a/entry/panic_test.go
+++ b/entry/panic_test.go
@@ -17,6 +17,7 @@
 	"github.com/briarstand/briarstand/mirror"
 	"github.com/briarstand/briarstand/platform"
 	"github.com/briarstand/briarstand/route"
+	"github.com/briarstand/briarstand/standin"
 	"github.com/briarstand/briarstand/telemetry"
 	"github.com/briarstand/briarstand/upstream"
 )
@@ -124,3 +125,39 @@
 	stop()
 	f.Assert(<-done, qt.IsNil)
 }
+
+// Guards against VMs that serve nothing any more, though they are ready, because the
+// memory of replies with a status that cannot be passed on is not given back.
+func TestSpoiledStatusHoldsNoMemory(t *testing.T) {
+	f := newFixture(t)
+	f.memory = 16 << 20 // of which replies may hold 2.4 MB
+	b := f.backend("q1", "quotes", strings.Repeat("x", 500<<10))
+	f.store.Configure(1, single("quote", "quotes", "non_idempotent"))
+	v := f.start("vm1", true)
+	for i, line := range []string{"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 101 OK", "HTTP/1.1 999 OK", "HTTP/1.1 000 OK", "HTTP/1.1 000 OK"} {
+		b.SetBehavior(standin.Behavior{StatusLine: line})
+		f.ask(v, "POST", "/quote/x", fmt.Sprint("spoiled-", i), "x", time.Second)
+	}
+	b.SetBehavior(standin.Behavior{})
+	f.Check(v.daemon.HeldBytes(), qt.Equals, int64(0))
+	f.Check(f.ask(v, "POST", "/quote/x", "sound", "x", time.Second).status, qt.Equals, http.StatusOK)
+	f.Check(f.logs.String(), qt.Not(qt.Contains), `"panic"`)
+}
+
+// Guards against VMs that are ready although they can read no reply for lack of memory.
+func TestStarvedVMIsNotReady(t *testing.T) {
+	f := newFixture(t)
+	f.memory = 1 << 20 // of which replies may hold 154 KB
+	b := f.backend("q1", "quotes", strings.Repeat("x", 500<<10))
+	f.store.Configure(1, single("quote", "quotes", "idempotent"))
+	v := f.start("vm1", true)
+	f.eventually(10*time.Second, "not ready", func() bool {
+		f.ask(v, "GET", "/quote/x", "large", "", time.Second)
+		return f.status(v, v.settings.ReadyAddress, "/readiness") == http.StatusServiceUnavailable
+	})
+	b.Body = []byte("small")
+	f.eventually(10*time.Second, "ready", func() bool {
+		f.ask(v, "GET", "/quote/x", "small", "", time.Second)
+		return f.status(v, v.settings.ReadyAddress, "/readiness") == http.StatusOK
+	})
+}
--- a/forward/run.go
+++ b/forward/run.go
@@ -109,8 +109,20 @@
 	return r
 }
 
-func (r *run) run(ctx context.Context) Answer {
-	defer r.cleanUp()
+func (r *run) run(ctx context.Context) (a Answer) {
+	returned := false
+	defer func() {
+		if !returned {
+			r.answer.Reply = nil // nobody gets it after a panic
+		}
+		r.cleanUp()
+	}()
+	a = r.answerRequest(ctx)
+	returned = true
+	return a
+}
+
+func (r *run) answerRequest(ctx context.Context) Answer {
 	if r.disconnected(ctx) {
 		return r.callerDisconnected()
 	}
@@ -515,28 +527,35 @@
 	}
 	abandoned := time.Now()
 	go func() {
-		defer r.engine.cfg.Panics.Recover("end of a request", nil)
 		for left > 0 {
 			res := <-r.results
 			for _, one := range append([]upstream.Result{res}, res.Batch...) {
-				a := &r.attempts[one.Tag]
-				r.engine.observe(r.job.Route.Name, r.job.Request.ID, r.subRequests[a.index].service, a, one)
-				r.engine.counts.recordAbandoned(a.relayed, time.Since(abandoned))
-				if one.Reply != nil {
-					one.Reply.Release()
-				}
+				r.observeAbandoned(one, abandoned)
 				left--
 			}
 		}
 	}()
 }
 
+// observeAbandoned observes the result of an attempt that nobody awaits any more since
+// the time abandoned.
+func (r *run) observeAbandoned(res upstream.Result, abandoned time.Time) {
+	defer r.engine.cfg.Panics.Recover("end of a request", nil)
+	if res.Reply != nil {
+		defer res.Reply.Release()
+	}
+	a := &r.attempts[res.Tag]
+	r.engine.observe(r.job.Route.Name, r.job.Request.ID, r.subRequests[a.index].service, a, res)
+	r.engine.counts.recordAbandoned(a.relayed, time.Since(abandoned))
+}
+
 // observe reports the outcome of an attempt to the metrics, the picker, the
 // latencies and the queues.
 func (e *Engine) observe(routeName, requestID, service string, a *attempt, res upstream.Result) attemptEnd {
 	latency := time.Since(a.start)
-	e.counts.recordAttempt(service, &res, latency)
 	end, status := classify(res)
+	defer func() { e.cfg.Picker.Finished(a.backend.ID, latency, status) }()
+	e.counts.recordAttempt(service, &res, latency)
 	if upstream.Unreachable(res.Err) || res.Reply != nil && res.Reply.Verdict == upstream.WrongServer {
 		e.down.Store(a.backend.ID, time.Now().Add(downFor))
 	}
@@ -553,7 +572,6 @@
 	if end == endServed && !a.relayed {
 		e.cfg.Latencies.Observe(latencyKey(routeName, e.distance(a.backend)), latency)
 	}
-	e.cfg.Picker.Finished(a.backend.ID, latency, status)
 	return end
 }
 
--- a/relay/server.go
+++ b/relay/server.go
@@ -52,8 +52,8 @@
 	s := &session{handler: h, req: &req, start: start, results: make(chan upstream.Result, len(req.Backends)), out: json.NewEncoder(w)}
 	s.flusher, _ = w.(http.Flusher)
 	w.Header().Set("Content-Type", "application/json")
-	s.startAttempts()
 	defer s.abandon()
+	s.startAttempts()
 	flush := time.NewTimer(time.Duration(req.FlushMS) * time.Millisecond)
 	defer flush.Stop()
 	// A failed part is sent at once, so that the origin can retry elsewhere.
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -64,6 +64,8 @@
 	// Unframed sends no Content-Length and ends the body by closing the
 	// connection.
 	Unframed bool
+	// StatusLine, if not empty, is sent instead of that of the reply.
+	StatusLine string
 	// Hang never replies.
 	Hang bool
 	// Endless, if not empty, is the text that is sent repeatedly after the status
@@ -222,7 +224,7 @@
 	switch {
 	case behavior.Fail:
 		w.WriteHeader(http.StatusInternalServerError)
-	case behavior.Drop, behavior.Truncate, behavior.HeadBytes > 0, behavior.ExtraReply, behavior.Unframed, behavior.Endless != "":
+	case behavior.Drop, behavior.Truncate, behavior.HeadBytes > 0, behavior.ExtraReply, behavior.Unframed, behavior.StatusLine != "", behavior.Endless != "":
 		b.sendRaw(w, id, behavior)
 	default:
 		h.Set("Content-Length", strconv.Itoa(len(b.Body)))
@@ -263,6 +265,9 @@
 			_, err = c.Write(block)
 			time.Sleep(time.Millisecond) // some tens of megabytes a second, as over a fast link
 		}
+	case behavior.StatusLine != "":
+		_, headers, _ := strings.Cut(head, "\r\n")
+		fmt.Fprintf(c, "%s\r\n%sContent-Length: %d\r\n\r\n%s", behavior.StatusLine, headers, len(b.Body), b.Body)
 	case behavior.Truncate:
 		fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", head, len(b.Body)+8, b.Body)
 	case behavior.Unframed:
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -85,6 +85,9 @@
 	// readers holds read buffers for connections in use.
 	readers sync.Pool
 	stats   Stats
+	// starvedSince is when, since the last reply that could be read, the first one could
+	// not for lack of memory, in nanoseconds since started; 0 if there is none.
+	starvedSince atomic.Int64
 }
 
 // Stats counts connection events.
@@ -178,15 +181,25 @@
 	if !p.reserveFirst() {
 		return nil
 	}
-	conn, err := c.dial(ctx, b)
+	conn, err := c.dialReserved(ctx, p)
 	if err != nil {
-		p.releaseSlot()
 		return err
 	}
 	p.put(conn)
 	return nil
 }
 
+// dialReserved opens a connection in a slot that is reserved, and releases the slot if
+// it fails.
+func (c *Client) dialReserved(ctx context.Context, p *pool) (conn *conn, err error) {
+	defer func() {
+		if conn == nil {
+			p.releaseSlot()
+		}
+	}()
+	return c.dial(ctx, p.backend)
+}
+
 func (c *Client) dial(ctx context.Context, b *config.Backend) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.DialTimeout)
 	defer cancel()
@@ -207,7 +220,6 @@
 	cancel    context.CancelFunc
 	mu        sync.Mutex
 	conn      *conn
-	reply     *Reply // set before Protocol.Classify, so that a panic there releases it
 	deadline  time.Time
 	abandoned bool
 }
@@ -249,23 +261,6 @@
 	a.conn = nil
 }
 
-// abortAfterPanic closes the connection and releases the reply of an attempt that
-// panicked. The request may have been sent, so it returns an
-// IncompleteReplyError.
-func (a *call) abortAfterPanic(p *pool, err error) error {
-	a.mu.Lock()
-	conn, reply := a.conn, a.reply
-	a.conn = nil
-	a.mu.Unlock()
-	if conn != nil {
-		p.close(conn)
-	}
-	if reply != nil {
-		reply.Release()
-	}
-	return &IncompleteReplyError{Backend: a.backend.ID, Err: err}
-}
-
 // Send starts an attempt. It sends exactly one result to results, also after
 // Abandon; the channel must have buffer space for it.
 func (c *Client) Send(b *config.Backend, req *Request, deadline time.Time, tag int, results chan<- Result) Attempt {
@@ -274,7 +269,8 @@
 	go func() {
 		defer cancel()
 		defer c.cfg.Panics.Recover("attempt", func(err error) {
-			results <- Result{Tag: tag, Err: a.abortAfterPanic(c.pool(b), err)}
+			// The request may have been sent.
+			results <- Result{Tag: tag, Err: &IncompleteReplyError{Backend: b.ID, Err: err}}
 		})
 		reply, err := c.attempt(a, req, deadline)
 		results <- Result{Tag: tag, Reply: reply, Err: err}
@@ -296,11 +292,11 @@
 	}
 	conn, err := c.acquire(acquireCtx, p)
 	stop()
+	held := &lease{pool: p, conn: conn}
+	defer held.close()
 	// What was known when the server was chosen may no longer hold after the wait.
 	if _, unusable := c.checkUsable(b); unusable != nil {
-		if conn != nil {
-			p.put(conn)
-		}
+		held.put()
 		return nil, unusable
 	}
 	if err != nil {
@@ -309,13 +305,14 @@
 		return nil, &UnsentError{Backend: b.ID, Err: err, Unreachable: DialFailed(err) && acquireCtx.Err() == nil}
 	}
 	if !call.attach(conn, deadline) {
-		p.put(conn)
+		held.put()
 		return nil, &UnsentError{Backend: b.ID, Err: ErrAbandoned}
 	}
+	defer call.detach()
 	remaining := time.Until(deadline)
 	if remaining < time.Millisecond {
 		call.detach()
-		p.put(conn)
+		held.put()
 		return nil, &UnsentError{Backend: b.ID, Err: context.DeadlineExceeded}
 	}
 	if c.cfg.Sent != nil {
@@ -327,15 +324,19 @@
 	reply, reusable, sent, err := conn.roundTrip(req, append(head, "\r\n"...), &replyReader{r: buffer, memory: c.cfg.Memory})
 	buffer.Reset(nil)
 	c.readers.Put(buffer)
+	c.recordStarvation(err)
 	if err != nil {
-		call.detach()
-		p.close(conn)
 		if !sent {
 			return nil, &UnsentError{Backend: b.ID, Err: err}
 		}
 		return nil, &IncompleteReplyError{Backend: b.ID, Err: err}
 	}
-	call.reply = reply
+	delivered := false
+	defer func() {
+		if !delivered {
+			reply.Release()
+		}
+	}()
 	c.cfg.Protocol.Classify(reply, req)
 	if conn.identified && !reply.Identified {
 		// The previous reply on this connection carried a request id. One without
@@ -347,28 +348,44 @@
 		c.Observe(b, req.ID, reply.Notice)
 	}
 	call.detach()
-	if !reusable || reply.Verdict == Untrusted || reply.Verdict == WrongServer {
-		p.close(conn)
-		return reply, nil
+	if reusable && reply.Verdict != Untrusted && reply.Verdict != WrongServer {
+		_ = conn.SetDeadline(time.Time{}) // on an error the next use of the connection fails too
+		conn.idleFor = c.idleFor(reply.Header)
+		held.put()
 	}
-	_ = conn.SetDeadline(time.Time{}) // on an error the next use of the connection fails too
-	conn.idleFor = c.idleFor(reply.Header)
-	p.put(conn)
+	delivered = true
 	return reply, nil
 }
 
+// recordStarvation records whether replies can be read at all: err is the result of
+// reading one.
+func (c *Client) recordStarvation(err error) {
+	var memory *limit.MemoryError
+	switch {
+	case err == nil:
+		c.starvedSince.Store(0)
+	case errors.As(err, &memory):
+		c.starvedSince.CompareAndSwap(0, max(1, c.elapsed(time.Now())))
+	}
+}
+
+// Starved returns for how long no reply could be read since there was no memory for it;
+// 0 if the last one could.
+func (c *Client) Starved(now time.Time) time.Duration {
+	since := c.starvedSince.Load()
+	if since == 0 {
+		return 0
+	}
+	return time.Duration(c.elapsed(now) - since)
+}
+
 // acquire returns an idle connection or a new one. If the limit of the pool is
 // reached, it waits for a connection or a slot.
 func (c *Client) acquire(ctx context.Context, p *pool) (*conn, error) {
 	for {
 		conn, wait := p.get()
 		if conn == nil && wait == nil {
-			conn, err := c.dial(ctx, p.backend)
-			if err != nil {
-				p.releaseSlot()
-				return nil, err
-			}
-			return conn, nil
+			return c.dialReserved(ctx, p)
 		}
 		if wait != nil {
 			c.stats.Waited.Add(1)
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -127,9 +127,11 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
+		if resp.StatusCode < http.StatusOK {
+			return nil, false, &StatusError{Status: resp.StatusCode}
+		}
 		reply := &Reply{Status: resp.StatusCode, Header: resp.Header, memory: in.memory}
 		if err := reply.readBody(resp, req); err != nil {
-			reply.Release()
 			return nil, false, err
 		}
 		// A connection is not reused if bytes follow the complete reply, since they
@@ -187,8 +189,23 @@
 
 // readBody reads the complete body. Memory is reserved as bytes arrive, whatever
 // Content-Length the backend server sends. The body is not closed, because
-// closing reads to the end of the body, which may never come.
+// closing reads to the end of the body, which may never come. The reservation is
+// released unless the body is complete.
 func (r *Reply) readBody(resp *http.Response, req *Request) error {
+	complete := false
+	defer func() {
+		if !complete {
+			r.Release()
+		}
+	}()
+	if err := r.readAll(resp, req); err != nil {
+		return err
+	}
+	complete = true
+	return nil
+}
+
+func (r *Reply) readAll(resp *http.Response, req *Request) error {
 	if req.Method == http.MethodHead {
 		return nil
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -117,6 +117,28 @@
 	p.idle = append(p.idle, c)
 }
 
+// lease is the use of a connection by one attempt. It ends once, by put or close.
+type lease struct {
+	pool *pool
+	conn *conn // nil once the lease has ended
+}
+
+// put gives the connection back for reuse.
+func (l *lease) put() {
+	if l.conn != nil {
+		l.pool.put(l.conn)
+		l.conn = nil
+	}
+}
+
+// close closes the connection, unless put has given it back.
+func (l *lease) close() {
+	if l.conn != nil {
+		l.pool.close(l.conn)
+		l.conn = nil
+	}
+}
+
 // close closes a connection that cannot be reused and releases its slot.
 func (p *pool) close(c *conn) {
 	c.Close()
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -137,6 +137,12 @@
 	return fmt.Sprintf("reply body exceeds %d bytes", e.Limit)
 }
 
+// StatusError reports a reply whose status cannot end a request: one below 200 that is
+// not an interim reply.
+type StatusError struct{ Status int }
+
+func (e *StatusError) Error() string { return fmt.Sprintf("reply has status %d", e.Status) }
+
 // HeadTooLargeError reports a reply whose status line and headers exceed a limit.
 type HeadTooLargeError struct {
 	What  string // unit of Limit: bytes, lines or interim replies
