platform, discovery: odd records of other writers

Seen here: no VM ended or stopped following the store on any of 13 odd records of at most 1 MiB, but records with a port out of range, port 0, no port, a host name, control characters or an impossible number of slots were listed as ready servers, and requests tried them first.

A record that another writer puts under a server's own id for a while made the server another incarnation when its own record came back, and its notices were forgotten (review, read only). The registry remembers incarnations, not ids. TestReplacedRecordComesBack fails on the code before.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -24,9 +24,14 @@
 	StartedMS int64
 }
 
-// sameIncarnation reports whether two records describe one process at one address.
-func (s Server) sameIncarnation(o Server) bool {
-	return s.ID == o.ID && s.Address == o.Address && s.StartedMS == o.StartedMS && s.Service == o.Service
+// incarnation identifies one process at one address.
+type incarnation struct {
+	id, address, service string
+	startedMS            int64
+}
+
+func (s Server) incarnation() incarnation {
+	return incarnation{id: s.ID, address: s.Address, service: s.Service, startedMS: s.StartedMS}
 }
 
 // Status says how a backend server may be used.
@@ -124,7 +129,7 @@
 	cfg       Config
 	mu        sync.Mutex
 	servers   map[string]*serverState
-	removed   map[string]removedServer
+	removed   map[incarnation]removedServer
 	published atomic.Pointer[published]
 }
 
@@ -142,7 +147,7 @@
 
 // NewRegistry returns an empty Registry.
 func NewRegistry(cfg Config) *Registry {
-	r := &Registry{cfg: cfg, servers: map[string]*serverState{}, removed: map[string]removedServer{}}
+	r := &Registry{cfg: cfg, servers: map[string]*serverState{}, removed: map[incarnation]removedServer{}}
 	r.published.Store(&published{})
 	return r
 }
@@ -195,14 +200,18 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var changes []Change
-	maps.DeleteFunc(r.removed, func(_ string, s removedServer) bool { return now.Sub(s.at) > r.cfg.Retention })
+	maps.DeleteFunc(r.removed, func(_ incarnation, s removedServer) bool { return now.Sub(s.at) > r.cfg.Retention })
 	for _, id := range slices.Sorted(maps.Keys(listed)) {
 		s := listed[id]
 		old := r.servers[id]
 		before := old
-		if before == nil {
-			before = r.removed[id].serverState
-			delete(r.removed, id)
+		if old == nil || old.server.incarnation() != s.incarnation() {
+			before = r.removed[s.incarnation()].serverState
+			delete(r.removed, s.incarnation())
+			if old != nil {
+				// Another writer may have replaced the record for a while.
+				r.removed[old.server.incarnation()] = removedServer{old, now}
+			}
 		}
 		next := r.nextState(before, s, now, until.Leaving)
 		if old == nil || old.status != next.status || old.backend != next.backend {
@@ -228,10 +237,11 @@
 	return changes
 }
 
-// nextState returns the new state of a listed server.
+// nextState returns the new state of a listed server; old is nil for an incarnation that
+// was unknown.
 func (r *Registry) nextState(old *serverState, s Server, now, leavingUntil time.Time) *serverState {
 	st := &serverState{server: s, status: Ready, since: now}
-	known := old != nil && old.server.sameIncarnation(s)
+	known := old != nil && old.server.incarnation() == s.incarnation()
 	if s.Draining {
 		// A server that was never seen ready has been draining for an unknown
 		// time and gets no requests.
@@ -269,7 +279,7 @@
 		return Change{}, false
 	}
 	delete(r.servers, id)
-	r.removed[id] = removedServer{st, now}
+	r.removed[st.server.incarnation()] = removedServer{st, now}
 	return Change{Server: st.server, From: st.status}, true
 }
 
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -148,3 +148,20 @@
 func within(now time.Time, period time.Duration) Until {
 	return Until{Leaving: now.Add(period), Expired: now.Add(period)}
 }
+
+// Guards against a server that is taken for another incarnation after another writer has
+// replaced its record for a while: what it said about itself would be lost.
+func TestReplacedRecordComesBack(t *testing.T) {
+	r := NewRegistry(Config{Retention: time.Minute})
+	own, other := server("a", false, 1), server("a", false, 1)
+	other.Service = "not named"
+	update := func(s Server, d time.Duration) { r.Update(map[string]Server{"a": s}, at(d), within(at(d), grace)) }
+	update(own, 0)
+	first := r.Replicas("s").Ready[0]
+	update(other, time.Second)
+	qt.Check(t, r.Replicas("s").Usable(at(time.Second)), qt.HasLen, 0)
+	update(own, 2*time.Second)
+	qt.Check(t, r.Replicas("s").Ready[0] == first, qt.IsTrue)
+	update(server("a", false, 2), 3*time.Second)
+	qt.Check(t, r.Replicas("s").Ready[0] == first, qt.IsFalse)
+}
--- a/entry/panic_test.go
+++ b/entry/panic_test.go
@@ -161,3 +161,44 @@
 		return f.status(v, v.settings.ReadyAddress, "/readiness") == http.StatusOK
 	})
 }
+
+// Guards against an odd record of another writer among those of the servers, on which VMs
+// end or stop following the store, or whose server they try.
+func TestOddServerRecord(t *testing.T) {
+	record := func(service, address, slots, sequence, more string) string {
+		return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"attica-a","version":"v1","slots":%s,"state":"ready","warmup_left_ms":0,"sequence":%s%s}`,
+			service, address, slots, sequence, more)
+	}
+	const address, sound = "127.0.0.1:9", "2"
+	odd := map[string]string{ // of at most 1 MiB, which the store accepts
+		"deeply nested":      record("quotes", address, sound, "1", `,"x":`+strings.Repeat("[", 200_000)+strings.Repeat("]", 200_000)),
+		"nested in a field":  strings.Repeat(`{"service":`, 90_000),
+		"sequence too large": record("quotes", address, sound, "1"+strings.Repeat("0", 400), ""),
+		"born too large":     record("quotes", address, sound, "1", `,"born":1e30`),
+		"slots too large":    record("quotes", address, "1e300", "1", ""),
+		"slots below 0":      record("quotes", address, "-1", "1", ""),
+		"port out of range":  record("quotes", "127.0.0.1:99999", sound, "1", ""),
+		"port 0":             record("quotes", "127.0.0.1:0", sound, "1", ""),
+		"no port":            record("quotes", "127.0.0.1", sound, "1", ""),
+		"a host name":        record("quotes", "localhost:80", sound, "1", ""),
+		"control characters": record("quotes", "127.0.0.1:9\r\nX: y", sound, "1", ""),
+		"not UTF-8":          "\xff\xfe\x00",
+		"empty":              "",
+	}
+	f := newFixture(t)
+	f.backend("q1", "quotes", "bytes")
+	f.store.Configure(1, single("quote", "quotes", "idempotent"))
+	v, follower := f.start("vm1", true), f.start("vm2", true)
+	for name, value := range odd {
+		f.store.Put("servers/"+strings.ReplaceAll(name, " ", "-"), []byte(value))
+	}
+	late := f.backend("q2", "quotes", "bytes")
+	for _, vm := range []*vm{v, follower, f.start("vm3", true)} {
+		f.eventually(5*time.Second, "follows the store", func() bool { return len(vm.daemon.Report().Services["quotes"].Ready) > 1 })
+		f.Check(vm.daemon.Report().Services["quotes"].Ready, qt.DeepEquals, []string{"q1", late.ID})
+	}
+	for i := range 20 {
+		f.Check(f.ask(v, "GET", "/quote/x", fmt.Sprint("id-", i), "", time.Second).status, qt.Equals, http.StatusOK)
+	}
+	f.Check(f.logs.String(), qt.Not(qt.Contains), `"panic"`)
+}
