entrycli: catch SIGHUP from the initialization of the program to its end

Cause (review, read only): SIGHUP was caught from the reading of the settings on, and no longer after the daemon had stopped; before and after that it ends the process.

Change: a package with few dependencies catches it while packages are initialized, and it stays caught. TestHangupOutsideOfRun: the test process was ended before.

What is left is the time of the fork, the exec and the start of the runtime, which the program does not control.

--- a/cli/entrycli/entrycli.go
+++ b/cli/entrycli/entrycli.go
@@ -7,13 +7,12 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/charmbracelet/log"
 	"github.com/urfave/cli/v3"
 
 	"github.com/briarstand/briarstand/entry"
+	"github.com/briarstand/briarstand/internal/hangup"
 	"github.com/briarstand/briarstand/internal/process"
 	"github.com/briarstand/briarstand/platform"
 	"github.com/briarstand/briarstand/telemetry"
@@ -59,10 +58,6 @@
 	if err != nil {
 		return fmt.Errorf("--log-level: %w", err)
 	}
-	// SIGHUP terminates the process unless it is caught.
-	sighups := make(chan os.Signal, 1)
-	signal.Notify(sighups, syscall.SIGHUP)
-	defer signal.Stop(sighups)
 	path := cmd.String("settings")
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -83,7 +78,7 @@
 	defer stop()
 	d := entry.New(set.Entry(cmd.Int("admin-port")), platform.New(set), logger)
 	r := &reloader{path: path, adminPort: cmd.Int("admin-port"), daemon: d, logger: logger, lastData: data}
-	defer r.start(sighups)()
+	defer r.start(hangup.Signals())()
 	d.Metrics().NewGauge("briarstand_entry_log_lines_dropped_total", func() float64 { return float64(logWriter.Dropped()) })
 	return d.Run(ctx)
 }
--- a/cli/entrycli/entrycli_test.go
+++ b/cli/entrycli/entrycli_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -54,3 +55,16 @@
 		c.Check(strings.Contains(out, line), qt.IsTrue, qt.Commentf("%s in %s", line, out))
 	}
 }
+
+// Guards against a process that ends by a SIGHUP before it has read its settings, or while
+// it stops.
+func TestHangupOutsideOfRun(t *testing.T) {
+	hangUp := func() {
+		qt.Assert(t, syscall.Kill(os.Getpid(), syscall.SIGHUP), qt.IsNil)
+		time.Sleep(50 * time.Millisecond) // this process would be ended
+	}
+	hangUp()
+	code, _, errOut := run(t, context.Background(), settings, "--check")
+	qt.Assert(t, code, qt.Equals, ExitOK, qt.Commentf(errOut))
+	hangUp()
+}
