soak: servers that leave with requests waiting, sources that lose the store, garbage replies, removals during a restart

The check of configurations looked only at the newest version, once it was due; with a new one each 1.5 s none ever was, so it could not fire.

Change: each server accepts 10 connections, patient callers of one service wait for them, and its servers drain meanwhile; sources lose the store right after changes; servers send megabytes behind a status line of 000; a record is removed while all VMs restart. Versions come after random pauses, and a stable VM that still serves a version whose successor is due is a violation.

--- a/cmd/briarstand-soak/main.go
+++ b/cmd/briarstand-soak/main.go
@@ -26,6 +26,7 @@
 			&cli.IntFlag{Name: "seeds", Usage: "`NUMBER` of seeds, one after the other", Value: 1},
 			&cli.IntFlag{Name: "vms", Usage: "`NUMBER` of daemons", Value: 12},
 			&cli.DurationFlag{Name: "duration", Usage: "time with faults of each seed", Value: 20 * time.Second},
+			&cli.StringFlag{Name: "faults", Usage: "only faults whose names contain `TEXT`"},
 			&cli.BoolFlag{Name: "verbose", Usage: "print each fault"},
 		},
 		Action: run,
@@ -54,7 +55,7 @@
 		}
 		var faults []string
 		r, err := soak.Run(ctx, soak.Config{
-			Binary: cmd.String("binary"), Dir: dir, Seed: seed, VMs: cmd.Int("vms"), Duration: cmd.Duration("duration"),
+			Binary: cmd.String("binary"), Dir: dir, Seed: seed, VMs: cmd.Int("vms"), Duration: cmd.Duration("duration"), Faults: cmd.String("faults"),
 			Log: func(format string, args ...any) {
 				faults = append(faults, fmt.Sprintf(format, args...))
 				if cmd.Bool("verbose") {
@@ -65,7 +66,8 @@
 		if err != nil {
 			return fmt.Errorf("seed %d: %w", seed, err)
 		}
-		fmt.Printf("seed %d: %d requests, %d served, %d kinds of fault, %d violations\n", seed, r.Requests, r.Served, len(r.Faults), len(r.Violations))
+		fmt.Printf("seed %d: %d requests, %d served, %d kinds of fault, %d violations; latest use of a leaving server %v, oldest configuration %v\n",
+			seed, r.Requests, r.Served, len(r.Faults), len(r.Violations), r.LatestUse.Round(time.Millisecond), r.OldestConfig.Round(time.Millisecond))
 		if len(r.Violations) == 0 {
 			if err := os.RemoveAll(dir); err != nil {
 				return fmt.Errorf("logs of seed %d: %w", seed, err)
--- a/soak/check.go
+++ b/soak/check.go
@@ -173,9 +173,22 @@
 // still receive requests.
 type drainedBackend struct {
 	backend string
+	acked   time.Time // start of the drain; zero if requests may have been delayed
 	until   time.Time
 }
 
+// latestUse returns the longest time from the start of a drain to a run at its server.
+func latestUse(runs []run, drains []drainedBackend) (latest time.Duration) {
+	for _, d := range drains {
+		for _, r := range runs {
+			if r.Backend == d.backend && !d.acked.IsZero() {
+				latest = max(latest, r.At.Sub(d.acked))
+			}
+		}
+	}
+	return latest
+}
+
 // checkDrains returns the runs at backend servers after the end of their drain.
 func checkDrains(runs []run, drains []drainedBackend) (violations []Violation) {
 	for _, d := range drains {
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -71,8 +71,8 @@
 	runs = append(runs, newRun("1", "a4", 9))
 	qt.Check(t, checkRetryBudget([]request{booking}, runs, b), qt.HasLen, 1)
 
-	qt.Check(t, checkDrains(runs, []drainedBackend{{"a4", at(9.5)}}), qt.HasLen, 0)
-	qt.Check(t, checkDrains(runs, []drainedBackend{{"a4", at(8.5)}}), qt.HasLen, 1)
+	qt.Check(t, checkDrains(runs, []drainedBackend{{backend: "a4", until: at(9.5)}}), qt.HasLen, 0)
+	qt.Check(t, checkDrains(runs, []drainedBackend{{backend: "a4", until: at(8.5)}}), qt.HasLen, 1)
 
 	noFault := func(string, time.Time, time.Time) bool { return false }
 	faulty := func(string, time.Time, time.Time) bool { return true }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -32,9 +35,14 @@
 // that are still active.
 func (h *harness) injectFaults(ctx context.Context) {
 	end := time.Now().Add(h.cfg.Duration)
+	injected := slices.DeleteFunc(slices.Clone(faults), func(f fault) bool { return !strings.Contains(f.name, h.cfg.Faults) })
+	if len(injected) == 0 {
+		h.addViolation(Violation{"soak", "all", fmt.Sprintf("no fault has %q in its name", h.cfg.Faults)})
+		return
+	}
 	var stopFuncs []func()
 	for time.Now().Before(end) && ctx.Err() == nil {
-		f := faults[h.rng.IntN(len(faults))]
+		f := injected[h.rng.IntN(len(injected))]
 		duration := minFaultTime + time.Duration(h.rng.Int64N(int64(maxFaultTime-minFaultTime)))
 		pause := time.Duration(h.rng.Int64N(int64(maxFaultPause)))
 		h.mu.Lock()
@@ -237,28 +245,152 @@
 			h.addViolation(Violation{"soak", b.ID, err.Error()})
 			return nil
 		}
-		b.RegisterAt(h.store, "draining", b.proxy.address())
-		acked := time.Now()
+		h.drain(b)
+		return nil
+	}},
+	{"servers of a service leave while requests wait for them", func(h *harness, d time.Duration) func() {
+		leaving := h.backendsOf("desk")
+		for _, b := range leaving {
+			b.SetBehavior(standin.Behavior{ServiceTime: patientTimeout * 6 / 7})
+		}
+		timer := time.AfterFunc(minFaultTime/3, func() {
+			for _, b := range leaving {
+				h.drain(b)
+			}
+		})
+		return func() {
+			drained := !timer.Stop()
+			for _, b := range leaving {
+				b.SetBehavior(normalBehavior)
+				if !drained {
+					continue
+				}
+				if _, err := h.addBackend(b.Service); err != nil {
+					h.addViolation(Violation{"soak", b.ID, err.Error()})
+				}
+			}
+		}
+	}},
+	{"sources lose the store right after changes", func(h *harness, _ time.Duration) func() {
+		rng := rand.New(rand.NewPCG(h.rng.Uint64(), 5))
+		sources := []*vm{h.source(h.vms[0]), h.source(h.vms[1])} // of both zones
+		for _, v := range sources {
+			v.recordFault(2*maxDrainDelay + stabilityPeriod)
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			h.publishVersion()
+			time.Sleep(time.Duration(rng.Int64N(int64(maxDrainDelay / 10))))
+			h.publishVersion()
+			time.Sleep(time.Duration(rng.Int64N(int64(maxDrainDelay / 4))))
+			for _, v := range sources {
+				v.store.setMode(modeSilence)
+			}
+			time.Sleep(maxDrainDelay + 2*delayMargin)
+			for _, v := range sources {
+				v.store.setMode(modePass)
+			}
+		}()
+		return func() { <-done }
+	}},
+	{"servers answer with garbage status lines", func(h *harness, d time.Duration) func() {
+		servers := h.backendsOf("quotes")
+		for _, b := range servers {
+			b.SetBehavior(standin.Behavior{StatusLine: "HTTP/1.1 000 OK", Padding: 7 << 19})
+		}
+		return func() {
+			for _, b := range servers {
+				b.SetBehavior(normalBehavior)
+			}
+		}
+	}},
+	{"a server's record is removed while all VMs restart", func(h *harness, d time.Duration) func() {
+		b := h.randomBackend()
+		if _, err := h.addBackend(b.Service); err != nil {
+			h.addViolation(Violation{"soak", b.ID, err.Error()})
+			return nil
+		}
 		h.mu.Lock()
 		b.draining = true
 		h.mu.Unlock()
-		// The drain is checked only if the store and all VMs were stable: a
-		// fault may delay the update to the VMs.
-		time.AfterFunc(maxDrainDelay+delayMargin, func() {
-			stable := h.storeStable(acked.Add(-stabilityPeriod), time.Now())
-			for _, v := range h.vms {
-				stable = stable && v.stable(acked.Add(-stabilityPeriod), time.Now())
-			}
-			if stable {
-				h.mu.Lock()
-				h.drains = append(h.drains, drainedBackend{b.ID, acked.Add(maxDrainDelay + delayMargin)})
-				h.mu.Unlock()
+		slow := h.randomVM()
+		slow.store.setMode(modeDelay)
+		for _, v := range h.vms {
+			v.recordFault(stabilityPeriod)
+			v.signal(syscall.SIGKILL)
+		}
+		removal := time.Duration(h.rng.Int64N(int64(200 * time.Millisecond)))
+		timer := time.AfterFunc(slow.restartDelay+removal, func() { h.store.Delete("servers/" + b.ID) })
+		time.AfterFunc(slow.restartDelay+removal+stabilityPeriod+maxDrainDelay, func() { h.checkDrain(b, time.Time{}, time.Now().Add(-maxDrainDelay), 0) })
+		return func() {
+			slow.store.setMode(modePass)
+			if timer.Stop() {
+				h.store.Delete("servers/" + b.ID)
 			}
-		})
-		return nil
+		}
 	}},
 }
 
+// source returns the VM that reads the store for a VM of the same zone: the first one, by
+// id, of those in the zone that callers are sent to. It returns the VM itself if that is
+// not known.
+func (h *harness) source(of *vm) *vm {
+	c := &standin.Caller{Zone: of.settings.Zone, Region: of.settings.Region, Client: &http.Client{Timeout: time.Second}}
+	addresses, err := c.Resolve(context.Background(), of.settings.ResolveAddress, host)
+	if err != nil {
+		return of
+	}
+	for _, v := range h.vms { // ordered by id
+		if v.settings.Zone == of.settings.Zone && slices.Contains(addresses, v.settings.CallerAddress) {
+			return v
+		}
+	}
+	return of
+}
+
+// drain makes a server leave. Requests at it are checked unless a fault delayed the
+// change on its way to the VMs.
+func (h *harness) drain(b *backend) {
+	b.RegisterAt(h.store, "draining", b.proxy.address())
+	acked := time.Now()
+	h.mu.Lock()
+	b.draining = true
+	h.mu.Unlock()
+	time.AfterFunc(maxDrainDelay+delayMargin, func() { h.checkDrain(b, acked, acked.Add(-stabilityPeriod), maxDrainDelay+delayMargin) })
+}
+
+// checkDrain has the requests that reach a server checked, from allowed after it left, if
+// the store and all VMs have been stable since a time.
+func (h *harness) checkDrain(b *backend, acked, since time.Time, allowed time.Duration) {
+	stable := h.storeStable(since, time.Now())
+	for _, v := range h.vms {
+		stable = stable && v.stable(since, time.Now())
+	}
+	if !stable {
+		return
+	}
+	d := drainedBackend{backend: b.ID, acked: acked, until: acked.Add(allowed)}
+	if acked.IsZero() {
+		d.until = time.Now()
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.drains = append(h.drains, d)
+}
+
+// backendsOf returns the servers of a service that do not leave.
+func (h *harness) backendsOf(service string) (list []*backend) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, b := range h.backends {
+		if b.Service == service && !b.draining {
+			list = append(list, b)
+		}
+	}
+	return list
+}
+
 // inSeries calls step with short pauses, at most maxSeriesPause each, until d has
 // passed or the returned function is called.
 func (h *harness) inSeries(d time.Duration, rng *rand.Rand, step func()) (stop func()) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -30,6 +30,8 @@
 	Seed        uint64
 	VMs         int
 	Duration    time.Duration
+	// Faults limits the faults to those whose names contain it.
+	Faults string
 	// Log receives a line for each fault and for some violations. It is called by
 	// one goroutine at a time.
 	Log func(format string, args ...any)
@@ -40,32 +42,51 @@
 	Requests, Served int
 	Faults           map[string]int
 	Violations       []Violation
+	// LatestUse is the longest time from a server's drain to a request that reached it,
+	// while nothing delayed the change. OldestConfig is the longest time from a
+	// configuration to a probe of a stable VM that does not have it.
+	LatestUse, OldestConfig time.Duration
 }
 
 const (
-	host          = "soak.example"
-	shards        = 8
-	replicas      = 2
-	callers       = 12
+	host     = "soak.example"
+	shards   = 8
+	replicas = 2
+	callers  = 12
+	// patientCallers send only requests to the service "desk", for which they wait long.
+	// They use few VMs, so that their requests wait for connections.
+	patientCallers = 9
+	patientVMs     = 3
+	// kinds is the number of kinds of requests, each a tenth of them; patientKind is that
+	// of patientCallers.
+	kinds         = 10
+	patientKind   = 10
 	callerPause   = 25 * time.Millisecond // minimum pause of a caller; the maximum is twice as long
 	callerTimeout = time.Second
 	// minStay is the time after which a caller may leave without an answer; the
 	// maximum is five times as long.
-	minStay       = 10 * time.Millisecond
-	budgetRatio   = 0.2
-	budgetSlack   = 60
-	budgetWindow  = 10 * time.Second
-	graceS        = 3 // time that a VM has for a graceful stop, in seconds
-	maxDrainDelay = 3 * time.Second
+	minStay      = 10 * time.Millisecond
+	budgetRatio  = 0.2
+	budgetSlack  = 60
+	budgetWindow = 10 * time.Second
+	// maxConnections is what each server accepts from all VMs: one for each VM of a run
+	// with 8 VMs, so that requests wait for connections.
+	maxConnections = 10
+	// patientTimeout is the time that callers of the service "desk" wait.
+	patientTimeout = 4 * time.Second
+	graceS         = 3 // time that a VM has for a graceful stop, in seconds
+	maxDrainDelay  = 3 * time.Second
 	// maxConfigDelay is the time within which a configuration must be in force at a
 	// stable VM. A VM or the store counts as unstable during a fault and for
 	// stabilityPeriod after it; some guarantees hold only while both are stable.
 	maxConfigDelay  = 3 * time.Second
 	stabilityPeriod = 4 * time.Second
 	// probeInterval is the interval at which each VM is probed for its
-	// configuration, and configInterval that of configuration changes.
+	// configuration, and minConfigPause and maxConfigPause are the limits of the
+	// pauses between changes of the configuration.
 	probeInterval  = 300 * time.Millisecond
-	configInterval = 1500 * time.Millisecond
+	minConfigPause = 300 * time.Millisecond
+	maxConfigPause = 2 * (maxConfigDelay + delayMargin)
 	// maxRecoveryTime is the time after the last fault from which nine in ten
 	// requests must be served again.
 	maxRecoveryTime = 8 * time.Second
@@ -97,6 +118,7 @@
 	requests         []request
 	violations       []Violation
 	drains           []drainedBackend
+	oldestConfig     time.Duration
 	plannedStops     []plannedStop
 	disturbances     map[string][]span   // by backend server; "" for all
 	versionTimes     map[int64]time.Time // time at which each configuration was written
@@ -133,7 +155,7 @@
 	load, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
 	var wg sync.WaitGroup
-	for i := range callers {
+	for i := range callers + patientCallers {
 		wg.Go(func() { h.runCaller(load, i) })
 	}
 	wg.Go(func() { h.probeVMs(load) })
@@ -153,7 +175,8 @@
 			}
 		}
 	}
-	for _, service := range []string{"quotes", "quotes", "quotes", "book", "book"} {
+	h.store.SetMaxConnections(maxConnections)
+	for _, service := range []string{"quotes", "quotes", "quotes", "book", "book", "desk", "desk"} {
 		if _, err := h.addBackend(service); err != nil {
 			return err
 		}
@@ -216,6 +239,7 @@
 		{Name: "quote", Host: host, Prefix: "/quote/", Kind: "idempotent", TimeoutMS: 1000, GoalMS: 300, MaxAttempts: 2, Service: "quotes"},
 		{Name: "book", Host: host, Prefix: "/book/", Kind: "non_idempotent", TimeoutMS: 1000, GoalMS: 300, MaxAttempts: 2, Service: "book"},
 		{Name: "find", Host: host, Prefix: "/find/", Kind: "idempotent", TimeoutMS: 1000, GoalMS: 150, MaxAttempts: 2, Shards: shardNames(), Limit: 4, MinShare: 0.7},
+		{Name: "desk", Host: host, Prefix: "/desk/", Kind: "idempotent", TimeoutMS: patientTimeout.Milliseconds(), MaxAttempts: 2, Service: "desk"},
 		{Name: "version", Host: host, Prefix: fmt.Sprintf("/v%d/", h.version), Kind: "idempotent", TimeoutMS: 1000, MaxAttempts: 2, Service: "quotes"},
 	}
 	h.store.Configure(h.version, routes...)
@@ -257,7 +281,7 @@
 	region := fmt.Sprint("r", n%2)
 	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableCompression: true}
 	defer transport.CloseIdleConnections()
-	c := &standin.Caller{Zone: region + "-a", Region: region, Client: &http.Client{Transport: transport, Timeout: callerTimeout + time.Second}}
+	c := &standin.Caller{Zone: region + "-a", Region: region, Client: &http.Client{Transport: transport, Timeout: patientTimeout + time.Second}}
 	sticky := n%3 == 0
 	var addresses []string
 	var address string
@@ -272,10 +296,15 @@
 		if len(addresses) == 0 {
 			continue
 		}
+		kind := rng.IntN(kinds)
 		if address == "" || !sticky {
 			address = addresses[rng.IntN(len(addresses))]
 		}
-		if err := h.sendRequest(ctx, c, address, rng.IntN(10)); errors.Is(err, syscall.ECONNREFUSED) {
+		if n >= callers {
+			kind, address = patientKind, addresses[n%min(patientVMs, len(addresses))]
+			time.Sleep(4 * callerPause)
+		}
+		if err := h.sendRequest(ctx, c, address, kind); errors.Is(err, syscall.ECONNREFUSED) {
 			address = ""
 		}
 	}
@@ -284,8 +313,11 @@
 // sendRequest sends one request of a kind and returns the error if there is no answer.
 func (h *harness) sendRequest(ctx context.Context, c *standin.Caller, address string, kind int) error {
 	r := request{ID: fmt.Sprintf("q%d-%d", h.cfg.Seed, h.lastRequestID.Add(1)), VM: h.vmAt(address), Start: time.Now()}
-	method, path := http.MethodGet, "/quote/x"
+	method, path, timeout := http.MethodGet, "/quote/x", callerTimeout
 	switch {
+	case kind == patientKind:
+		r.Route, r.Service = "desk", "desk"
+		path, timeout = "/desk/x", patientTimeout
 	case kind < 5:
 		r.Route, r.Shards, r.Limit, r.MinShards = "find", shardNames(), 4, 6
 		path = "/find/x"
@@ -303,7 +335,7 @@
 		defer cancel()
 		ctx = stay
 	}
-	r.Answer, r.Err = c.Send(ctx, address, method, host, path, r.ID, callerTimeout)
+	r.Answer, r.Err = c.Send(ctx, address, method, host, path, r.ID, timeout)
 	r.End, r.Left = time.Now(), ctx.Err() != nil
 	if h.measureRecovery.Load() && !r.Left {
 		h.recoveryRequests.Add(1)
@@ -349,14 +381,15 @@
 	return list
 }
 
-// changeConfig changes the configuration periodically.
+// changeConfig changes the configuration after random pauses. After a pause that is
+// longer than the time within which a version must be in force, probes check the version.
 func (h *harness) changeConfig(ctx context.Context) {
-	for tick := time.NewTicker(configInterval); ; {
+	rng := rand.New(rand.NewPCG(h.cfg.Seed, 6))
+	for {
 		select {
 		case <-ctx.Done():
-			tick.Stop()
 			return
-		case <-tick.C:
+		case <-time.After(minConfigPause + time.Duration(rng.Int64N(int64(maxConfigPause-minConfigPause)))):
 			h.publishVersion()
 		}
 	}
@@ -389,6 +422,7 @@
 	h.mu.Lock()
 	// dueVersion is the newest version if it must be in force by now, and else 0.
 	dueVersion := int64(0)
+	currentAge := start.Sub(h.versionTimes[h.version])
 	for version, acked := range h.versionTimes {
 		if start.Sub(acked) > maxConfigDelay+delayMargin && version == h.version {
 			dueVersion = version
@@ -403,15 +437,45 @@
 	h.mu.Lock()
 	superseded := h.version != current
 	h.mu.Unlock()
+	stable := v.stable(start.Add(-stabilityPeriod-maxConfigDelay), start) && h.storeStable(start.Add(-stabilityPeriod-maxConfigDelay), start)
+	if a.Status == http.StatusNotFound && !superseded && stable {
+		h.mu.Lock()
+		h.oldestConfig = max(h.oldestConfig, currentAge)
+		h.mu.Unlock()
+	}
 	switch {
 	case a.Status == http.StatusOK:
 		highest[key] = max(highest[key], current)
 	case a.Status != http.StatusNotFound || superseded:
 	case highest[key] >= current:
 		h.addViolation(Violation{"never back", v.settings.ID, fmt.Sprintf("version %d was in force", current)})
-	case dueVersion == current && v.stable(start.Add(-stabilityPeriod-maxConfigDelay), start) && h.storeStable(start.Add(-stabilityPeriod-maxConfigDelay), start):
+	case dueVersion == current && stable:
 		h.addViolation(Violation{"in force", v.settings.ID, fmt.Sprintf("version %d is not", current)})
 	}
+	if stable {
+		h.probeSuperseded(ctx, c, v)
+	}
+}
+
+// probeSuperseded checks that a stable VM does not serve the route of a version whose
+// successor was written more than maxConfigDelay + delayMargin ago. It sees an old version
+// also while new ones come in quick succession.
+func (h *harness) probeSuperseded(ctx context.Context, c *standin.Caller, v *vm) {
+	start := time.Now()
+	h.mu.Lock()
+	old := h.version - 1
+	for old > 0 && start.Sub(h.versionTimes[old+1]) <= maxConfigDelay+delayMargin {
+		old--
+	}
+	successor := h.versionTimes[old+1]
+	h.mu.Unlock()
+	if old <= 0 {
+		return
+	}
+	a, err := c.Send(ctx, v.settings.CallerAddress, http.MethodGet, host, fmt.Sprintf("/v%d/x", old), fmt.Sprint("p", h.lastRequestID.Add(1)), callerTimeout)
+	if err == nil && a.Status == http.StatusOK && v.stable(start.Add(-stabilityPeriod-maxConfigDelay), time.Now()) {
+		h.addViolation(Violation{"in force", v.settings.ID, fmt.Sprintf("version %d is served %v after its successor was written", old, start.Sub(successor).Round(time.Millisecond))})
+	}
 }
 
 func (h *harness) addViolation(v Violation) {
@@ -461,7 +525,9 @@
 	h.violations = slices.Concat(h.violations, checkAtMostOnce(h.requests, runs), checkDrains(runs, h.drains), checkStops(h.requests, runs, h.plannedStops),
 		checkDepartures(h.requests, runs, h.disturbances), checkPauses(h.requests, runs, refusals, h.interrupted), checkLeaving(h.requests, runs, h.interrupted),
 		checkRetryBudget(h.requests, runs, retryBudget{budgetRatio, budgetSlack, budgetWindow}))
-	r := &Report{Requests: len(h.requests), Faults: maps.Clone(h.faults), Violations: h.violations}
+	r := &Report{
+		Requests: len(h.requests), Faults: maps.Clone(h.faults), Violations: h.violations, LatestUse: latestUse(runs, h.drains), OldestConfig: h.oldestConfig,
+	}
 	for _, q := range h.requests {
 		if q.Err == nil && q.Answer.Status == http.StatusOK {
 			r.Served++
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -64,8 +64,10 @@
 	// Unframed sends no Content-Length and ends the body by closing the
 	// connection.
 	Unframed bool
-	// StatusLine, if not empty, is sent instead of that of the reply.
+	// StatusLine, if not empty, is sent instead of that of the reply, and Padding more
+	// bytes after the body.
 	StatusLine string
+	Padding    int
 	// Hang never replies.
 	Hang bool
 	// Endless, if not empty, is the text that is sent repeatedly after the status
@@ -267,7 +269,8 @@
 		}
 	case behavior.StatusLine != "":
 		_, headers, _ := strings.Cut(head, "\r\n")
-		fmt.Fprintf(c, "%s\r\n%sContent-Length: %d\r\n\r\n%s", behavior.StatusLine, headers, len(b.Body), b.Body)
+		fmt.Fprintf(c, "%s\r\n%sContent-Length: %d\r\n\r\n%s", behavior.StatusLine, headers, len(b.Body)+behavior.Padding, b.Body)
+		_, _ = c.Write(make([]byte, behavior.Padding))
 	case behavior.Truncate:
 		fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", head, len(b.Body)+8, b.Body)
 	case behavior.Unframed:
