--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -514,3 +514,31 @@
 	end := time.Now().Add(time.Second)
 	return discovery.Until{Leaving: end, Expired: end}
 }
+
+// Guards against a hedge or a retry at a leaving server after its last resort has ended.
+func TestNoLaterAttemptAtLeavingServer(t *testing.T) {
+	const lastResort = 200 * time.Millisecond
+	for name, first := range map[string]behavior{
+		"hedge": {after: -1},
+		"retry": {after: 2 * lastResort},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			registry := discovery.NewRegistry(discovery.Config{})
+			listed := map[string]discovery.Server{}
+			for _, id := range []string{"a", "b"} {
+				listed[id] = discovery.Server{Backend: config.Backend{ID: id}, Service: "s"}
+			}
+			registry.Update(listed, time.Now(), discovery.Until{})
+			end := time.Now().Add(lastResort)
+			registry.Update(nil, time.Now(), discovery.Until{Leaving: end, Expired: end})
+			f := &fakeTransport{behaviors: map[string]behavior{"a": first, "b": first}}
+			e := newTestEngine(f, registry, limit.BudgetShare{Burst: 10}, nil)
+			e.cfg.Policy.HedgeFallbackDelay, e.cfg.Policy.HedgeLatestFraction = 2*lastResort, 1
+			job := query(nil, 1)
+			job.Route.Targets, job.Route.Goal = []route.Target{{Service: "s", Weight: 1}}, 0
+			e.Run(context.Background(), job)
+			f.wg.Wait()
+			qt.Check(t, f.sent, qt.HasLen, 1, qt.Commentf(name))
+		})
+	}
+}
