upstream: a VM that could read no reply is asked again after 5 s

Cause (read while landing): the VM was not ready until it read a reply, but callers are sent only to ready VMs, so it could stay so for good.

Change: the state expires 5 s after the last failure. TestStarvedVMIsNotReady goes through both: it did not become ready without a request before.

--- a/entry/panic_test.go
+++ b/entry/panic_test.go
@@ -155,11 +155,15 @@
 		f.ask(v, "GET", "/quote/x", "large", "", time.Second)
 		return f.status(v, v.settings.ReadyAddress, "/readiness") == http.StatusServiceUnavailable
 	})
-	b.Body = []byte("small")
-	f.eventually(10*time.Second, "ready", func() bool {
-		f.ask(v, "GET", "/quote/x", "small", "", time.Second)
-		return f.status(v, v.settings.ReadyAddress, "/readiness") == http.StatusOK
+	ready := func() bool { return f.status(v, v.settings.ReadyAddress, "/readiness") == http.StatusOK }
+	f.eventually(10*time.Second, "ready without a request, since callers are sent only to ready VMs", ready)
+	f.eventually(10*time.Second, "not ready again", func() bool {
+		f.ask(v, "GET", "/quote/x", "large again", "", time.Second)
+		return !ready()
 	})
+	b.Body = []byte("small")
+	f.ask(v, "GET", "/quote/x", "small", "", time.Second)
+	f.Check(ready(), qt.IsTrue)
 }
 
 // Guards against an odd record of another writer among those of the servers, on which VMs
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -85,9 +85,10 @@
 	// readers holds read buffers for connections in use.
 	readers sync.Pool
 	stats   Stats
-	// starvedSince is when, since the last reply that could be read, the first one could
-	// not for lack of memory, in nanoseconds since started; 0 if there is none.
-	starvedSince atomic.Int64
+	// starvedSince and starvedLast are when, since the last reply that could be read, the
+	// first and the last one could not for lack of memory, in nanoseconds since started;
+	// starvedSince is 0 if there is none.
+	starvedSince, starvedLast atomic.Int64
 }
 
 // Stats counts connection events.
@@ -365,18 +366,24 @@
 	case err == nil:
 		c.starvedSince.Store(0)
 	case errors.As(err, &memory):
-		c.starvedSince.CompareAndSwap(0, max(1, c.elapsed(time.Now())))
+		now := max(1, c.elapsed(time.Now()))
+		c.starvedLast.Store(now)
+		c.starvedSince.CompareAndSwap(0, now)
 	}
 }
 
+// starvationExpiry is the time without a reply after which it is not known any more
+// whether there is memory for one.
+const starvationExpiry = 5 * time.Second
+
 // Starved returns for how long no reply could be read since there was no memory for it;
-// 0 if the last one could.
+// 0 if the last one could, or if none came for starvationExpiry.
 func (c *Client) Starved(now time.Time) time.Duration {
-	since := c.starvedSince.Load()
-	if since == 0 {
+	since, last := c.starvedSince.Load(), c.starvedLast.Load()
+	if since == 0 || c.elapsed(now)-last > int64(starvationExpiry) {
 		return 0
 	}
-	return time.Duration(c.elapsed(now) - since)
+	return time.Duration(last - since)
 }
 
 // acquire returns an idle connection or a new one. If the limit of the pool is
