mirror: a VM whose own calls fail asks its source whatever the age of its records

Cause (read while landing): once the records of a VM were too old, it no longer asked its source. One that the store turns away could then not follow a source that is well.

--- a/mirror/source.go
+++ b/mirror/source.go
@@ -72,6 +72,9 @@
 			sleep(ctx, sourceRetryDelay)
 		}
 		left := f.untilMaxAge() - sourceReplyTime
+		if f.storeLost.Load() {
+			left = sourceWait + sourceGrace // only the source can answer
+		}
 		if left <= 0 {
 			f.sourceLost = f.sourceLost || !f.fromStore.Load()
 			return false
--- a/mirror/source_test.go
+++ b/mirror/source_test.go
@@ -146,19 +146,25 @@
 // calls the store still serves. The VM then has current records and makes no
 // more billed calls.
 func TestSourceWhileStoreRefuses(t *testing.T) {
+	for _, maxAge := range []time.Duration{0, 2250 * time.Millisecond} {
+		testSourceWhileStoreRefuses(t, maxAge)
+	}
+}
+
+func testSourceWhileStoreRefuses(t *testing.T, maxAge time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		content := New()
 		sourceStore, ownStore := &fakeStore{content: content}, &fakeStore{content: content}
 		sourceStore.put("a", 1)
-		first := start(t, FollowerConfig{Mirror: New(), Store: sourceStore})
+		first := start(t, FollowerConfig{Mirror: New(), Store: sourceStore, WatchWait: 750 * time.Millisecond})
 		source := &fakeSource{follower: first}
 		m := New()
-		second := start(t, FollowerConfig{Mirror: m, Store: ownStore, Source: source})
+		second := start(t, FollowerConfig{Mirror: m, Store: ownStore, Source: source, WatchWait: 750 * time.Millisecond, MaxAge: maxAge})
 		time.Sleep(5 * time.Second)
 		ownStore.set(flags{down: true})
 		source.silent.Store(true)
-		time.Sleep(time.Second)
+		time.Sleep(time.Second + 2*maxAge)
 		c.Assert(second.StoreLost(), qt.IsTrue)
 		source.silent.Store(false)
 		time.Sleep(sourceBackoff + 2*DefaultRetryMax) // includes the longest backoff of calls to the store
