--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -207,6 +207,13 @@
 	watchGrace       = 700 * time.Millisecond
 )
 
+// followerConfig returns the times with which a VM follows the store.
+func followerConfig(set *Settings) mirror.FollowerConfig {
+	return mirror.FollowerConfig{
+		BatchDelay: set.DrainBound / batchDelayDivisor, WatchWait: set.DrainBound / watchWaitDivisor, WatchGrace: watchGrace, MaxAge: maxRecordsAge(set.DrainBound),
+	}
+}
+
 // Run serves until the context ends, and then drains. It fails with a *ListenError
 // if an address cannot be listened on.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -216,10 +223,10 @@
 	}
 	d.serve()
 	peers := newPeerClient(d.state, &d.settings)
-	follower := mirror.NewFollower(mirror.FollowerConfig{
-		Mirror: d.state.mirror, Store: d.platform, Logger: d.logger, Panics: d.panics, Changed: d.refresh, Peers: peers, Source: peers,
-		BatchDelay: d.settings.DrainBound / batchDelayDivisor, WatchWait: d.settings.DrainBound / watchWaitDivisor, WatchGrace: watchGrace, MaxAge: maxRecordsAge(d.settings.DrainBound),
-	})
+	cfg := followerConfig(&d.settings)
+	cfg.Mirror, cfg.Store, cfg.Peers, cfg.Source = d.state.mirror, d.platform, peers, peers
+	cfg.Logger, cfg.Panics, cfg.Changed = d.logger, d.panics, d.refresh
+	follower := mirror.NewFollower(cfg)
 	d.state.follower.Store(follower)
 	reg := newRegistration(d.platform, d.logger, d.selfMember(), d.settings.MinLease, follower.StoreAnswered, follower.CheckStore)
 	d.background.Go(func() { follower.Run(d.backgroundCtx) })
