mirror: count records as current only from a moment that is known

Cause: records were taken to be newer than they were, in three ways. A reply of the store with changes counted as at most 200 ms old, however long it was on its way; a source passed this on to VMs that are in touch. Records that differ from the source's counted as current. The moment was kept apart from the records, so a change of two goroutines could be paired with the moment of the other one, and a source's reply with the moment before the change.

Change: the mirror keeps the moment with its records under one lock, and each change is applied with its notification. Records are current at the start of the call that read them, or at the end of a watch without changes; those of a source only if their digests are equal. A VM whose records differ from its source's lists all records when it calls the store. As the moment is earlier now, the batch delay is a fifth of the bound instead of a quarter, so that a VM without a fault still makes no calls to the store.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -195,7 +195,7 @@
 // batchDelayDivisor divides the drain bound; the result is
 // mirror.FollowerConfig.BatchDelay, the time for which changes of the store are
 // batched. Batching saves billed calls, since each read of changes is one.
-const batchDelayDivisor = 4
+const batchDelayDivisor = 5
 
 // watchWaitDivisor divides the drain bound; the result is how long a watch of
 // the store waits for changes, and watchGrace is how much later it times out.
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -32,9 +32,6 @@
 	// for that delay, changes are then batched only for SettleBatchDelay.
 	SettleTime       = 4 * time.Second
 	SettleBatchDelay = 100 * time.Millisecond
-	// maxReplyTime is the time that a reply of a store without impairment takes to this
-	// VM at most, including the time until the VM reads it.
-	maxReplyTime = 200 * time.Millisecond
 	// maxAnswerGap is the time without an answer of the store, to calls that are made
 	// about every second, after which it may have been away.
 	maxAnswerGap = 1500 * time.Millisecond
@@ -74,9 +71,9 @@
 	// Panics recovers from panics and restarts the work; nil lets them propagate.
 	Panics *contain.Panics
 	// Changed is called after each change of the mirror, by one goroutine at a
-	// time. currentAt is the last moment at which the records before the change were
-	// known to be current, so the store acknowledged the change later; the zero time if
-	// they never were.
+	// time. currentAt is the last moment at which the store is known to have held the
+	// records before the change, so it acknowledged the change later; the zero time if
+	// there is none.
 	Changed func(currentAt time.Time)
 	// MaxAge is the age of the records at which the VM calls the store itself,
 	// whatever its source says; 0 means that only the source's word counts.
@@ -89,16 +86,15 @@
 type Follower struct {
 	cfg       FollowerConfig
 	epoch     time.Time  // the times below count from it, so that steps of the clock do not change them
-	changedMu sync.Mutex // serializes Changed
+	changeMu  sync.Mutex // serializes changes of the mirror, each with its call of Changed
 	storeLost atomic.Bool
 	hasFailed atomic.Bool // a call has failed since the start
-	// outageEndedAt is the end of the last outage, confirmedAt the last moment at which
-	// the records are known to have been current, and answeredAt when the store last
+	// outageEndedAt is the end of the last outage, and answeredAt when the store last
 	// answered a call of this VM that is not the Follower's. They are in nanoseconds
 	// since epoch; 0 if there was none.
-	outageEndedAt, confirmedAt, answeredAt atomic.Int64
-	cancelMu                               sync.Mutex
-	cancelWatch                            context.CancelFunc // cancels the waiting watch
+	outageEndedAt, answeredAt atomic.Int64
+	cancelMu                  sync.Mutex
+	cancelWatch               context.CancelFunc // cancels the waiting watch
 	// fromStore is set if the last answer came from the store itself, and not from
 	// the source.
 	fromStore atomic.Bool
@@ -134,8 +130,8 @@
 // Age returns how long ago the store last confirmed the mirror's revision, to
 // this VM or to its source. ok is false if it never did.
 func (f *Follower) Age(now time.Time) (age time.Duration, ok bool) {
-	confirmed, ok := f.since(&f.confirmedAt)
-	return now.Sub(confirmed), ok
+	at := f.cfg.Mirror.CurrentAt()
+	return now.Sub(at), !at.IsZero()
 }
 
 // Settling reports whether the last store outage ended less than SettleTime
@@ -161,13 +157,6 @@
 	}
 }
 
-// confirmed returns the last moment at which the records are known to have been
-// current, the zero time if there is none.
-func (f *Follower) confirmed() time.Time {
-	at, _ := f.since(&f.confirmedAt)
-	return at
-}
-
 // untilMaxAge returns how long it is until the records reach MaxAge; 0 if they have.
 func (f *Follower) untilMaxAge() time.Duration {
 	if f.cfg.MaxAge == 0 {
@@ -223,22 +212,21 @@
 			f.fromStore.Store(false)
 			continue
 		}
-		before := f.confirmed()
-		changed, currentAt, err := f.readStore(ctx, list)
+		apply, err := f.readStore(ctx, list || f.sourceDiffers)
 		if ctx.Err() != nil {
 			return
 		}
+		var changed bool
+		if err == nil {
+			f.markAvailable()
+			changed, err = f.change(apply)
+		}
 		compacted := errors.Is(err, ErrCompacted)
 		var stale *StaleListingError
 		switch {
 		case err == nil:
-			f.markAvailable()
-			list = false
+			list, f.sourceDiffers = false, false
 			pause = f.cfg.RetryMin
-			if changed {
-				f.notifyChanged(before)
-			}
-			f.advanceTo(&f.confirmedAt, currentAt)
 			if changed {
 				sleep(ctx, f.batchDelay())
 			}
@@ -248,8 +236,6 @@
 			f.cfg.Logger.Info("store history is compacted, listing all records", "revision", f.cfg.Mirror.Revision())
 		case errors.As(err, &stale):
 			// Another VM's records were newer; the next watch starts at their revision.
-			f.markAvailable()
-			f.advanceTo(&f.confirmedAt, currentAt)
 			list = false
 		default:
 			f.markLost(err)
@@ -259,22 +245,32 @@
 	}
 }
 
-// readStore lists all records or watches for changes. currentAt is a moment at which the
-// records were current in the state that they have after the call.
-func (f *Follower) readStore(ctx context.Context, list bool) (changed bool, currentAt time.Time, err error) {
+// change changes the mirror and calls Changed if a record did.
+func (f *Follower) change(apply func() (changed bool, err error)) (changed bool, err error) {
+	f.changeMu.Lock()
+	defer f.changeMu.Unlock()
+	before := f.cfg.Mirror.CurrentAt()
+	if changed, err = apply(); changed && err == nil {
+		f.cfg.Changed(before)
+	}
+	return changed, err
+}
+
+// readStore lists all records or watches for changes, and returns a function that applies
+// them to the mirror.
+func (f *Follower) readStore(ctx context.Context, list bool) (apply func() (changed bool, err error), err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.cancelMu.Lock()
 	f.cancelWatch = cancel
 	f.cancelMu.Unlock()
+	// Nothing tells how long a reply was on its way, so the records are only known to be
+	// current at the start of the call.
 	start := time.Now()
 	if list {
 		l, err := f.list(ctx)
-		if err != nil {
-			return false, start, err
-		}
-		changed, err = f.cfg.Mirror.Replace(l)
-		return changed, start, err
+		l.CurrentAt = start
+		return func() (bool, error) { return f.cfg.Mirror.Replace(l) }, err
 	}
 	wait := f.cfg.WatchWait
 	if f.storeLost.Load() || f.sourceLost {
@@ -284,18 +280,11 @@
 	ctx, stop := context.WithTimeout(ctx, wait+f.cfg.WatchGrace)
 	defer stop()
 	c, err := f.cfg.Store.Watch(ctx, f.cfg.Mirror.Revision(), wait)
-	if err != nil {
-		return false, start, err
-	}
-	// Without changes the store waited to the end, with changes it replied at once.
-	replied := time.Now().Add(-maxReplyTime)
-	if len(c.Changes) == 0 {
-		replied = start.Add(wait)
+	c.CurrentAt = start
+	if waited := start.Add(wait); len(c.Changes) == 0 && !waited.After(time.Now()) {
+		c.CurrentAt = waited // the store had no change until then
 	}
-	if now := time.Now(); replied.After(start) && !replied.After(now) {
-		start = replied
-	}
-	return f.cfg.Mirror.Apply(c), start, nil
+	return func() (bool, error) { return f.cfg.Mirror.Apply(c), nil }, err
 }
 
 // list reads all records from the store. While the mirror is empty, it makes up
@@ -351,7 +340,6 @@
 		if !f.storeLost.Load() || ctx.Err() != nil {
 			continue
 		}
-		before := f.confirmed()
 		l, ok, err := f.cfg.Peers.Fetch(ctx, f.cfg.Mirror.Revision())
 		if err != nil {
 			if !failing {
@@ -364,23 +352,14 @@
 		if !ok {
 			continue
 		}
-		changed, err := f.cfg.Mirror.Replace(l)
+		changed, err := f.change(func() (bool, error) { return f.cfg.Mirror.Replace(l) })
 		if err != nil {
 			continue // the mirror has become newer in the meantime
 		}
 		f.cfg.Logger.Info("records read from another VM", "revision", l.Revision, "records", len(l.Records), "changed", changed)
-		if changed {
-			f.notifyChanged(before)
-		}
 	}
 }
 
-func (f *Follower) notifyChanged(currentAt time.Time) {
-	f.changedMu.Lock()
-	defer f.changedMu.Unlock()
-	f.cfg.Changed(currentAt)
-}
-
 func (f *Follower) markAvailable() {
 	now := time.Now()
 	f.fromStore.Store(true)
--- a/mirror/follower_test.go
+++ b/mirror/follower_test.go
@@ -107,7 +107,10 @@
 
 // start runs a follower until the test ends.
 func start(t *testing.T, cfg FollowerConfig) *Follower {
-	cfg.Logger, cfg.Changed = log.New(io.Discard), func(time.Time) {}
+	cfg.Logger = log.New(io.Discard)
+	if cfg.Changed == nil {
+		cfg.Changed = func(time.Time) {}
+	}
 	f := NewFollower(cfg)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -51,12 +51,18 @@
 type Listing struct {
 	Records  []Record `json:"records"`
 	Revision int64    `json:"revision"`
+	// CurrentAt is a moment at which the store held these records, the zero time if
+	// unknown.
+	CurrentAt time.Time `json:"-"`
 }
 
 // Changes holds the changes up to a revision.
 type Changes struct {
 	Changes  []Change
 	Revision int64
+	// CurrentAt is a moment at which the store held the records that result from the
+	// changes, the zero time if unknown.
+	CurrentAt time.Time `json:"-"`
 }
 
 // ErrCompacted reports that the store no longer has the changes after the
@@ -84,7 +90,9 @@
 	// deletions after the revision compactRevision are among them.
 	tombstones      []Record
 	compactRevision int64
-	changed         chan struct{} // closed and replaced when the revision grows
+	// currentAt is the last moment at which the store is known to have held the records.
+	currentAt time.Time
+	changed   chan struct{} // closed and replaced when the revision grows
 }
 
 // maxTombstones is how many deletions a mirror keeps for other VMs, which lag by
@@ -102,6 +110,22 @@
 	return m.revision
 }
 
+// CurrentAt returns the last moment at which the store is known to have held the mirror's
+// records; the store made all changes that the mirror lacks after it. It returns the zero
+// time if there is none.
+func (m *Mirror) CurrentAt() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.currentAt
+}
+
+// confirm records that the store held the mirror's records at a moment. mu must be held.
+func (m *Mirror) confirm(at time.Time) {
+	if at.After(m.currentAt) {
+		m.currentAt = at
+	}
+}
+
 // Replace replaces the records with those of a listing and reports whether that
 // changed any. It keeps single records that are newer than the listing's. A
 // listing older than the mirror fails with a *StaleListingError, since it would
@@ -110,6 +134,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if l.Revision < m.revision {
+		// The mirror is newer than the listing, and so than the moment of the listing.
+		m.confirm(l.CurrentAt)
 		return false, &StaleListingError{Listed: l.Revision, Held: m.revision}
 	}
 	next := make(map[string]Record, len(l.Records))
@@ -133,6 +159,7 @@
 		m.sum += r.hash()
 		m.newest = max(m.newest, r.Revision)
 	}
+	m.confirm(l.CurrentAt)
 	m.advance(l.Revision)
 	return changed, nil
 }
@@ -142,6 +169,11 @@
 func (m *Mirror) Apply(c Changes) (changed bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.apply(c)
+}
+
+// apply is Apply with mu held.
+func (m *Mirror) apply(c Changes) (changed bool) {
 	for _, change := range c.Changes {
 		held, ok := m.records[change.Key]
 		switch {
@@ -164,6 +196,7 @@
 			changed = true
 		}
 	}
+	m.confirm(c.CurrentAt)
 	m.advance(c.Revision)
 	return changed
 }
@@ -192,10 +225,15 @@
 func (m *Mirror) Since(after int64) (c Changes, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.since(after)
+}
+
+// since is Since with mu held.
+func (m *Mirror) since(after int64) (c Changes, ok bool) {
 	if after < m.compactRevision {
 		return c, false
 	}
-	c.Revision = m.revision
+	c.Revision, c.CurrentAt = m.revision, m.currentAt
 	for _, r := range m.records {
 		if r.Revision > after {
 			c.Changes = append(c.Changes, Change{Record: r})
@@ -222,33 +260,39 @@
 // UpdateSince returns what another VM needs that holds a revision: the changes after it
 // or, if the mirror no longer has all of them, all records.
 func (m *Mirror) UpdateSince(after int64) Update {
-	changes, ok := m.Since(after)
-	if !ok {
-		l := m.Listing()
-		return Update{Listing: &l}
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	u := Update{Changes: changes}
-	if m.revision == changes.Revision {
-		u.Digest = m.digest()
+	changes, ok := m.since(after)
+	if !ok {
+		l := m.listing()
+		return Update{Listing: &l}
 	}
-	return u
+	return Update{Changes: changes, Digest: m.digest()}
 }
 
 // Merge applies an update from another VM. differs is set if the mirrors still differ
 // afterwards: this one lacks a change that the other VM no longer knows of, and needs all
-// its records. A listing older than the mirror fails with a *StaleListingError.
+// its records. The moment of the update only counts if the mirrors are known to be equal.
+// A listing older than the mirror fails with a *StaleListingError.
 func (m *Mirror) Merge(u Update) (changed, differs bool, err error) {
 	if u.Listing != nil {
 		changed, err = m.Replace(*u.Listing)
 		return changed, false, err
 	}
-	changed = m.Apply(u.Changes)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	unconfirmed := u.Changes
+	unconfirmed.CurrentAt = time.Time{}
+	changed = m.apply(unconfirmed)
 	own := m.digest()
-	return changed, m.revision == u.Changes.Revision && u.Digest != 0 && own != 0 && own != u.Digest, nil
+	if m.revision != u.Changes.Revision || u.Digest == 0 || own == 0 {
+		return changed, false, nil
+	}
+	if own != u.Digest {
+		return changed, true, nil
+	}
+	m.confirm(u.Changes.CurrentAt)
+	return changed, false, nil
 }
 
 // Wait blocks until the mirror's revision exceeds after, wait has passed, or the
@@ -277,6 +321,11 @@
 func (m *Mirror) Listing() Listing {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.listing()
+}
+
+// listing is Listing with mu held.
+func (m *Mirror) listing() Listing {
 	records := slices.SortedFunc(maps.Values(m.records), func(a, b Record) int { return strings.Compare(a.Key, b.Key) })
-	return Listing{Records: records, Revision: m.revision}
+	return Listing{Records: records, Revision: m.revision, CurrentAt: m.currentAt}
 }
--- a/mirror/source.go
+++ b/mirror/source.go
@@ -62,7 +62,6 @@
 	if f.cfg.Source == nil || !f.cfg.Source.Available() || f.cfg.Mirror.Revision() == 0 || time.Now().Before(f.sourceBackoffUntil) {
 		return false
 	}
-	before := f.confirmed()
 	var u Update
 	var ok bool
 	var err error
@@ -105,21 +104,24 @@
 	if u.SinceOutage > 0 {
 		f.advanceTo(&f.outageEndedAt, time.Now().Add(-u.SinceOutage))
 	}
-	changed, differs, err := f.cfg.Mirror.Merge(u)
+	// The source replied no earlier than Held after the start of the call.
+	u.Changes.CurrentAt = start.Add(u.Held - u.Age)
+	if u.Listing != nil {
+		u.Listing.CurrentAt = u.Changes.CurrentAt
+	}
+	_, err = f.change(func() (changed bool, err error) {
+		changed, f.sourceDiffers, err = f.cfg.Mirror.Merge(u)
+		return changed, err
+	})
 	if err != nil {
 		return false // the source lags behind this VM
 	}
-	if f.sourceDiffers = differs; differs {
+	if f.sourceDiffers {
 		f.cfg.Logger.Warn("records differ from the source's, reading all of them", "revision", f.cfg.Mirror.Revision())
 	}
 	if f.storeLost.CompareAndSwap(true, false) {
 		f.cfg.Logger.Info("store answers another VM, which is followed", "revision", f.cfg.Mirror.Revision())
 	}
-	if changed {
-		f.notifyChanged(before)
-	}
-	// The source replied no earlier than Held after the start of the call.
-	f.advanceTo(&f.confirmedAt, start.Add(u.Held-u.Age))
 	return true
 }
 
@@ -135,13 +137,16 @@
 		return u, false
 	}
 	f.cfg.Mirror.Wait(ctx, after, wait)
-	now := time.Now()
-	age, confirmed := f.Age(now)
-	if !confirmed || !f.servesStore() {
+	u = f.cfg.Mirror.UpdateSince(after)
+	currentAt := u.Changes.CurrentAt
+	if u.Listing != nil {
+		currentAt = u.Listing.CurrentAt
+	}
+	if currentAt.IsZero() || !f.servesStore() {
 		return u, false
 	}
-	u = f.cfg.Mirror.UpdateSince(after)
-	u.Age, u.Held = age, now.Sub(start)
+	now := time.Now()
+	u.Age, u.Held = now.Sub(currentAt), now.Sub(start)
 	if f.Settling(now) {
 		ended, _ := f.since(&f.outageEndedAt)
 		u.SinceOutage = max(1, now.Sub(ended))
