discovery, entry: one window for the use of servers that leave, from the acknowledgement

Cause: servers that were missing after an outage of the store could be used for 2.3 s from when a VM learned of it. One failed call of one VM counted as an outage, and sources passed it on for 4 s.

Change: discovery.Window derives until when a server may be used, for both ways of leaving, from the last moment at which the store is known to have held the records before. It is extended only if the store was away for all VMs while it made the change: the leases of all VMs ended in the same step of the records, that of this VM among them, and this VM had a call without an answer in it. VMs that were served keep their leases, so links that fail, or a store that turns some VMs away, do not look like that. The extension counts from the start of that last call, and ends before the store counts as stable again (the setting stability_ms). A failing registration calls with a shorter timeout, so that this moment is near the end of the outage. Logs tell how old the records were when a VM learned of a change, for how long it may use the server, and when the store was away for all.

The first listing is started without a timer of 0 s, as is the model's: in a synctest bubble the race detector crashed in such timers on arm64.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -187,14 +187,6 @@
 // modified.
 func (r *Registry) Services() map[string]*Replicas { return r.published.Load().services }
 
-// Until says until when servers may get requests, while their service has no ready one,
-// that an Update finds to be no longer ready.
-type Until struct {
-	// Leaving applies to servers that begin to drain, Expired to those that are no
-	// longer listed.
-	Leaving, Expired time.Time
-}
-
 // Update applies the listed servers, keyed by id, and returns the changes.
 func (r *Registry) Update(listed map[string]Server, now time.Time, until Until) []Change {
 	r.mu.Lock()
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -149,7 +149,7 @@
 	d.panics = contain.New(logger, d.metrics.NewCounter("briarstand_entry_panics_total"))
 	d.backgroundCtx, d.cancelBackground = context.WithCancel(context.Background())
 	d.bounds.Store(&set.Bounds)
-	d.state = newState(p, set.VMID, logger, d.panics, lastResortPeriod(set.DrainBound))
+	d.state = newState(p, set.VMID, logger, d.panics, useWindow(&set))
 	d.client = upstream.NewClient(upstream.Config{
 		Protocol: p, Memory: d.replyMemory, Panics: d.panics, UsableUntil: d.state.registry.UsableUntil,
 		LeavingPeriod: leavingPeriod(set.DrainBound), NoticeRetention: serverRetention, Noticed: d.logNotice, PauseEnded: d.logPauseEnd, Sent: d.recordSent,
@@ -172,15 +172,21 @@
 // remembered. Its record may have expired only because of a store outage.
 const serverRetention = 10 * time.Minute
 
-// lastResortPeriod returns how long a backend server that drains or is no longer listed
-// may get requests while its service has no ready one. It counts from the last moment at
-// which the VM knew that the server's record was as before, since the drain bound starts
-// when the store acknowledges the change.
-func lastResortPeriod(drain time.Duration) time.Duration { return max(drain/2, drain-sendTime) }
+// useWindow returns until when a backend server that drains or is no longer listed may get
+// requests while its service has no ready one.
+func useWindow(set *Settings) discovery.Window {
+	lastUse := max(set.DrainBound/2, set.DrainBound-sendTime)
+	return discovery.Window{LastUse: lastUse, AfterOutage: max(lastUse, set.StabilityPeriod-sendTime), ReturnTime: serverReturnTime}
+}
 
-// sendTime is the time from the last check of a server's record until a request reaches
-// the server: the network between regions and a VM with little processor time.
-const sendTime = 400 * time.Millisecond
+const (
+	// sendTime is the time from the last check of a server's record until a request
+	// reaches the server: the network between regions and a VM with little processor time.
+	sendTime = 400 * time.Millisecond
+	// serverReturnTime is the time after an outage of the store within which backend
+	// servers whose leases ended register again, and VMs learn of it.
+	serverReturnTime = 2300 * time.Millisecond
+)
 
 // leavingPeriod returns how long a server that says in an answer that it leaves may get
 // requests while its service has no other. It counts from the answer.
@@ -228,7 +234,7 @@
 	cfg.Logger, cfg.Panics, cfg.Changed = d.logger, d.panics, d.refresh
 	follower := mirror.NewFollower(cfg)
 	d.state.follower.Store(follower)
-	reg := newRegistration(d.platform, d.logger, d.selfMember(), d.settings.MinLease, follower.StoreAnswered, follower.CheckStore)
+	reg := newRegistration(d.platform, d.logger, d.selfMember(), d.settings.MinLease, follower.StoreAnswered, follower.StoreFailed)
 	d.background.Go(func() { follower.Run(d.backgroundCtx) })
 	d.background.Go(func() { d.panics.Loop(d.backgroundCtx, "registration", reg.run) })
 	d.background.Go(func() { d.panics.Loop(d.backgroundCtx, "sweep", d.sweep) })
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -38,6 +38,9 @@
 	// DrainBound limits how long a backend server may still get requests after
 	// its record has been marked as draining or has been deleted.
 	DrainBound time.Duration
+	// StabilityPeriod is how long the store must have been without an outage before
+	// DrainBound applies again; 0 if unknown.
+	StabilityPeriod time.Duration
 	// MinLease is the shortest lease that the store grants.
 	MinLease time.Duration
 	Bounds
--- a/entry/registration.go
+++ b/entry/registration.go
@@ -22,6 +22,9 @@
 	renewalsPerTTL = 3
 	// registerRetryPause is the mean pause after a failed call.
 	registerRetryPause = 700 * time.Millisecond
+	// registerRetryTimeout is the timeout of a call after one has failed: a store that
+	// answers again is then noticed soon. A slow store takes 400 ms.
+	registerRetryTimeout = 600 * time.Millisecond
 )
 
 // registration keeps this VM's record in the store while the daemon runs.
@@ -30,9 +33,10 @@
 	logger   *log.Logger
 	member   membership.Member
 	ttl      time.Duration
-	// onSuccess and onFailure are called after the calls to the store.
+	// onSuccess and onFailure are called after the calls to the store, onFailure with the
+	// start of the calls.
 	onSuccess   func()
-	onFailure   func()
+	onFailure   func(start time.Time, err error)
 	leaving     atomic.Bool
 	wake        chan struct{}
 	lease       kvstore.LeaseID
@@ -40,7 +44,7 @@
 	failing     bool
 }
 
-func newRegistration(p Platform, logger *log.Logger, m membership.Member, minLease time.Duration, onSuccess, onFailure func()) *registration {
+func newRegistration(p Platform, logger *log.Logger, m membership.Member, minLease time.Duration, onSuccess func(), onFailure func(start time.Time, err error)) *registration {
 	return &registration{platform: p, logger: logger, member: m, ttl: max(leaseTTL, minLease), onSuccess: onSuccess, onFailure: onFailure, wake: make(chan struct{}, 1)}
 }
 
@@ -59,10 +63,11 @@
 func (r *registration) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause := r.ttl / renewalsPerTTL
+		start := time.Now()
 		if err := r.step(ctx); err != nil {
 			if ctx.Err() == nil {
 				r.logFailure(err)
-				r.onFailure()
+				r.onFailure(start, err)
 			}
 			pause = registerRetryPause/2 + rand.N(registerRetryPause)
 		} else {
@@ -99,17 +104,21 @@
 		state = membership.Leaving
 	}
 	if r.lease == "" {
-		lease, err := r.platform.GrantLease(ctx, r.ttl)
+		callCtx, cancel := r.callContext(ctx)
+		lease, err := r.platform.GrantLease(callCtx, r.ttl)
+		cancel()
 		if err != nil {
 			return err
 		}
 		r.lease, r.recordState = lease, ""
 	}
+	callCtx, cancel := r.callContext(ctx)
+	defer cancel()
 	var err error
 	if r.recordState != state {
-		err = r.putRecord(ctx, state)
+		err = r.putRecord(callCtx, state)
 	} else {
-		err = r.platform.RenewLease(ctx, r.lease)
+		err = r.platform.RenewLease(callCtx, r.lease)
 	}
 	if errors.Is(err, kvstore.ErrLeaseExpired) {
 		r.lease, r.recordState = "", ""
@@ -118,6 +127,14 @@
 	return err
 }
 
+// callContext returns the context of one call.
+func (r *registration) callContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if r.failing {
+		return context.WithTimeout(ctx, registerRetryTimeout)
+	}
+	return ctx, func() {}
+}
+
 func (r *registration) putRecord(ctx context.Context, state membership.State) error {
 	m := r.member
 	m.State = state
--- a/entry/state.go
+++ b/entry/state.go
@@ -29,7 +29,7 @@
 	synced   atomic.Bool // set once the mirror holds records
 	follower atomic.Pointer[mirror.Follower]
 
-	lastResortPeriod time.Duration
+	window discovery.Window
 
 	mu               sync.Mutex // serializes refresh
 	servers          map[string]decoded[discovery.Server]
@@ -38,9 +38,6 @@
 	configRevision   int64 // revision of the configuration in force
 	rejectedRevision int64 // revision of the last configuration that was rejected
 	vms              *vmTable
-	// currentAt is the last moment at which the records before the last refresh were
-	// known to be current.
-	currentAt time.Time
 }
 
 // decoded is a record's cached content; only records that changed are decoded
@@ -51,10 +48,10 @@
 	ok       bool
 }
 
-func newState(p Platform, vmID string, logger *log.Logger, panics *contain.Panics, lastResortPeriod time.Duration) *state {
+func newState(p Platform, vmID string, logger *log.Logger, panics *contain.Panics, window discovery.Window) *state {
 	s := &state{
 		platform: p, mirror: mirror.New(), logger: logger, panics: panics,
-		registry: discovery.NewRegistry(discovery.Config{Retention: serverRetention}), lastResortPeriod: lastResortPeriod,
+		registry: discovery.NewRegistry(discovery.Config{Retention: serverRetention}), window: window,
 		servers: map[string]decoded[discovery.Server]{}, members: map[string]decoded[membership.Member]{},
 		vms: newVMTable(vmID),
 	}
@@ -81,7 +78,6 @@
 func (s *state) refresh(now, currentAt time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.currentAt = currentAt
 	l := s.mirror.Listing()
 	s.listedServers = map[string]discovery.Server{}
 	members := map[string]membership.Member{}
@@ -100,11 +96,19 @@
 			}
 		}
 	}
+	origin := discovery.Origin{After: currentAt, Away: s.awayAt(s.members, seenMembers, currentAt)}
+	if !origin.Away.IsZero() {
+		s.logger.Info("store was away for all VMs", "since_ms", now.Sub(currentAt).Milliseconds(), "until_ms", now.Sub(origin.Away).Milliseconds(), telemetry.FieldRevision, l.Revision)
+	}
 	s.servers, s.members = seenServers, seenMembers
-	changes := s.updateServers(now)
+	changes := s.registry.Update(s.listedServers, now, s.window.Until(origin, now))
 	for _, c := range changes {
-		s.logger.Info("backend server", "backend", c.Server.ID, telemetry.FieldService, c.Server.Service, "address", c.Server.Address,
-			"from", c.From.String(), "to", c.To.String(), telemetry.FieldRevision, l.Revision)
+		fields := []any{"backend", c.Server.ID, telemetry.FieldService, c.Server.Service, "address", c.Server.Address,
+			"from", c.From.String(), "to", c.To.String(), telemetry.FieldRevision, l.Revision}
+		if c.To != discovery.Ready && !currentAt.IsZero() {
+			fields = append(fields, "acknowledged_within_ms", now.Sub(currentAt).Milliseconds(), "usable_ms", max(0, c.Until.Sub(now)).Milliseconds())
+		}
+		s.logger.Info("backend server", fields...)
 	}
 	s.fleet.Store(s.vms.update(members, now, s.vmGrace(now)))
 	if l.Revision > 0 {
@@ -112,22 +116,9 @@
 	}
 }
 
-// updateServers applies the listed servers to the registry. Right after an outage of the
-// store, a server whose record is missing may get requests for longer: servers whose
-// leases expired meanwhile register again within about two seconds. mu must be held.
-func (s *state) updateServers(now time.Time) []discovery.Change {
-	until := discovery.Until{Leaving: s.currentAt.Add(s.lastResortPeriod)}
-	until.Expired = until.Leaving
-	if f := s.follower.Load(); f != nil && f.Settling(now) {
-		if settled := now.Add(expiredServerGrace); settled.After(until.Expired) {
-			until.Expired = settled
-		}
-	}
-	return s.registry.Update(s.listedServers, now, until)
-}
-
-// vmGrace returns how long callers still get the address of a VM that is no
-// longer listed.
+// vmGrace returns how long callers still get the address of a VM that is no longer
+// listed. It counts from when this VM learns, and serves no bound of the store: callers
+// that get the address of a VM that is gone wait for a connection and try another one.
 func (s *state) vmGrace(now time.Time) time.Duration {
 	if f := s.follower.Load(); f != nil && f.Settling(now) {
 		return expiredVMGrace
@@ -135,13 +126,6 @@
 	return 0
 }
 
-// expiredServerGrace is how long servers whose records are missing may get requests
-// right after an outage of the store. Backend servers whose records expired need that long to
-// register again, and may still get requests meanwhile if their service has no
-// ready one. The sum with mirror.SettleBatchDelay is below the shortest drain
-// bound of 3 s.
-const expiredServerGrace = 2300 * time.Millisecond
-
 // sweep removes servers and VMs that are no longer listed once their grace periods
 // are over.
 func (s *state) sweep(now time.Time) {
@@ -149,7 +133,7 @@
 	defer s.mu.Unlock()
 	s.fleet.Store(s.vms.update(nil, now, 0))
 	if s.listedServers != nil {
-		s.updateServers(now)
+		s.registry.Update(s.listedServers, now, discovery.Until{}) // the records are as before
 	}
 }
 
--- a/kvstore/kvstore.go
+++ b/kvstore/kvstore.go
@@ -100,6 +100,10 @@
 	return fmt.Sprintf("key %s: index is %d, expected %d", e.Key, e.Actual, e.Expected)
 }
 
+// ErrThrottled is wrapped by the UnavailableError of a call that the platform refused
+// because of the rate of calls.
+var ErrThrottled = errors.New("too many calls")
+
 // UnavailableError reports a failed read, or a write that certainly had no
 // effect, because the platform was unreachable, overloaded or faulty.
 type UnavailableError struct {
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -13,6 +13,7 @@
 
 	"github.com/briarstand/briarstand/internal/contain"
 	"github.com/briarstand/briarstand/internal/defaults"
+	"github.com/briarstand/briarstand/kvstore"
 )
 
 // Defaults of FollowerConfig.
@@ -27,9 +28,8 @@
 	// bound.
 	DefaultBatchDelay = 250 * time.Millisecond
 	// SettleTime is how long after a store outage records may still be missing:
-	// leases expired, and their owners register again. In that time users of the
-	// mirror wait longer before they treat a missing record as deleted. To make up
-	// for that delay, changes are then batched only for SettleBatchDelay.
+	// leases expired, and their owners register again. Changes are then batched only
+	// for SettleBatchDelay.
 	SettleTime       = 4 * time.Second
 	SettleBatchDelay = 100 * time.Millisecond
 	// maxAnswerGap is the time without an answer of the store, to calls that are made
@@ -89,12 +89,13 @@
 	changeMu  sync.Mutex // serializes changes of the mirror, each with its call of Changed
 	storeLost atomic.Bool
 	hasFailed atomic.Bool // a call has failed since the start
-	// outageEndedAt is the end of the last outage, and answeredAt when the store last
-	// answered a call of this VM that is not the Follower's. They are in nanoseconds
-	// since epoch; 0 if there was none.
-	outageEndedAt, answeredAt atomic.Int64
-	cancelMu                  sync.Mutex
-	cancelWatch               context.CancelFunc // cancels the waiting watch
+	// outageEndedAt is the end of the last outage, answeredAt when the store last answered
+	// a call of this VM that is not the Follower's, and failedAt the start of the last call
+	// of this VM that it did not answer. They are in nanoseconds since epoch; 0 if there
+	// was none.
+	outageEndedAt, answeredAt, failedAt atomic.Int64
+	cancelMu                            sync.Mutex
+	cancelWatch                         context.CancelFunc // cancels the waiting watch
 	// fromStore is set if the last answer came from the store itself, and not from
 	// the source.
 	fromStore atomic.Bool
@@ -181,9 +182,10 @@
 // outage of the store from one of the source's link to it.
 func (f *Follower) StoreAnswered() { f.advanceTo(&f.answeredAt, time.Now()) }
 
-// CheckStore cancels a waiting watch, so that a new call checks whether the
-// store answers. Call it when another call to the store has failed.
-func (f *Follower) CheckStore() {
+// StoreFailed records that another call of this VM to the store has failed. It cancels a
+// waiting watch, so that a new call checks whether the store answers.
+func (f *Follower) StoreFailed(start time.Time, err error) {
+	f.recordFailure(start, err)
 	f.cancelMu.Lock()
 	defer f.cancelMu.Unlock()
 	if f.cancelWatch != nil {
@@ -191,6 +193,18 @@
 	}
 }
 
+// recordFailure records the start of a call that the store has not answered. It has if it
+// refuses the call for its rate, or because a lease has ended.
+func (f *Follower) recordFailure(start time.Time, err error) {
+	if !errors.Is(err, context.Canceled) && !errors.Is(err, kvstore.ErrThrottled) && !errors.Is(err, kvstore.ErrLeaseExpired) {
+		f.advanceTo(&f.failedAt, start)
+	}
+}
+
+// LastFailure returns when the last call of this VM began that the store did not answer. ok
+// is false if there was none. The store, or this VM's link to it, was impaired after it.
+func (f *Follower) LastFailure() (at time.Time, ok bool) { return f.since(&f.failedAt) }
+
 // Run follows the store until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	var wg sync.WaitGroup
@@ -212,6 +226,7 @@
 			f.fromStore.Store(false)
 			continue
 		}
+		start := time.Now()
 		apply, err := f.readStore(ctx, list || f.sourceDiffers)
 		if ctx.Err() != nil {
 			return
@@ -238,6 +253,7 @@
 			// Another VM's records were newer; the next watch starts at their revision.
 			list = false
 		default:
+			f.recordFailure(start, err)
 			f.markLost(err)
 			sleep(ctx, pause/2+rand.N(pause))
 			pause = min(2*pause, f.cfg.RetryMax)
@@ -302,20 +318,23 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan result, maxInitialLists)
-	again := time.NewTimer(0)
-	defer again.Stop()
 	started, ended := 0, 0
+	startCall := func() {
+		started++
+		go func() {
+			defer f.cfg.Panics.Recover("listing", func(err error) { results <- result{err: err} })
+			l, err := f.cfg.Store.List(ctx)
+			results <- result{l, err}
+		}()
+	}
+	startCall()
+	again := time.NewTicker(initialListInterval)
+	defer again.Stop()
 	for {
 		select {
 		case <-again.C:
-			started++
-			go func() {
-				defer f.cfg.Panics.Recover("listing", func(err error) { results <- result{err: err} })
-				l, err := f.cfg.Store.List(ctx)
-				results <- result{l, err}
-			}()
 			if started < maxInitialLists {
-				again.Reset(initialListInterval)
+				startCall()
 			}
 		case r := <-results:
 			if ended++; r.err == nil || ended == started {
