soak: check drains beside the faults of others, servers that leave without saying so, partial outages

Servers always said that they leave, and no fault had the store turn some VMs away right before servers leave. Change: spans of instability are kept one by one. A request that reaches a leaving server is excused only by faults of the VM that sent it, of the server's link or of the store; one of a query, which several VMs may have sent, by those of any VM. Half of the servers that leave only remove their record. The fault 'servers leave while some VMs lose the store' is new. The settings of the VMs have stability_ms, the report counts the drains.

--- a/cmd/briarstand-soak/main.go
+++ b/cmd/briarstand-soak/main.go
@@ -66,8 +66,8 @@
 		if err != nil {
 			return fmt.Errorf("seed %d: %w", seed, err)
 		}
-		fmt.Printf("seed %d: %d requests, %d served, %d kinds of fault, %d violations; latest use of a leaving server %v, oldest configuration %v\n",
-			seed, r.Requests, r.Served, len(r.Faults), len(r.Violations), r.LatestUse.Round(time.Millisecond), r.OldestConfig.Round(time.Millisecond))
+		fmt.Printf("seed %d: %d requests, %d served, %d kinds of fault, %d violations; %d servers left, latest use of one %v, oldest configuration %v\n",
+			seed, r.Requests, r.Served, len(r.Faults), len(r.Violations), r.Drains, r.LatestUse.Round(time.Millisecond), r.OldestConfig.Round(time.Millisecond))
 		if len(r.Violations) == 0 {
 			if err := os.RemoveAll(dir); err != nil {
 				return fmt.Errorf("logs of seed %d: %w", seed, err)
--- a/soak/check.go
+++ b/soak/check.go
@@ -169,33 +169,46 @@
 	return n
 }
 
-// drainedBackend is a draining backend server with the time until which it may
-// still receive requests.
+// drainedBackend is a backend server that leaves.
 type drainedBackend struct {
 	backend string
-	acked   time.Time // start of the drain; zero if requests may have been delayed
-	until   time.Time
+	acked   time.Time // when the store acknowledged that it leaves, or is gone
+	said    bool      // it announced it, and did not only remove its record
 }
 
-// latestUse returns the longest time from the start of a drain to a run at its server.
-func latestUse(runs []run, drains []drainedBackend) (latest time.Duration) {
+// lateUse is a request that reached a leaving server.
+type lateUse struct {
+	run   run
+	vm    string // "" if several VMs may have sent it
+	drain drainedBackend
+}
+
+// after returns the time from the acknowledgement until the request reached the server.
+func (u lateUse) after() time.Duration { return u.run.At.Sub(u.drain.acked) }
+
+// usesOfLeaving returns the requests that reached leaving servers. excused reports whether
+// the bound does not apply to one, because of a fault of its VM, its server's link or the
+// store; faults of others are no excuse.
+func usesOfLeaving(requests []request, runs []run, drains []drainedBackend, excused func(u lateUse) bool) (uses []lateUse) {
+	byID := vmRequests(requests)
 	for _, d := range drains {
 		for _, r := range runs {
-			if r.Backend == d.backend && !d.acked.IsZero() {
-				latest = max(latest, r.At.Sub(d.acked))
+			if r.Backend != d.backend || !r.At.After(d.acked) {
+				continue
+			}
+			if u := (lateUse{run: r, vm: byID[r.ID].VM, drain: d}); !excused(u) {
+				uses = append(uses, u)
 			}
 		}
 	}
-	return latest
+	return uses
 }
 
-// checkDrains returns the runs at backend servers after the end of their drain.
-func checkDrains(runs []run, drains []drainedBackend) (violations []Violation) {
-	for _, d := range drains {
-		for _, r := range runs {
-			if r.Backend == d.backend && r.At.After(d.until) {
-				violations = append(violations, Violation{"drain", r.ID, fmt.Sprintf("%s received it %v after its drain", d.backend, r.At.Sub(d.until).Round(time.Millisecond))})
-			}
+// checkDrains returns the uses later than the bound after the acknowledgement.
+func checkDrains(uses []lateUse) (violations []Violation) {
+	for _, u := range uses {
+		if u.after() > maxDrainDelay+delayMargin {
+			violations = append(violations, Violation{"drain", u.run.ID, fmt.Sprintf("%s sent it to %s %v after the store had acknowledged that it leaves (said so: %t)", u.vm, u.run.Backend, u.after().Round(time.Millisecond), u.drain.said)})
 		}
 	}
 	return violations
@@ -295,7 +308,12 @@
 // span is a time span.
 type span struct{ from, to time.Time }
 
-func (s span) overlaps(from, to time.Time) bool { return s.from.Before(to) && from.Before(s.to) }
+func (s span) overlaps(from, to time.Time) bool { return !s.from.After(to) && !from.After(s.to) }
+
+// overlapAny reports whether any span overlaps the time between two times.
+func overlapAny(spans []span, from, to time.Time) bool {
+	return slices.ContainsFunc(spans, func(s span) bool { return s.overlaps(from, to) })
+}
 
 // maxWorkAfterDeparture is how long a backend server may work for a caller that has
 // left. Of the runs that end because their connection is closed, at most
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -71,8 +71,13 @@
 	runs = append(runs, newRun("1", "a4", 9))
 	qt.Check(t, checkRetryBudget([]request{booking}, runs, b), qt.HasLen, 1)
 
-	qt.Check(t, checkDrains(runs, []drainedBackend{{backend: "a4", until: at(9.5)}}), qt.HasLen, 0)
-	qt.Check(t, checkDrains(runs, []drainedBackend{{backend: "a4", until: at(8.5)}}), qt.HasLen, 1)
+	// The server a4 got the request at 9 s.
+	inTouch := func(lateUse) bool { return false }
+	drained := func(acked float64) []drainedBackend { return []drainedBackend{{backend: "a4", acked: at(acked)}} }
+	allowed := (maxDrainDelay + delayMargin).Seconds()
+	qt.Check(t, checkDrains(usesOfLeaving([]request{booking}, runs, drained(9-allowed), inTouch)), qt.HasLen, 0)
+	qt.Check(t, checkDrains(usesOfLeaving([]request{booking}, runs, drained(9-allowed-0.01), inTouch)), qt.HasLen, 1)
+	qt.Check(t, checkDrains(usesOfLeaving([]request{booking}, runs, drained(1), func(u lateUse) bool { return u.vm == "vm" })), qt.HasLen, 0)
 
 	noFault := func(string, time.Time, time.Time) bool { return false }
 	faulty := func(string, time.Time, time.Time) bool { return true }
@@ -129,3 +134,25 @@
 	v.faultTimes = []time.Time{at(2)}
 	qt.Check(t, checkStops([]request{booking}, runs, []plannedStop{{v, at(0), at(2)}}), qt.HasLen, 0)
 }
+
+// Guards against a fault that excuses more than the VMs that it touches: a drain is checked
+// beside the faults of other VMs and of other servers' links.
+func TestFaultExcusesOnlyWhatItTouches(t *testing.T) {
+	touched, other := &vm{}, &vm{}
+	touched.settings.ID, other.settings.ID = "touched", "other"
+	h := &harness{vms: []*vm{touched, other}, disturbances: map[string][]span{}}
+	touched.recordFault(stabilityPeriod)
+	h.recordDisturbance("b1", time.Second)
+	now := time.Now()
+	use := func(vm, backend string, at time.Time) lateUse {
+		return lateUse{run: run{Run: standin.Run{At: at}, Backend: backend}, vm: vm, drain: drainedBackend{backend: backend, acked: now}}
+	}
+	at := now.Add(stabilityPeriod / 2)
+	qt.Check(t, h.excused(use("touched", "b2", at)), qt.IsTrue)
+	qt.Check(t, h.excused(use("touched", "b2", now.Add(2*stabilityPeriod))), qt.IsFalse)
+	qt.Check(t, h.excused(use("other", "b2", at)), qt.IsFalse)
+	qt.Check(t, h.excused(use("other", "b1", at)), qt.IsTrue)
+	qt.Check(t, h.excused(use("", "b2", at)), qt.IsTrue, qt.Commentf("either VM may have sent it"))
+	h.recordStoreFault(time.Second)
+	qt.Check(t, h.excused(use("other", "b2", at)), qt.IsTrue)
+}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -98,12 +98,7 @@
 	h.storeMu.Lock()
 	defer h.storeMu.Unlock()
 	now := time.Now()
-	if now.After(h.storeUnstableUntil) {
-		h.storeUnstableSince = now
-	}
-	if until := now.Add(d + stabilityPeriod); until.After(h.storeUnstableUntil) {
-		h.storeUnstableUntil = until
-	}
+	h.storeUnstable = append(h.storeUnstable, span{now, now.Add(d + stabilityPeriod)})
 }
 
 var faults = []fault{
@@ -245,7 +240,7 @@
 			h.addViolation(Violation{"soak", b.ID, err.Error()})
 			return nil
 		}
-		h.drain(b)
+		h.drain(b, h.rng.IntN(2) == 0)
 		return nil
 	}},
 	{"servers of a service leave while requests wait for them", func(h *harness, d time.Duration) func() {
@@ -253,9 +248,10 @@
 		for _, b := range leaving {
 			b.SetBehavior(standin.Behavior{ServiceTime: patientTimeout * 6 / 7})
 		}
+		say := []bool{h.rng.IntN(2) == 0, h.rng.IntN(2) == 0}
 		timer := time.AfterFunc(minFaultTime/3, func() {
-			for _, b := range leaving {
-				h.drain(b)
+			for i, b := range leaving {
+				h.drain(b, say[i%len(say)])
 			}
 		})
 		return func() {
@@ -294,6 +290,33 @@
 		}()
 		return func() { <-done }
 	}},
+	{"servers leave while some VMs lose the store", func(h *harness, _ time.Duration) func() {
+		rng := rand.New(rand.NewPCG(h.rng.Uint64(), 7))
+		reset, silent := h.someVMs(rng), h.someVMs(rng)
+		leaving := h.backendsOf("desk")
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			h.loseStore(reset, modeReset, maxDrainDelay/6)
+			time.Sleep(time.Duration(rng.Int64N(int64(maxDrainDelay / 2))))
+			restored := make(chan struct{})
+			go func() {
+				defer close(restored)
+				h.loseStore(silent, modeSilence, maxDrainDelay)
+			}()
+			for _, b := range leaving {
+				h.drain(b, rng.IntN(2) == 0)
+			}
+			h.publishVersion()
+			<-restored
+			for _, b := range leaving {
+				if _, err := h.addBackend(b.Service); err != nil {
+					h.addViolation(Violation{"soak", b.ID, err.Error()})
+				}
+			}
+		}()
+		return func() { <-done }
+	}},
 	{"servers answer with garbage status lines", func(h *harness, d time.Duration) func() {
 		servers := h.backendsOf("quotes")
 		for _, b := range servers {
@@ -321,17 +344,36 @@
 			v.signal(syscall.SIGKILL)
 		}
 		removal := time.Duration(h.rng.Int64N(int64(200 * time.Millisecond)))
-		timer := time.AfterFunc(slow.restartDelay+removal, func() { h.store.Delete("servers/" + b.ID) })
-		time.AfterFunc(slow.restartDelay+removal+stabilityPeriod+maxDrainDelay, func() { h.checkDrain(b, time.Time{}, time.Now().Add(-maxDrainDelay), 0) })
+		timer := time.AfterFunc(slow.restartDelay+removal, func() { h.drain(b, false) })
 		return func() {
 			slow.store.setMode(modePass)
 			if timer.Stop() {
-				h.store.Delete("servers/" + b.ID)
+				h.drain(b, false)
 			}
 		}
 	}},
 }
 
+// someVMs returns a random part of the VMs, with at least one.
+func (h *harness) someVMs(rng *rand.Rand) (some []*vm) {
+	for _, i := range rng.Perm(len(h.vms))[:1+rng.IntN(len(h.vms)/2)] {
+		some = append(some, h.vms[i])
+	}
+	return some
+}
+
+// loseStore cuts VMs off from the store for a time.
+func (h *harness) loseStore(vms []*vm, m mode, d time.Duration) {
+	for _, v := range vms {
+		v.recordFault(d + stabilityPeriod)
+		v.store.setMode(m)
+	}
+	time.Sleep(d)
+	for _, v := range vms {
+		v.store.setMode(modePass)
+	}
+}
+
 // source returns the VM that reads the store for a VM of the same zone: the first one, by
 // id, of those in the zone that callers are sent to. It returns the VM itself if that is
 // not known.
@@ -349,34 +391,30 @@
 	return of
 }
 
-// drain makes a server leave. Requests at it are checked unless a fault delayed the
-// change on its way to the VMs.
-func (h *harness) drain(b *backend) {
-	b.RegisterAt(h.store, "draining", b.proxy.address())
-	acked := time.Now()
+// drain makes a server leave: it says so, or removes its record.
+func (h *harness) drain(b *backend, says bool) {
 	h.mu.Lock()
 	b.draining = true
 	h.mu.Unlock()
-	time.AfterFunc(maxDrainDelay+delayMargin, func() { h.checkDrain(b, acked, acked.Add(-stabilityPeriod), maxDrainDelay+delayMargin) })
-}
-
-// checkDrain has the requests that reach a server checked, from allowed after it left, if
-// the store and all VMs have been stable since a time.
-func (h *harness) checkDrain(b *backend, acked, since time.Time, allowed time.Duration) {
-	stable := h.storeStable(since, time.Now())
-	for _, v := range h.vms {
-		stable = stable && v.stable(since, time.Now())
-	}
-	if !stable {
-		return
-	}
-	d := drainedBackend{backend: b.ID, acked: acked, until: acked.Add(allowed)}
-	if acked.IsZero() {
-		d.until = time.Now()
+	if says {
+		b.RegisterAt(h.store, "draining", b.proxy.address())
+	} else {
+		h.store.Delete("servers/" + b.ID)
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.drains = append(h.drains, d)
+	h.drains = append(h.drains, drainedBackend{backend: b.ID, acked: time.Now(), said: says})
+}
+
+// excused reports whether the drain bound does not apply to a request: the store was not
+// stable when it acknowledged the change or at the request, the server's link was
+// disturbed lately, or a VM that may have sent the request was not stable.
+func (h *harness) excused(u lateUse) bool {
+	at := u.run.At
+	if !h.storeStable(u.drain.acked, u.drain.acked) || !h.storeStable(at, at) || overlapAny(h.disturbances[u.drain.backend], at.Add(-stabilityPeriod), at) {
+		return true
+	}
+	return slices.ContainsFunc(h.vms, func(v *vm) bool { return (u.vm == "" || u.vm == v.settings.ID) && !v.stable(at, at) })
 }
 
 // backendsOf returns the servers of a service that do not leave.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -42,9 +42,10 @@
 	Requests, Served int
 	Faults           map[string]int
 	Violations       []Violation
-	// LatestUse is the longest time from a server's drain to a request that reached it,
-	// while nothing delayed the change. OldestConfig is the longest time from a
-	// configuration to a probe of a stable VM that does not have it.
+	// Drains counts the servers that left. LatestUse is the longest time from the
+	// acknowledgement to a request of a stable VM that reached one, and OldestConfig the
+	// longest time from a configuration to a probe of a stable VM that does not have it.
+	Drains                  int
 	LatestUse, OldestConfig time.Duration
 }
 
@@ -107,11 +108,9 @@
 	started time.Time
 	store   *standin.Store
 	vms     []*vm
-	// storeUnstableSince and storeUnstableUntil are the start and the end of the
-	// latest span in which the store is unstable: a fault and the stability period
-	// after it. Overlapping faults extend the span.
-	storeMu                                sync.Mutex
-	storeUnstableSince, storeUnstableUntil time.Time
+	// storeUnstable holds the faults of the store, each with the stability period after it.
+	storeMu       sync.Mutex
+	storeUnstable []span
 
 	mu               sync.Mutex
 	backends         []*backend
@@ -194,7 +193,7 @@
 			ID: fmt.Sprintf("vm%02d", i), Zone: region + "-a", Region: region, Zones: map[string]string{"r0-a": "r0", "r1-a": "r1"},
 			CallerAddress: addresses[0], ReadyAddress: addresses[1],
 			PeerAddress: addresses[2], ResolveAddress: addresses[3], Store: p.address(),
-			MemoryMB: memoryLimitMB, DrainMS: int(maxDrainDelay.Milliseconds()), GraceS: graceS, BudgetSlack: budgetSlack,
+			MemoryMB: memoryLimitMB, DrainMS: int(maxDrainDelay.Milliseconds()), StabilityMS: int(stabilityPeriod.Milliseconds()), GraceS: graceS, BudgetSlack: budgetSlack,
 			BudgetRatio: budgetRatio, BudgetWindowS: int(budgetWindow.Seconds()), MaxTTLS: 5, MinTTLMS: 1000,
 		}}
 		if len(seeds) < 3 {
@@ -488,7 +487,7 @@
 func (h *harness) storeStable(from, to time.Time) bool {
 	h.storeMu.Lock()
 	defer h.storeMu.Unlock()
-	return h.storeUnstableUntil.Before(from) || h.storeUnstableSince.After(to)
+	return !overlapAny(h.storeUnstable, from, to)
 }
 
 // checkRecovery waits for maxRecoveryTime after the last fault and then checks that
@@ -522,11 +521,15 @@
 			refusals = append(refusals, refusal{r, b.ID})
 		}
 	}
-	h.violations = slices.Concat(h.violations, checkAtMostOnce(h.requests, runs), checkDrains(runs, h.drains), checkStops(h.requests, runs, h.plannedStops),
+	uses := usesOfLeaving(h.requests, runs, h.drains, h.excused)
+	h.violations = slices.Concat(h.violations, checkAtMostOnce(h.requests, runs), checkDrains(uses), checkStops(h.requests, runs, h.plannedStops),
 		checkDepartures(h.requests, runs, h.disturbances), checkPauses(h.requests, runs, refusals, h.interrupted), checkLeaving(h.requests, runs, h.interrupted),
 		checkRetryBudget(h.requests, runs, retryBudget{budgetRatio, budgetSlack, budgetWindow}))
 	r := &Report{
-		Requests: len(h.requests), Faults: maps.Clone(h.faults), Violations: h.violations, LatestUse: latestUse(runs, h.drains), OldestConfig: h.oldestConfig,
+		Requests: len(h.requests), Faults: maps.Clone(h.faults), Violations: h.violations, Drains: len(h.drains), OldestConfig: h.oldestConfig,
+	}
+	for _, u := range uses {
+		r.LatestUse = max(r.LatestUse, u.after())
 	}
 	for _, q := range h.requests {
 		if q.Err == nil && q.Answer.Status == http.StatusOK {
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -26,13 +26,9 @@
 	starts       []time.Time // of its processes
 	stopping     bool        // not to be restarted
 	restartDelay time.Duration
-	// unstableSince and unstableUntil are the start and the end of the latest span
-	// in which this VM is unstable: a fault and the stability period after it.
-	// Overlapping faults extend the span.
-	unstableUntil time.Time
-	unstableSince time.Time
-	faultTimes    []time.Time // start times
-	wg            sync.WaitGroup
+	unstable     []span      // faults, each with the stability period after it
+	faultTimes   []time.Time // start times
+	wg           sync.WaitGroup
 }
 
 // changeSettings writes a settings file with other limits, none above those of the
@@ -151,19 +147,14 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := time.Now()
-	if now.After(v.unstableUntil) {
-		v.unstableSince = now
-	}
-	if until := now.Add(d); until.After(v.unstableUntil) {
-		v.unstableUntil = until
-	}
+	v.unstable = append(v.unstable, span{now, now.Add(d)})
 }
 
 // stable reports whether the VM was stable all the time between from and to.
 func (v *vm) stable(from, to time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.unstableUntil.Before(from) || v.unstableSince.After(to)
+	return !overlapAny(v.unstable, from, to)
 }
 
 // residentMB returns the resident memory of the process in MiB, or 0 if it has
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -92,7 +92,7 @@
 	Seeds                                                    []string
 	Store                                                    string
 	MemoryMB                                                 int
-	DrainMS, GraceS, BudgetSlack                             int
+	DrainMS, StabilityMS, GraceS, BudgetSlack                int
 	BudgetRatio                                              float64
 	BudgetWindowS, MaxTTLS, MinTTLMS                         int
 }
@@ -104,7 +104,7 @@
 		"listen_addrs": map[string]string{"front": s.CallerAddress, "ready": s.ReadyAddress, "control": s.PeerAddress, "directory": s.ResolveAddress},
 		"limits":       map[string]any{"cpu_share": 0.25, "cores": 1, "memory_mb": s.MemoryMB},
 		"bounds": map[string]any{
-			"drain_ms": s.DrainMS, "grace_s": s.GraceS, "retry_budget_ratio": s.BudgetRatio, "budget_window_s": s.BudgetWindowS,
+			"drain_ms": s.DrainMS, "stability_ms": s.StabilityMS, "grace_s": s.GraceS, "retry_budget_ratio": s.BudgetRatio, "budget_window_s": s.BudgetWindowS,
 			"retry_budget_slack": s.BudgetSlack, "ttl_max_s": s.MaxTTLS,
 		},
 		"platform": map[string]any{"address": s.Store, "ttl_min_ms": s.MinTTLMS},
