--- a/entry/endless_test.go
+++ b/entry/endless_test.go
@@ -133,7 +133,7 @@
 				wg.Wait()
 			})
 			t.Logf("the heap grew by %d bytes", grown)
-	f.Assert(grown < smallestVMMemory*7/10, qt.IsTrue, qt.Commentf("the heap grew by %d bytes", grown))
+			f.Assert(grown < smallestVMMemory*7/10, qt.IsTrue, qt.Commentf("the heap grew by %d bytes", grown))
 			f.eventually(5*time.Second, "memory released", func() bool { return v.daemon.HeldBytes() == 0 })
 		})
 	}
--- a/tools/margins/main.go
+++ b/tools/margins/main.go
@@ -27,6 +27,11 @@
 	// Times has the median and the maximum in milliseconds, or nothing.
 	Times  map[string][]float64 `json:"times"`
 	Breaks map[string]any       `json:"breaks"`
+	Touch  struct {
+		// Out holds the VMs to which the bounds did not apply for a time. Times count
+		// their uses too.
+		Out map[string]string `json:"out"`
+	} `json:"touch"`
 }
 
 // BoundError reports a bound that the site file does not have.
@@ -73,7 +78,9 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
-	narrowest := map[string]float64{}
+	// narrowest has the margins of all days, and of those on which the bounds applied to
+	// all VMs all the time.
+	narrowest := map[bool]map[string]float64{false: {}, true: {}}
 	broken := 0
 	for _, day := range days {
 		for seed := first; seed <= last; seed++ {
@@ -87,13 +94,16 @@
 			if err != nil {
 				return fmt.Errorf("%s, seed %d: %w\n%s", day, seed, errors.Join(runErr, err), output)
 			}
-			fmt.Printf("%s seed %d: broken %v", day, seed, r.Breaks)
+			fmt.Printf("%s seed %d: broken %v, %d VMs excused for a time", day, seed, r.Breaks, len(r.Touch.Out))
 			broken += len(r.Breaks)
 			for name, bound := range bounds {
 				if times := r.Times[name]; len(times) > 0 {
 					margin := limits[bound] - times[len(times)-1]
-					if old, ok := narrowest[name]; !ok || margin < old {
-						narrowest[name] = margin
+					for _, allBound := range []bool{false, true} {
+						old, ok := narrowest[allBound][name]
+						if (!ok || margin < old) && (!allBound || len(r.Touch.Out) == 0) {
+							narrowest[allBound][name] = margin
+						}
 					}
 					fmt.Printf("; %s: %.0f of %.0f ms left", name, margin, limits[bound])
 				}
@@ -101,7 +111,7 @@
 			fmt.Println()
 		}
 	}
-	fmt.Printf("%s: rules broken %d; narrowest margins in ms: %v\n", filepath.Base(site), broken, narrowest)
+	fmt.Printf("%s: rules broken %d; narrowest margins in ms: %v, on days without excused VMs: %v\n", filepath.Base(site), broken, narrowest[false], narrowest[true])
 	return nil
 }
 
