soak: servers leave beside all faults

Change: beside the faults a server of a random service leaves after 0.8 to 2.4 s and another one comes, or both servers of the patient callers' service leave at once and are replaced up to 1.5 s later; half of them only remove their records.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -87,7 +87,10 @@
 	// pauses between changes of the configuration.
 	probeInterval  = 300 * time.Millisecond
 	minConfigPause = 300 * time.Millisecond
-	maxConfigPause = 2 * (maxConfigDelay + delayMargin)
+	// minReplacePause and maxReplacePause limit the pauses between servers that leave.
+	minReplacePause = 800 * time.Millisecond
+	maxReplacePause = 2400 * time.Millisecond
+	maxConfigPause  = 2 * (maxConfigDelay + delayMargin)
 	// maxRecoveryTime is the time after the last fault from which nine in ten
 	// requests must be served again.
 	maxRecoveryTime = 8 * time.Second
@@ -159,6 +162,7 @@
 	}
 	wg.Go(func() { h.probeVMs(load) })
 	wg.Go(func() { h.changeConfig(load) })
+	wg.Go(func() { h.replaceServers(load) })
 	h.injectFaults(ctx)
 	h.checkRecovery(ctx)
 	stopLoad()
@@ -394,6 +398,43 @@
 	}
 }
 
+// replaceServers lets servers leave beside all faults after random pauses: one that another
+// one replaces, or both of the service "desk", which is then without a ready one for a
+// while. It ends with the faults, so that the last servers are replaced by the end.
+func (h *harness) replaceServers(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(h.cfg.Seed, 8))
+	services := append(shardNames(), "quotes", "book", "desk")
+	end := time.Now().Add(h.cfg.Duration)
+	for {
+		pause := minReplacePause + time.Duration(rng.Int64N(int64(maxReplacePause-minReplacePause)))
+		service, says, gap := services[rng.IntN(len(services))], rng.IntN(2) == 0, time.Duration(rng.Int64N(int64(maxDrainDelay/2)))
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		if time.Now().After(end) {
+			return
+		}
+		leaving := h.backendsOf(service)
+		if len(leaving) == 0 {
+			continue // all have left already, and are replaced
+		}
+		if service != "desk" {
+			leaving, gap = leaving[:1], 0
+		}
+		for _, b := range leaving {
+			h.drain(b, says)
+		}
+		time.Sleep(gap)
+		for range leaving {
+			if _, err := h.addBackend(service); err != nil {
+				h.addViolation(Violation{"soak", service, err.Error()})
+			}
+		}
+	}
+}
+
 // probeVMs periodically checks whether each VM serves the route of the newest
 // configuration version, and how much memory its process uses.
 func (h *harness) probeVMs(ctx context.Context) {
