mirror: a test waits for the longest backoff after an outage

Cause: the test waits 1.75 s after the store answers again. A follower whose backoff is at its limit waits up to 1.5 s with its jitter, tries its source three times in 0.2 s, and its first watch lasts 0.25 s. Change: the test waits for the sum of these; what it asserts is as before.

--- a/mirror/source_test.go
+++ b/mirror/source_test.go
@@ -84,7 +84,8 @@
 		c.Assert(second.StoreLost(), qt.IsTrue)
 		sourceStore.set(flags{})
 		ownStore.set(flags{})
-		time.Sleep(DefaultRetryMax + wait)
+		// The longest backoff with its jitter, the tries at the source, and a first watch.
+		time.Sleep(DefaultRetryMax*3/2 + sourceAttempts*sourceRetryDelay + DefaultBatchDelay)
 		c.Assert(first.Settling(time.Now()), qt.IsTrue)
 		c.Assert(second.Settling(time.Now()), qt.IsTrue)
 		u, ok := first.Serve(context.Background(), 0, 0)
