Review case 7: a pause that a backend server asks for at the deadline is not heeded

A slow backend server turns away a request whose deadline passes in its queue, with status 503 and Retry-After. The VM closes the connection at the same deadline, never reads the answer, and goes on sending.

--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -96,7 +96,7 @@
 // startVMs starts n VMs with the command of the deploy file, each on a loopback
 // address of its own, and waits until all are ready.
 func (d *deployment) startVMs(n int) error {
-	zones := map[string]string{zoneOf(0): "region-1", zoneOf(1): "region-1"}
+	zones := map[string]string{zoneOf(0): "region-1", zoneOf(1): "region-1", "zone-3": "region-2"}
 	net16 := fmt.Sprintf("127.%d.%d.", 40+rand.IntN(160), rand.IntN(250))
 	for i := range n {
 		v := &vm{ip: net16 + strconv.Itoa(i+1)}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -13,6 +13,7 @@
 // cases are the cases by the name of their folder.
 var cases = map[string]func(r *record, trouble bool) (broken string, err error){
 	"6": runForeignEntry,
+	"7": runPause,
 }
 
 func main() {
