Review case 8: configurations are late where the drain bound is long

The pause between reads of changes is a fifth of drain_ms, and the daemon does not read config_apply_ms. With 30 s and 3 s, configurations in quick succession are in force 5 s after their acknowledgement.

--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -24,7 +24,8 @@
 // Settings of the small deployment that a case runs.
 const (
 	host         = "review.example"
-	drain        = 3 * time.Second
+	usualDrain   = 3 * time.Second
+	configApply  = 3 * time.Second
 	beatInterval = 1200 * time.Millisecond
 	startTimeout = 10 * time.Second
 )
@@ -61,6 +62,7 @@
 type deployment struct {
 	record  *record
 	dir     string
+	drain   time.Duration // the bound drain_ms
 	store   *standin.Store
 	vms     []*vm
 	servers []*server
@@ -88,7 +90,7 @@
 		return nil, err
 	}
 	return &deployment{
-		record: r, dir: dir, store: standin.NewStore(), stop: make(chan struct{}),
+		record: r, dir: dir, drain: usualDrain, store: standin.NewStore(), stop: make(chan struct{}),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, DisableCompression: true}},
 	}, nil
 }
@@ -102,7 +104,7 @@
 		v := &vm{ip: net16 + strconv.Itoa(i+1)}
 		s := standin.VMSettings{
 			ID: fmt.Sprintf("front-%d", i+1), Zone: zoneOf(i), Region: "region-1", Zones: zones, Store: d.store.Address(), MemoryMB: 206,
-			DrainMS: int(drain.Milliseconds()), StabilityMS: 4000, GraceS: 6, BudgetSlack: 126, BudgetRatio: 0.2, BudgetWindowS: 10, MaxTTLS: 5, MinTTLMS: 1000,
+			DrainMS: int(d.drain.Milliseconds()), StabilityMS: 4000, GraceS: 6, BudgetSlack: 126, BudgetRatio: 0.2, BudgetWindowS: 10, MaxTTLS: 5, MinTTLMS: 1000,
 		}
 		for _, address := range []*string{&s.CallerAddress, &s.ReadyAddress, &s.PeerAddress, &s.ResolveAddress} {
 			var err error
@@ -134,6 +136,7 @@
 		return err
 	}
 	fields["ip"] = v.ip
+	fields["bounds"].(map[string]any)["config_apply_ms"] = configApply.Milliseconds()
 	if data, err = json.Marshal(fields); err != nil {
 		return err
 	}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -14,6 +14,7 @@
 var cases = map[string]func(r *record, trouble bool) (broken string, err error){
 	"6": runForeignEntry,
 	"7": runPause,
+	"8": runStorm,
 }
 
 func main() {
