Review case 6: a line break in the key of an entry changes requests on their way

Another writer leaves an entry of a backend server whose key ends with a line break. The id goes into the request's head as it is, ends it, and shifts the body: requests that may run once run with another body, the next one on the connection with another method, and callers get 200.

The cases of an entry without a start time and of the pause are 7 and 9 now.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -12,9 +12,10 @@
 
 // cases are the cases by the name of their folder.
 var cases = map[string]func(r *record, trouble bool) (broken string, err error){
-	"6": runForeignEntry,
-	"7": runPause,
+	"6": runOddKey,
+	"7": runForeignEntry,
 	"8": runStorm,
+	"9": runPause,
 }
 
 func main() {
