--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -264,6 +264,16 @@
 	s.deployment.store.Put(s.key(), mustJSON(fields))
 }
 
+// leave removes the entry of a server that leaves without saying so. The server goes on
+// serving for a while.
+func (s *server) leave() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.beating = false
+	s.deployment.store.Delete(s.key())
+	return time.Now()
+}
+
 func mustJSON(v any) []byte {
 	data, err := json.Marshal(v)
 	if err != nil {
--- a/review/standin-2/entry.go
+++ b/review/standin-2/entry.go
@@ -61,10 +61,16 @@
 			}
 		})
 	}
+	var gone time.Time // when the entry of the server was removed; only in the variant "gone"
 	if trouble {
 		time.Sleep(foreignEntryAt)
 		fields := stock.fields()
 		fields["service"], fields["sequence"] = "quotes", 1
+		if os.Getenv("VARIANT") == "gone" {
+			gone = stock.leave()
+			time.Sleep(time.Second)
+			fields["service"] = "inventory"
+		}
 		value := foreignValue(fields, os.Getenv("VARIANT"))
 		d.store.Put(stock.key(), value)
 		r.printf("another writer wrote %s: %q", stock.key(), value)
@@ -72,6 +78,17 @@
 	clients.Wait()
 	r.printf("answers by status: %v", statuses(requests))
 
+	if !gone.IsZero() {
+		late := 0
+		for _, run := range stock.backend.Runs() {
+			if run.At.Sub(gone) > usualDrain {
+				late++
+			}
+		}
+		if late > 0 {
+			return fmt.Sprintf("DRAIN: %d requests reached a server later than %v after its entry had been removed", late, usualDrain), nil
+		}
+	}
 	wrong, ids := 0, map[string]bool{}
 	for _, s := range d.servers {
 		for _, run := range s.backend.Runs() {
@@ -100,7 +117,8 @@
 
 // foreignValue returns an entry that names no server to use: by default it lacks the
 // field "born". Other variants: "bytes" has the field, but is no UTF-8, "names" has
-// other names of fields, and "type" has null instead of a number.
+// other names of fields, and "type" has null instead of a number. In the variant "gone"
+// the server has left, and its entry, without the field "born", is written again.
 func foreignValue(fields map[string]any, variant string) []byte {
 	switch variant {
 	case "bytes":
--- a/review/standin-2/key.go
+++ b/review/standin-2/key.go
@@ -87,10 +87,14 @@
 	return "", nil
 }
 
-// oddKey returns the key of the entry. With the variant "request" a whole request follows
-// the line break.
+// oddKey returns the key of the entry. In the variant "crlf" the line break is that of
+// HTTP, in the variant "request" a whole request follows it.
 func oddKey(s *server, variant string) string {
-	if variant != "request" {
+	switch variant {
+	case "request":
+	case "crlf":
+		return s.key() + "\r\n"
+	default:
 		return s.key() + "\n"
 	}
 	return fmt.Sprintf("servers/x\r\n\r\nGET /stock/smuggled HTTP/1.1\r\nHost: %s\r\nX-Request-Id: smuggled\r\nX-Target-Instance: %s", host, s.backend.ID)
