--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -74,13 +74,22 @@
 // zoneOf returns the availability zone of the VM or server with an index.
 func zoneOf(i int) string { return "zone-" + strconv.Itoa(i%2+1) }
 
-func freePort(ip string) (string, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return "", err
+// adminPort is where the command of the deploy file serves metrics.
+const adminPort = "7389"
+
+// freePorts sets each address to one with a free port of its own.
+func freePorts(ip string, addresses ...*string) error {
+	for _, address := range addresses {
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+		if err != nil {
+			return err
+		}
+		defer l.Close() // only after all are chosen, so that no port comes twice
+		if *address = l.Addr().String(); *address == net.JoinHostPort(ip, adminPort) {
+			return errors.New("port " + adminPort + " is taken")
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return nil
 }
 
 // newDeployment starts the store; addServer and startVMs add the rest.
@@ -106,11 +115,8 @@
 			ID: fmt.Sprintf("front-%d", i+1), Zone: zoneOf(i), Region: "region-1", Zones: zones, Store: d.store.Address(), MemoryMB: 206,
 			DrainMS: int(d.drain.Milliseconds()), StabilityMS: 4000, GraceS: 6, BudgetSlack: 126, BudgetRatio: 0.2, BudgetWindowS: 10, MaxTTLS: 5, MinTTLMS: 1000,
 		}
-		for _, address := range []*string{&s.CallerAddress, &s.ReadyAddress, &s.PeerAddress, &s.ResolveAddress} {
-			var err error
-			if *address, err = freePort(v.ip); err != nil {
-				return err
-			}
+		if err := freePorts(v.ip, &s.CallerAddress, &s.ReadyAddress, &s.PeerAddress, &s.ResolveAddress); err != nil {
+			return err
 		}
 		v.settings, v.path = s, filepath.Join(d.dir, s.ID+".json")
 		d.vms = append(d.vms, v)
@@ -146,7 +152,7 @@
 	if v.log, err = os.OpenFile(filepath.Join(d.dir, v.settings.ID+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
 		return err
 	}
-	v.cmd = exec.Command("target/briarstand-entry", "--admin-port", "7389")
+	v.cmd = exec.Command("target/briarstand-entry", "--admin-port", adminPort)
 	v.cmd.Env = []string{"BRIARSTAND_BOOT=" + v.path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	v.cmd.Stdout, v.cmd.Stderr = v.log, v.log
 	v.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/review/standin-2/entry.go
+++ b/review/standin-2/entry.go
@@ -78,17 +78,6 @@
 	clients.Wait()
 	r.printf("answers by status: %v", statuses(requests))
 
-	if !gone.IsZero() {
-		late := 0
-		for _, run := range stock.backend.Runs() {
-			if run.At.Sub(gone) > usualDrain {
-				late++
-			}
-		}
-		if late > 0 {
-			return fmt.Sprintf("DRAIN: %d requests reached a server later than %v after its entry had been removed", late, usualDrain), nil
-		}
-	}
 	wrong, ids := 0, map[string]bool{}
 	for _, s := range d.servers {
 		for _, run := range s.backend.Runs() {
@@ -103,6 +92,17 @@
 			}
 		}
 	}
+	if !gone.IsZero() {
+		late := 0
+		for _, run := range stock.backend.Runs() {
+			if run.At.Sub(gone) > usualDrain {
+				late++
+			}
+		}
+		if late > 0 {
+			return fmt.Sprintf("DRAIN: %d requests reached a server later than %v after its entry had been removed", late, usualDrain), nil
+		}
+	}
 	foreign := 0
 	for _, request := range requests {
 		if ids[request.id] && request.status == 200 && strings.Contains(request.body, "inventory") {
--- a/review/standin-2/pause.go
+++ b/review/standin-2/pause.go
@@ -86,6 +86,12 @@
 	example := ""
 	for _, s := range searchers {
 		s.mu.Lock()
+		for _, a := range s.arrivals {
+			r.printf("server %s got %s at %.3f", s.id, a.id, a.at.Sub(r.start).Seconds())
+		}
+		for _, a := range s.runs {
+			r.printf("server %s began to run %s at %.3f", s.id, a.id, a.at.Sub(r.start).Seconds())
+		}
 		for _, refusal := range s.refusals {
 			refusals++
 			late := 0
--- a/review/standin-2/searcher.go
+++ b/review/standin-2/searcher.go
@@ -23,6 +23,7 @@
 	work     time.Duration
 	waiting  int
 	arrivals []arrival
+	runs     []arrival
 	refusals []arrival
 }
 
@@ -97,6 +98,9 @@
 	select {
 	case s.slots <- struct{}{}:
 		leaveQueue()
+		s.mu.Lock()
+		s.runs = append(s.runs, arrival{id: id, vm: vm, at: time.Now()})
+		s.mu.Unlock()
 	case <-timeout.C:
 		leaveQueue()
 		s.turnAway(w, a)
