--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -20,7 +20,7 @@
 	config.Backend
 	Service string
 	// StartedMS is the Unix time of the server's start in milliseconds, which
-	// distinguishes two incarnations with the same id; 0 if unknown.
+	// distinguishes two incarnations with the same id.
 	StartedMS int64
 }
 
