entry: derive each period from the bounds that it serves

Cause: config_apply_ms was not read. The pause between reads of changes, the wait of a watch and the longest age of the records were fractions of drain_ms.

Change: entry/bounds.go holds all such periods.

--- a/entry/bounds_test.go
+++ b/entry/bounds_test.go
@@ -98,7 +98,7 @@
 	stop              func()
 }
 
-func newChain(bound time.Duration) *chain {
+func newChain(set *Settings) *chain {
 	c := &chain{content: mirror.New(), view: mirror.New()}
 	c.put()
 	views := []*mirror.Mirror{mirror.New(), c.view}
@@ -111,10 +111,9 @@
 	c.sourceLink, c.own = &chainStore{content: c.content, latency: toStore}, &chainStore{content: c.content, latency: toStore}
 	ctx, cancel := context.WithCancel(context.Background())
 	follow := func(view *mirror.Mirror, s *chainStore, source mirror.Source, changed func(time.Time)) *mirror.Follower {
-		return mirror.NewFollower(mirror.FollowerConfig{
-			Mirror: view, Store: s, Source: source, Logger: log.New(io.Discard), Changed: changed,
-			BatchDelay: bound / batchDelayDivisor, WatchWait: bound / watchWaitDivisor, WatchGrace: watchGrace, MaxAge: maxRecordsAge(bound),
-		})
+		cfg := followerConfig(set)
+		cfg.Mirror, cfg.Store, cfg.Source, cfg.Logger, cfg.Changed = view, s, source, log.New(io.Discard), changed
+		return mirror.NewFollower(cfg)
 	}
 	first := follow(views[0], c.sourceLink, nil, func(time.Time) {})
 	c.source = &chainSource{follower: first, link: chainStore{latency: toSource}}
@@ -171,16 +170,25 @@
 // bound, within which configurations are to be in force as well, when the source of
 // their zone loses its link to the store, to them, or both at any moment around the
 // change. Checks that the last resort of a leaving server, which counts from when the
-// records before the change were known to be current, cannot outlast the bound.
+// records before the change were known to be current, cannot outlast the bound. Of two
+// bounds that differ, the shorter one counts for the records (review/8).
 func TestChangeIsInForceWhenSourceIsCut(t *testing.T) {
-	for _, bound := range []time.Duration{3 * time.Second, 4 * time.Second, 6 * time.Second} {
-		t.Run(bound.String(), func(t *testing.T) {
+	for _, bounds := range []struct{ drain, config time.Duration }{
+		{3 * time.Second, 3 * time.Second}, {4 * time.Second, 4 * time.Second}, {6 * time.Second, 6 * time.Second},
+		{30 * time.Second, 3 * time.Second}, {3 * time.Second, 30 * time.Second}, {3 * time.Second, 0},
+	} {
+		t.Run(fmt.Sprintf("drain %v, configuration %v", bounds.drain, bounds.config), func(t *testing.T) {
 			t.Parallel()
+			set := &Settings{DrainBound: bounds.drain, ConfigBound: bounds.config}
+			bound := bounds.drain
+			if bounds.config > 0 {
+				bound = min(bound, bounds.config)
+			}
 			narrowest, oldest := bound, time.Duration(0)
 			for _, state := range []linkState{linkUp, linkSilent, linkRefused} {
 				for _, ends := range []struct{ store, vm bool }{{true, false}, {false, true}, {true, true}} {
 					for position := range positions(bound) {
-						margin, age := cutSource(t, bound, state, ends.store, ends.vm, position)
+						margin, age := cutSource(t, set, bound, state, ends.store, ends.vm, position)
 						narrowest, oldest = min(narrowest, margin), max(oldest, age)
 					}
 				}
@@ -191,11 +199,11 @@
 }
 
 // cutSource cuts the link of the source to the store, to the VM that follows it, or both
-// at a position, and returns how long before the bound the VM knew of the change, and for
-// how long before the change its records were not known to be current.
-func cutSource(t *testing.T, bound time.Duration, state linkState, store, vm bool, at position) (margin, age time.Duration) {
+// at a position, and returns how long before the shorter bound the VM knew of the change,
+// and for how long before the change its records were not known to be current.
+func cutSource(t *testing.T, set *Settings, bound time.Duration, state linkState, store, vm bool, at position) (margin, age time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newChain(bound)
+		c := newChain(set)
 		defer c.stop()
 		cut := func() {
 			if store {
@@ -224,8 +232,8 @@
 		qt.Assert(t, c.view.Revision(), qt.Equals, c.revision, name)
 		margin, age = bound-c.knewAt.Sub(acknowledged), acknowledged.Sub(c.currentAt)
 		qt.Assert(t, margin >= sendTime, qt.IsTrue, qt.Commentf("%v: margin %v", name, margin))
-		lastUse := c.currentAt.Add(useWindow(&Settings{DrainBound: bound}).LastUse)
-		qt.Assert(t, lastUse.Sub(acknowledged) <= bound-sendTime, qt.IsTrue, name)
+		lastUse := c.currentAt.Add(useWindow(set).LastUse)
+		qt.Assert(t, lastUse.Sub(acknowledged) <= set.DrainBound-sendTime, qt.IsTrue, name)
 	})
 	return margin, age
 }
@@ -235,9 +243,11 @@
 // known so much later. Checks that the VM makes no calls to the store.
 func TestLastResortRemainsWhenVMLearns(t *testing.T) {
 	const bound = 3 * time.Second
-	for apart := time.Duration(0); apart <= 2*bound/batchDelayDivisor; apart += 10 * time.Millisecond {
+	set := &Settings{DrainBound: bound, ConfigBound: bound}
+	pause := followerConfig(set).BatchDelay
+	for apart := time.Duration(0); apart <= 2*pause; apart += 10 * time.Millisecond {
 		synctest.Test(t, func(t *testing.T) {
-			c := newChain(bound)
+			c := newChain(set)
 			defer c.stop()
 			time.Sleep(bound)
 			calls := c.own.calls.Load()
@@ -246,8 +256,8 @@
 			c.put()
 			time.Sleep(bound)
 			synctest.Wait()
-			rest := c.currentAt.Add(useWindow(&Settings{DrainBound: bound}).LastUse).Sub(c.knewAt)
-			qt.Assert(t, rest >= bound/batchDelayDivisor, qt.IsTrue, qt.Commentf("%v left, %v after another change", rest, apart))
+			rest := c.currentAt.Add(useWindow(set).LastUse).Sub(c.knewAt)
+			qt.Assert(t, rest >= pause, qt.IsTrue, qt.Commentf("%v left, %v after another change", rest, apart))
 			qt.Assert(t, c.own.calls.Load(), qt.Equals, calls)
 		})
 	}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -152,7 +152,7 @@
 	d.state = newState(p, set.VMID, logger, d.panics, useWindow(&set))
 	d.client = upstream.NewClient(upstream.Config{
 		Protocol: p, Memory: d.replyMemory, Panics: d.panics, UsableUntil: d.state.registry.UsableUntil,
-		LeavingPeriod: leavingPeriod(set.DrainBound), NoticeRetention: serverRetention, Noticed: d.logNotice, PauseEnded: d.logPauseEnd, Sent: d.recordSent,
+		LeavingPeriod: leavingPeriod(&set), NoticeRetention: serverRetention, Noticed: d.logNotice, PauseEnded: d.logPauseEnd, Sent: d.recordSent,
 	})
 	d.picker = balance.NewPicker(balance.Config{})
 	d.queues = balance.NewQueues()
@@ -172,56 +172,6 @@
 // remembered. Its record may have expired only because of a store outage.
 const serverRetention = 10 * time.Minute
 
-// useWindow returns the window in which a backend server that drains or is no longer listed
-// may get requests while its service has no ready one.
-func useWindow(set *Settings) discovery.Window {
-	lastUse := max(set.DrainBound/2, set.DrainBound-sendTime)
-	return discovery.Window{LastUse: lastUse, AfterOutage: max(lastUse, set.StabilityPeriod-sendTime), ReturnTime: serverReturnTime}
-}
-
-const (
-	// sendTime is the time from the last check of a server's record until a request
-	// reaches the server: the network between regions and a VM with little processor time.
-	sendTime = 400 * time.Millisecond
-	// serverReturnTime is the time after an outage of the store within which backend
-	// servers whose leases ended register again, and VMs learn of it.
-	serverReturnTime = 2300 * time.Millisecond
-)
-
-// leavingPeriod returns how long a server that says in an answer that it leaves may get
-// requests while its service has no other. It counts from the answer.
-func leavingPeriod(drain time.Duration) time.Duration { return drain / 2 }
-
-// maxRecordsAge returns the age of the records at which a VM calls the store itself,
-// whatever its source says. It is above what the batch delay, a watch and a call to the
-// source add up to, and leaves time for a call to the store before the drain bound,
-// within which all changes must be in force.
-func maxRecordsAge(drain time.Duration) time.Duration { return drain * 3 / 4 }
-
-// batchDelayDivisor divides the drain bound; the result is
-// mirror.FollowerConfig.BatchDelay, the time for which changes of the store are
-// batched. Batching saves billed calls, since each read of changes is one. Two watches
-// and the pause between them end before maxRecordsAge, so that a VM without a fault does
-// not call the store itself.
-const batchDelayDivisor = 5
-
-// watchWaitDivisor divides the drain bound; the result is how long a watch of
-// the store waits for changes, and watchGrace is how much later it times out.
-// Their sum is the time in which the source of a zone (see mirror.Source)
-// detects that the store no longer serves it, and so how long the VMs that
-// follow the source may miss changes.
-const (
-	watchWaitDivisor = 4
-	watchGrace       = 700 * time.Millisecond
-)
-
-// followerConfig returns the times with which a VM follows the store.
-func followerConfig(set *Settings) mirror.FollowerConfig {
-	return mirror.FollowerConfig{
-		BatchDelay: set.DrainBound / batchDelayDivisor, WatchWait: set.DrainBound / watchWaitDivisor, WatchGrace: watchGrace, MaxAge: maxRecordsAge(set.DrainBound),
-	}
-}
-
 // Run serves until the context ends, and then drains. It fails with a *ListenError
 // if an address cannot be listened on.
 func (d *Daemon) Run(ctx context.Context) error {
--- a/entry/drain_model_test.go
+++ b/entry/drain_model_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -29,7 +30,18 @@
 }
 
 // margin returns how long before the bound the request reached the server.
-func (u use) margin() time.Duration { return modelBound - u.at.Sub(u.leftAt) }
+func (u use) margin() time.Duration { return u.vm.model.bounds.drain - u.at.Sub(u.leftAt) }
+
+// lateConfig is a request that a VM handles by a configuration older than one that the
+// store acknowledged at ackedAt.
+type lateConfig struct {
+	vm                    *modelVM
+	inForce, acknowledged int64
+	ackedAt, at           time.Time
+}
+
+// margin returns how long before the bound the request came.
+func (l lateConfig) margin() time.Duration { return l.vm.model.bounds.config - l.at.Sub(l.ackedAt) }
 
 // drainModel is a fleet with its store, servers and faults.
 type drainModel struct {
@@ -41,6 +53,9 @@
 	leases   map[string]kvstore.LeaseID // of live servers, by key
 	started  int
 	uses     map[string]use // the latest before each wall-clock second, by VM, server and second
+	bounds   modelBounds
+	lates    map[string]lateConfig // the latest of each VM and version that touched the rule
+	reverted []string              // VMs that went back to an older configuration
 	ctx      context.Context
 	work     sync.WaitGroup
 	stop     func()
@@ -62,14 +77,16 @@
 
 func (r *lockedRand) Float64() float64 { return float64(r.Int64N(1<<53)) / (1 << 53) }
 
-func newDrainModel(seed uint64) *drainModel {
+func newDrainModel(seed uint64, bounds modelBounds) *drainModel {
 	m := &drainModel{
-		rng: &lockedRand{rng: rand.New(rand.NewPCG(seed, 0))}, store: newModelStore(), vms: map[string]*modelVM{}, services: []string{"a", "b", "c"},
+		bounds: bounds, lates: map[string]lateConfig{},
+		rng: &lockedRand{rng: rand.New(rand.NewPCG(seed, 0))}, store: newModelStore(bounds.stability), vms: map[string]*modelVM{}, services: []string{"a", "b", "c"},
 		leases: map[string]kvstore.LeaseID{}, uses: map[string]use{},
 	}
 	var cancel context.CancelFunc
 	m.ctx, cancel = context.WithCancel(context.Background())
 	m.work.Go(func() { m.store.expire(m.ctx) })
+	m.store.configure()
 	for _, service := range m.services {
 		m.addServers(service)
 	}
@@ -195,15 +212,30 @@
 	}
 }
 
-// request records which servers a VM would send requests to.
+// request records which servers a VM would send requests to, and by which configuration
+// it would handle them.
 func (m *drainModel) request(v *modelVM) {
 	const interval = 20 * time.Millisecond
+	var process *state
+	var inForce int64
 	for modelSleep(m.ctx, interval) == nil {
 		s, _ := v.running()
 		if s == nil {
 			continue
 		}
 		now := time.Now()
+		if s != process {
+			process, inForce = s, 0
+		}
+		if table := s.table.Load(); table != nil {
+			if table.Version < inForce {
+				m.mu.Lock()
+				m.reverted = append(m.reverted, fmt.Sprintf("%s from %d to %d", v.id, inForce, table.Version))
+				m.mu.Unlock()
+			}
+			inForce = table.Version
+			m.recordConfig(v, inForce, now)
+		}
 		for _, service := range m.services {
 			for _, b := range s.registry.Replicas(service).Usable(now) {
 				m.record(v, b, now.Add(modelRequestTime))
@@ -216,7 +248,7 @@
 	m.store.mu.Lock()
 	defer m.store.mu.Unlock()
 	for incarnation, leftAt := range m.store.leftAt {
-		if !strings.HasPrefix(incarnation, b.ID+"/") || at.Sub(leftAt) < modelBound-time.Second {
+		if !strings.HasPrefix(incarnation, b.ID+"/") || at.Sub(leftAt) < m.bounds.drain/2 {
 			continue
 		}
 		key := fmt.Sprintf("%s %s %d", v.id, incarnation, at.Sub(leftAt)/(100*time.Millisecond))
@@ -226,6 +258,19 @@
 	}
 }
 
+// recordConfig records the latest use of a configuration that is no longer the newest one.
+func (m *drainModel) recordConfig(v *modelVM, inForce int64, at time.Time) {
+	m.store.mu.Lock()
+	defer m.store.mu.Unlock()
+	if int(inForce) >= len(m.store.configs) || !m.store.stable(at) || !v.inTouch(at) {
+		return
+	}
+	next := m.store.configs[inForce] // versions count from 1
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lates[fmt.Sprint(v.id, " ", inForce)] = lateConfig{v, inForce, next.version, next.ackedAt, at}
+}
+
 // between returns a random duration.
 func (m *drainModel) between(low, high time.Duration) time.Duration {
 	return low + time.Duration(m.rng.Int64N(int64(high-low)))
@@ -283,11 +328,16 @@
 	time.Sleep(period)
 }
 
-// change writes records that have nothing to do with servers, in series.
+// change writes configurations, and records that concern nobody, in series.
 func (m *drainModel) change() {
 	for range 1 + m.rng.IntN(4) {
+		configuration := m.rng.IntN(3) != 0
 		m.store.mu.Lock()
-		if !m.store.isDown() {
+		switch {
+		case m.store.isDown():
+		case configuration:
+			m.store.configure()
+		default:
 			m.store.put("other", []byte{1})
 		}
 		m.store.mu.Unlock()
@@ -297,7 +347,7 @@
 
 // play plays one change of the servers with faults before and after it.
 func (m *drainModel) play() {
-	time.Sleep(modelStability + modelBound)
+	time.Sleep(m.bounds.stability + m.bounds.drain)
 	for range 1 + m.rng.IntN(3) {
 		before, outage := m.rng.IntN(3), m.rng.IntN(6)
 		for range before {
@@ -306,7 +356,7 @@
 		}
 		if outage == 0 {
 			m.breakStore()
-			time.Sleep(m.between(0, 2*modelStability))
+			time.Sleep(m.between(0, 2*m.bounds.stability))
 		}
 		if m.rng.IntN(8) == 0 {
 			m.store.mu.Lock()
@@ -339,51 +389,90 @@
 			m.addServers(service)
 		}
 		faults.Wait()
-		time.Sleep(2*modelBound + m.between(0, time.Second))
+		time.Sleep(2*max(m.bounds.drain, m.bounds.config) + m.between(0, time.Second))
 		m.addServers(service)
 		time.Sleep(time.Second)
 	}
 }
 
-// playDrains plays the model with a seed and returns the use with the narrowest margin to
-// the bound, of servers that said that they leave and of those that did not.
-func playDrains(t *testing.T, seed uint64) (narrowest map[bool]use) {
-	narrowest = map[bool]use{}
+// margins are the narrowest margins to the bounds in a play of the model.
+type margins struct {
+	drain  map[bool]use // of servers that said that they leave, and of those that did not
+	config *lateConfig
+	// reverted are the VMs that went back to an older configuration.
+	reverted []string
+}
+
+// playModel plays the model with a seed.
+func playModel(t *testing.T, seed uint64, bounds modelBounds) (narrowest margins) {
+	narrowest.drain = map[bool]use{}
 	synctest.Test(t, func(t *testing.T) {
-		m := newDrainModel(seed)
+		m := newDrainModel(seed, bounds)
 		m.play()
 		m.stop()
 		for _, u := range m.uses {
 			if !u.vm.inTouch(u.at) || !m.store.stable(u.at) {
 				continue
 			}
-			if n, ok := narrowest[u.said]; !ok || u.margin() < n.margin() {
-				narrowest[u.said] = u
+			if n, ok := narrowest.drain[u.said]; !ok || u.margin() < n.margin() {
+				narrowest.drain[u.said] = u
+			}
+		}
+		for _, l := range m.lates {
+			if narrowest.config == nil || l.margin() < narrowest.config.margin() {
+				narrowest.config = &l
 			}
 		}
+		narrowest.reverted = m.reverted
 	})
 	return narrowest
 }
 
-// Seeds of TestDrainBoundHoldsUnderRandomFaults, for long runs by hand. The jitter of the
+// Seeds of the model of drains and configurations, for long runs by hand. The jitter of the
 // code is not seeded, so a seed gives similar days, not the same.
 var (
-	drainSeeds     = flag.Uint64("drain.seeds", 120, "number of seeds of the model of drains")
-	drainFirstSeed = flag.Uint64("drain.first", 0, "first seed of the model of drains")
+	drainSeeds     = flag.Uint64("drain.seeds", 120, "number of seeds of the model of drains and configurations")
+	drainFirstSeed = flag.Uint64("drain.first", 0, "first seed of the model of drains and configurations")
 )
 
+// checkModel plays the model with all seeds and checks the rules on each play.
+func checkModel(t *testing.T, bounds func(seed uint64) modelBounds) {
+	drain := map[bool]time.Duration{true: time.Hour, false: time.Hour}
+	config := time.Hour
+	for seed := *drainFirstSeed; seed < *drainFirstSeed+*drainSeeds; seed++ {
+		b := bounds(seed)
+		play := playModel(t, seed, b)
+		for said, u := range play.drain {
+			drain[said] = min(drain[said], u.margin())
+			qt.Check(t, u.margin() >= 0, qt.IsTrue, qt.Commentf("seed %d, %+v: a request from %s reaches %s %v after the acknowledgement at %v; the server said that it leaves: %t",
+				seed, b, u.vm.id, u.incarnation, u.at.Sub(u.leftAt), u.leftAt, u.said))
+		}
+		if l := play.config; l != nil {
+			config = min(config, l.margin())
+			qt.Check(t, l.margin() >= 0, qt.IsTrue, qt.Commentf("seed %d, %+v: %s handles a request by configuration %d %v after the acknowledgement of %d at %v",
+				seed, b, l.vm.id, l.inForce, l.at.Sub(l.ackedAt), l.acknowledged, l.ackedAt))
+		}
+		qt.Check(t, play.reverted, qt.HasLen, 0, qt.Commentf("seed %d, %+v", seed, b))
+	}
+	t.Logf("narrowest margins: %v at servers that said that they leave, %v at the others, %v of configurations", drain[true], drain[false], config)
+}
+
 // Guards against requests that reach a leaving server later than the drain bound after
 // the store acknowledged it, whatever links and VMs fail meanwhile (incident of 2026-12-05).
 func TestDrainBoundHoldsUnderRandomFaults(t *testing.T) {
-	narrowest := map[bool]time.Duration{true: modelBound, false: modelBound}
-	for seed := *drainFirstSeed; seed < *drainFirstSeed+*drainSeeds; seed++ {
-		for said, u := range playDrains(t, seed) {
-			narrowest[said] = min(narrowest[said], u.margin())
-			qt.Check(t, u.margin() >= 0, qt.IsTrue, qt.Commentf("seed %d: a request from %s reaches %s %v after the acknowledgement at %v; the server said that it leaves: %t",
-				seed, u.vm.id, u.incarnation, modelBound-u.margin(), u.leftAt, u.said))
+	checkModel(t, func(uint64) modelBounds { return deployedBounds })
+}
+
+// Guards against a period that serves one bound and is derived from another: with bounds up
+// to ten to one apart, configurations were late where the drain bound is long (review/8).
+func TestUnequalBoundsHoldUnderRandomFaults(t *testing.T) {
+	checkModel(t, func(seed uint64) modelBounds {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		draw := func() time.Duration {
+			return time.Duration(float64(time.Second) * math.Pow(10, rng.Float64())).Round(time.Millisecond)
 		}
-	}
-	t.Logf("narrowest margin of %v: %v at servers that said that they leave, %v at the others", modelBound, narrowest[true], narrowest[false])
+		return modelBounds{drain: draw(), config: draw(), stability: draw()}
+	})
 }
 
 // unusedAfterOutage plays an outage of the store for all VMs, in which the leases of the
@@ -392,9 +481,9 @@
 func unusedAfterOutage(t *testing.T, seed uint64, fault linkFault) (unused map[string]time.Duration) {
 	unused = map[string]time.Duration{}
 	synctest.Test(t, func(t *testing.T) {
-		m := newDrainModel(seed)
+		m := newDrainModel(seed, deployedBounds)
 		defer m.stop()
-		time.Sleep(modelStability + m.between(0, time.Second))
+		time.Sleep(m.bounds.stability + m.between(0, time.Second))
 		m.store.mu.Lock()
 		m.store.lapse = true
 		m.store.mu.Unlock()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -38,6 +38,9 @@
 	// DrainBound limits how long a backend server may still get requests after
 	// its record has been marked as draining or has been deleted.
 	DrainBound time.Duration
+	// ConfigBound limits how long requests may be handled by an older configuration
+	// after the store has acknowledged a newer one; 0 if unlimited.
+	ConfigBound time.Duration
 	// StabilityPeriod is how long the store must have been without an outage before
 	// DrainBound applies again; 0 if unknown.
 	StabilityPeriod time.Duration
--- a/entry/modelstore_test.go
+++ b/entry/modelstore_test.go
@@ -22,8 +22,6 @@
 
 // Times of the model, as those of the platform's deployments.
 const (
-	modelBound        = 3 * time.Second        // the drain bound
-	modelStability    = 4 * time.Second        // without impairment before a VM or the store counts as stable
 	modelStoreLatency = 2 * time.Millisecond   // one way
 	modelPeerLatency  = 500 * time.Microsecond // one way
 	modelBeat         = 1200 * time.Millisecond
@@ -34,6 +32,13 @@
 	modelRequestTime = 350 * time.Millisecond
 )
 
+// modelBounds are the bounds of the settings. stability is the time without impairment
+// before a VM or the store counts as stable.
+type modelBounds struct{ drain, config, stability time.Duration }
+
+// deployedBounds are those of the platform's deployments.
+var deployedBounds = modelBounds{drain: 3 * time.Second, config: 3 * time.Second, stability: 4 * time.Second}
+
 var errModelLink = errors.New("link is cut")
 
 // span is a period of impairment.
@@ -160,6 +165,7 @@
 // modelStore is the platform's store.
 type modelStore struct {
 	mu        sync.Mutex
+	stability time.Duration
 	content   *mirror.Mirror
 	revision  int64
 	compacted int64
@@ -171,6 +177,22 @@
 	leftAt    map[string]time.Time  // when the store acknowledged that a server leaves or is gone, by incarnation
 	said      map[string]bool       // whether it said so, by incarnation
 	servers   map[string]modelEntry // by key
+	configs   []modelConfig         // in the order of their versions
+}
+
+// modelConfig is a configuration that the store has acknowledged.
+type modelConfig struct {
+	version int64
+	ackedAt time.Time
+}
+
+const modelConfigKey = "config"
+
+// configure writes the next configuration. mu must be held.
+func (s *modelStore) configure() {
+	version := int64(len(s.configs) + 1)
+	s.put(modelConfigKey, strconv.AppendInt(nil, version, 10))
+	s.configs = append(s.configs, modelConfig{version, time.Now()})
 }
 
 // modelEntry is the content of a server's record.
@@ -182,14 +204,15 @@
 
 func (e modelEntry) incarnation() string { return e.ID + "/" + strconv.FormatInt(e.Started, 10) }
 
-func newModelStore() *modelStore {
+func newModelStore(stability time.Duration) *modelStore {
 	return &modelStore{
-		content: mirror.New(), leases: map[kvstore.LeaseID]*modelLease{}, down: &modelLink{},
+		stability: stability,
+		content:   mirror.New(), leases: map[kvstore.LeaseID]*modelLease{}, down: &modelLink{},
 		leftAt: map[string]time.Time{}, said: map[string]bool{}, servers: map[string]modelEntry{},
 	}
 }
 
-func (s *modelStore) stable(at time.Time) bool { return !overlaps(s.outages, at, modelStability) }
+func (s *modelStore) stable(at time.Time) bool { return !overlaps(s.outages, at, s.stability) }
 
 // put writes or, with a nil value, removes a key. mu must be held.
 func (s *modelStore) put(key string, value []byte) {
@@ -369,6 +392,8 @@
 
 func (p *modelPlatform) Kind(key string) RecordKind {
 	switch {
+	case key == modelConfigKey:
+		return ConfigurationRecord
 	case strings.HasPrefix(key, "servers/"):
 		return ServerRecord
 	case strings.HasPrefix(key, "vms/"):
@@ -377,7 +402,10 @@
 	return OtherRecord
 }
 
-func (p *modelPlatform) DecodeTable(mirror.Record) (*route.Table, error) { panic("no configuration") }
+func (p *modelPlatform) DecodeTable(r mirror.Record) (*route.Table, error) {
+	version, err := strconv.ParseInt(string(r.Value), 10, 64)
+	return route.NewTable(version, nil, nil, route.Limits{}), err
+}
 
 func (p *modelPlatform) DecodeServer(r mirror.Record) (discovery.Server, error) {
 	var e modelEntry
--- a/entry/modelvm_test.go
+++ b/entry/modelvm_test.go
@@ -39,7 +39,8 @@
 func (v *modelVM) start() {
 	platform := &modelPlatform{store: v.model.store, link: v.toStore}
 	logger := log.New(io.Discard)
-	set := Settings{VMID: v.id, Zone: v.zone, DrainBound: modelBound, StabilityPeriod: modelStability}
+	bounds := v.model.bounds
+	set := Settings{VMID: v.id, Zone: v.zone, DrainBound: bounds.drain, ConfigBound: bounds.config, StabilityPeriod: bounds.stability}
 	s := newState(platform, v.id, logger, nil, useWindow(&set))
 	peers := &modelPeers{vm: v, state: s}
 	cfg := followerConfig(&set)
@@ -88,7 +89,8 @@
 	defer v.toStore.mu.Unlock()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return !overlaps(v.toStore.harmed, at, modelStability) && !overlaps(v.restarts, at, modelStability)
+	stability := v.model.bounds.stability
+	return !overlaps(v.toStore.harmed, at, stability) && !overlaps(v.restarts, at, stability)
 }
 
 // modelPeers is how one VM reads the records of the others.
