upstream, relay: accept only statuses and verdicts that are defined

Cause: the reader of replies compared with the statuses that it expected to be wrong. In the same way a relay's unknown verdict counted as a reply, and any status of a relay but 200 as a proof that it had made no attempt.

Change: 200 to 599 end a request, known verdicts are outcomes, and only 4xx and 503 of a relay say that nothing was sent.

TestUnknownVerdict fails before. TestInvalidStatus (streams of briarstandd, status 0) held before.

--- a/backend/pool_test.go
+++ b/backend/pool_test.go
@@ -233,6 +233,19 @@
 	})
 }
 
+// Guards against a reply with a status that the protocol does not define, which is taken as
+// a success or as a proof that the sub-request did not run.
+func TestInvalidStatus(t *testing.T) {
+	run(t, slow(0), nil, func(c *qt.C, r *rig) {
+		r.server.SetFaults(standin.Faults{InvalidStatusProbability: 1})
+		r.send(1, time.Second)
+		time.Sleep(10 * time.Millisecond)
+		var protocol *backend.ProtocolError
+		c.Assert(errors.As(r.expect(c, 1, backend.Failed).Err, &protocol), qt.IsTrue)
+		c.Assert(backend.Failed.NotRun(), qt.IsFalse)
+	})
+}
+
 // A backend server that announced a drain must get no further sub-requests, and the
 // replies to those it accepted before must still be delivered.
 func TestDrainStopsNewWork(t *testing.T) {
--- a/backend/standin/exchange.go
+++ b/backend/standin/exchange.go
@@ -20,9 +20,9 @@
 
 // reply is the outcome of a job that is still to be written to the stream.
 type reply struct {
-	job                                *job
-	status                             briarstandv1.SubStatus
-	wrongVersion, wrongShard, invented bool
+	job                                               *job
+	status                                            briarstandv1.SubStatus
+	wrongVersion, wrongShard, invalidStatus, invented bool
 }
 
 // message encodes the reply. It needs no lock.
@@ -46,6 +46,9 @@
 	} else {
 		m.Error = r.status.String()
 	}
+	if r.invalidStatus {
+		m.Status = briarstandv1.SubStatus_SUB_STATUS_UNSPECIFIED
+	}
 	if r.invented {
 		m.Id += inventedIDOffset
 	}
--- a/backend/standin/jobs.go
+++ b/backend/standin/jobs.go
@@ -182,6 +182,7 @@
 	r := reply{job: j, status: status}
 	r.wrongVersion = s.chance(s.faults.WrongVersionProbability)
 	r.wrongShard = s.chance(s.faults.WrongShardProbability)
+	r.invalidStatus = s.chance(s.faults.InvalidStatusProbability)
 	at := now + int64(s.settings.NetworkLatency)
 	if s.chance(s.faults.DelayProbability) {
 		at += int64(s.faults.ReplyDelay)
--- a/backend/standin/settings.go
+++ b/backend/standin/settings.go
@@ -114,6 +114,9 @@
 	WrongVersionProbability float64 `json:"wrong_version_probability"`
 	// WrongShardProbability is how often a reply names another shard.
 	WrongShardProbability float64 `json:"wrong_shard_probability"`
+	// InvalidStatusProbability is how often a reply with hits has the status 0, which
+	// the protocol does not define.
+	InvalidStatusProbability float64 `json:"invalid_status_probability"`
 	// DelayProbability is how often ReplyDelay is added to a reply.
 	DelayProbability float64  `json:"delay_probability"`
 	ReplyDelay       Duration `json:"reply_delay"`
--- a/relay/client.go
+++ b/relay/client.go
@@ -353,7 +353,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return &upstream.UnsentError{Backend: vm.ID, Err: &StatusError{Address: vm.Address, Status: resp.StatusCode}}
+		return rejection(vm, resp.StatusCode)
 	}
 	body := io.LimitReader(resp.Body, maxResponseBytes(g))
 	decoder := json.NewDecoder(body)
@@ -375,6 +375,16 @@
 	return err
 }
 
+// rejection returns the error of a relay's response without parts. Only a status that
+// rejects the request says that the relay has made no attempt.
+func rejection(vm *config.Backend, status int) error {
+	err := &StatusError{Address: vm.Address, Status: status}
+	if status >= 400 && status < 500 || status == http.StatusServiceUnavailable {
+		return &upstream.UnsentError{Backend: vm.ID, Err: err}
+	}
+	return &upstream.IncompleteReplyError{Backend: vm.ID, Err: err}
+}
+
 // maxResponseBytes returns the maximum size in bytes of a relay's response to a
 // group: one batch for each part, each with the maximum number of records.
 func maxResponseBytes(g *Group) int64 {
@@ -422,7 +432,7 @@
 			res.Err = &upstream.UnsentError{Backend: "relayed", Err: &upstream.WithheldError{Notice: p.notice()}}
 		case p.Unsent:
 			res.Err = &upstream.UnsentError{Backend: "relayed", Err: &PartError{Text: p.Error}, Unreachable: p.Unreachable}
-		case p.Error != "" || p.Verdict == 0:
+		case p.Error != "" || !p.Verdict.Valid():
 			res.Err = &upstream.IncompleteReplyError{Backend: "relayed", Err: &PartError{Text: p.Error}}
 		default:
 			res.Reply = &upstream.Reply{Verdict: p.Verdict, Signature: p.Signature, Latency: latency}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -410,3 +410,26 @@
 		})
 	}
 }
+
+// Guards against an outcome that a relay does not know, such as that of another version,
+// which counts as a reply: it proves neither a success nor that nothing was run.
+func TestUnknownVerdict(t *testing.T) {
+	for _, verdict := range []upstream.Verdict{-1, 0, upstream.Untrusted + 1} {
+		pending := newPendingParts(&Group{Tags: []int{7}})
+		results := make(chan upstream.Result, 1)
+		pending.deliver(&batch{Parts: []part{{Verdict: verdict, Signature: "s"}}, Records: record("a")}, 0, results)
+		res := <-results
+		var incomplete *upstream.IncompleteReplyError
+		qt.Check(t, errors.As(res.Err, &incomplete), qt.IsTrue, qt.Commentf("verdict %d: %+v", verdict, res))
+		qt.Check(t, upstream.NotSent(res.Err), qt.IsFalse)
+	}
+}
+
+// Guards against a response of a relay with an odd status that counts as a proof that the
+// relay made no attempt.
+func TestOnlyRejectionsProveThatNothingWasSent(t *testing.T) {
+	vm := &config.Backend{ID: "vm"}
+	for status, unsent := range map[int]bool{0: false, 99: false, 204: false, 302: false, 400: true, 404: true, 500: false, 503: true, 999: false} {
+		qt.Check(t, upstream.NotSent(rejection(vm, status)), qt.Equals, unsent, qt.Commentf("status %d", status))
+	}
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -22,6 +22,8 @@
 	// since a decoded header takes many times its size on the wire.
 	maxHeadBytes = 32 << 10
 	maxHeadLines = 128
+	// maxStatus is the highest status of a reply that HTTP defines.
+	maxStatus = 599
 	// maxInterimReplies limits the interim replies (status 1xx, such as
 	// 100 Continue) before the final one.
 	maxInterimReplies = 5
@@ -127,7 +129,7 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		if resp.StatusCode < http.StatusOK {
+		if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
 			return nil, false, &StatusError{Status: resp.StatusCode}
 		}
 		reply := &Reply{Status: resp.StatusCode, Header: resp.Header, memory: in.memory}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -53,8 +53,11 @@
 
 var verdictNames = [...]string{Served: "served", Failed: "failed", NotRun: "not_run", WrongServer: "other_server", Untrusted: "foreign"}
 
+// Valid reports whether v is one of the verdicts above.
+func (v Verdict) Valid() bool { return v >= Served && int(v) < len(verdictNames) }
+
 func (v Verdict) String() string {
-	if v < Served || int(v) >= len(verdictNames) {
+	if !v.Valid() {
 		return fmt.Sprintf("verdict(%d)", int(v))
 	}
 	return verdictNames[v]
@@ -138,7 +141,7 @@
 }
 
 // StatusError reports a reply whose status cannot end a request: one below 200 that is
-// not an interim reply.
+// not an interim reply, or one that HTTP does not define.
 type StatusError struct{ Status int }
 
 func (e *StatusError) Error() string { return fmt.Sprintf("reply has status %d", e.Status) }
