upstream, relay: read replies for a grace after the deadline

Cause: the deadline of a request was also that of reading its reply, so an answer that the server gives at the deadline was never read.

Change: replies are read for the same grace after the deadline, at the VM and at the origin of relayed queries. Callers are answered at the deadline as before; a relay that has not answered by the deadline still counts as failed.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -150,17 +150,19 @@
 	d.backgroundCtx, d.cancelBackground = context.WithCancel(context.Background())
 	d.bounds.Store(&set.Bounds)
 	d.state = newState(p, set.VMID, logger, d.panics, useWindow(&set))
+	policy := forward.DefaultPolicy()
 	d.client = upstream.NewClient(upstream.Config{
-		Protocol: p, Memory: d.replyMemory, Panics: d.panics, UsableUntil: d.state.registry.UsableUntil,
+		ReplyGrace: policy.AbandonGrace,
+		Protocol:   p, Memory: d.replyMemory, Panics: d.panics, UsableUntil: d.state.registry.UsableUntil,
 		LeavingPeriod: leavingPeriod(&set), NoticeRetention: serverRetention, Noticed: d.logNotice, PauseEnded: d.logPauseEnd, Sent: d.recordSent,
 	})
 	d.picker = balance.NewPicker(balance.Config{})
 	d.queues = balance.NewQueues()
 	d.relay = relay.NewClient(set.VMID, set.Zone, set.Region, set.Zones)
-	d.relay.Panics = d.panics
+	d.relay.Panics, d.relay.ReplyGrace = d.panics, policy.AbandonGrace
 	d.engine = forward.NewEngine(forward.Config{
 		Transport: d.client, Replicas: d.state.registry, Picker: d.picker, Queues: d.queues, Relay: d.relay, InOtherRegion: d.relay.InOtherRegion,
-		Latencies: balance.NewLatencies(balance.LatencyConfig{}), Policy: forward.DefaultPolicy(),
+		Latencies: balance.NewLatencies(balance.LatencyConfig{}), Policy: policy,
 		BudgetPermille: allocatedPermille(set.BudgetPermille), Metrics: d.metrics, Panics: d.panics,
 	})
 	d.registerMetrics()
--- a/entry/notice_test.go
+++ b/entry/notice_test.go
@@ -99,6 +99,47 @@
 	f.Check(f.ask(v, "GET", "/quote/x", "over", "", time.Second).status, qt.Equals, http.StatusOK)
 }
 
+// Guards against a pause that is not heeded since the server asks for it as the time of a
+// request ends, when the VM no longer reads its reply (review/9). The caller is answered in
+// time all the same.
+func TestPauseAtDeadline(t *testing.T) {
+	const pause, wait = 4 * time.Second, 300 * time.Millisecond
+	f := newFixture(t)
+	f.backend("q1", "quotes", "bytes")
+	f.backend("a1", "shard-a", record('a'))
+	f.backend("b1", "shard-b", record('a'))
+	f.store.Configure(1, single("quote", "quotes", "idempotent"), scattered("find", 1, "shard-a", "shard-b"))
+	origin := f.startIn("attica-b", "vm1", true, 600*time.Millisecond)
+	f.start("vm2", true)
+	f.eventually(10*time.Second, "relayed", func() bool {
+		f.ask(origin, "GET", "/find/x", "probe", "", time.Second)
+		return strings.Contains(f.logs.String(), `"relayed":2`)
+	})
+	for _, b := range f.backends {
+		b.SetBehavior(standin.Behavior{Refuse: true, RefuseLate: 30 * time.Millisecond, Pause: pause})
+	}
+	for i, path := range []string{"/quote/x", "/find/x"} {
+		start := time.Now()
+		a := f.ask(origin, "GET", path, fmt.Sprint("told-", i), "", wait)
+		f.Check(a.status, qt.Equals, http.StatusGatewayTimeout)
+		f.Check(time.Since(start) < wait+100*time.Millisecond, qt.IsTrue, qt.Commentf("answered after %v", time.Since(start)))
+	}
+	noticed := func() int { return strings.Count(f.logs.String(), `"msg":"notice of a backend server","vm":"vm1"`) }
+	f.eventually(time.Second, "the origin knows", func() bool { return noticed() == len(f.backends) })
+	refused := map[string]int{}
+	for id, b := range f.backends {
+		refused[id] = len(b.Refusals())
+	}
+	for i := range 10 {
+		for _, path := range []string{"/quote/x", "/find/x"} {
+			f.Check(f.ask(origin, "GET", path, fmt.Sprint("later", path, i), "", wait).status, qt.Equals, http.StatusServiceUnavailable)
+		}
+	}
+	for id, b := range f.backends {
+		f.Check(b.Refusals(), qt.HasLen, refused[id])
+	}
+}
+
 // Guards against notices that only the relay knows: it and the origin then leave out
 // the server.
 func TestNoticesThroughRelay(t *testing.T) {
--- a/relay/client.go
+++ b/relay/client.go
@@ -60,6 +60,9 @@
 type Client struct {
 	// Panics recovers from panics in groups and warm-ups; nil lets them propagate.
 	Panics *contain.Panics
+	// ReplyGrace is how long after the deadline of a group its parts are still read (see
+	// upstream.Config). It must not be changed after the first Send.
+	ReplyGrace time.Duration
 
 	self   string            // id of this VM
 	zones  map[string]string // availability zone to its region
@@ -273,7 +276,7 @@
 // one result, alone or in the Batch of another. The channel must have buffer space
 // for the results.
 func (c *Client) Send(target Target, g *Group, results chan<- upstream.Result) upstream.Attempt {
-	ctx, cancel := context.WithDeadline(context.Background(), g.Deadline)
+	ctx, cancel := context.WithDeadline(context.Background(), g.Deadline.Add(c.ReplyGrace))
 	a := &call{cancel: cancel}
 	go func() {
 		defer cancel()
@@ -309,7 +312,7 @@
 		if ctx.Err() != nil {
 			status = backend.Cancelled
 		}
-		if !errors.Is(ctx.Err(), context.Canceled) {
+		if !errors.Is(ctx.Err(), context.Canceled) || time.Now().After(g.Deadline) {
 			c.markFailed(vm.ID)
 		}
 	}
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -45,6 +45,9 @@
 	// Queue, if above 0, makes the server run Slots requests at once. As many as
 	// Queue wait, and more are refused.
 	Queue int
+	// RefuseLate, with Refuse, is how long after the deadline that a request names it is
+	// refused, as one whose time has passed in the queue; 0 refuses at once.
+	RefuseLate time.Duration
 	// Pause, with Refuse, asks for no more requests for so long.
 	Pause time.Duration
 	// Leaving announces in each reply that the server leaves.
@@ -193,6 +196,14 @@
 	if behavior.Refuse || behavior.Queue > 0 && b.accepted >= cap(b.slots)+behavior.Queue {
 		b.refusals = append(b.refusals, Refusal{id, time.Now(), behavior.Pause})
 		b.mu.Unlock()
+		if behavior.RefuseLate > 0 {
+			remainingMS, _ := strconv.ParseInt(r.Header.Get("X-Deadline-Ms"), 10, 64)
+			select {
+			case <-time.After(time.Duration(remainingMS)*time.Millisecond + behavior.RefuseLate):
+			case <-r.Context().Done():
+				return
+			}
+		}
 		if behavior.Pause > 0 {
 			h.Set("Retry-After", strconv.FormatFloat(behavior.Pause.Seconds(), 'f', -1, 64))
 		}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -54,6 +54,10 @@
 	// NoticeRetention is how long the notices of a server that Update no longer
 	// names are kept, in case that it is named again.
 	NoticeRetention time.Duration
+	// ReplyGrace is how long after the deadline of an attempt its reply is still read. A
+	// server that ends a request at its deadline answers then, and may say that it leaves or
+	// wants a pause. Abandon shortens it.
+	ReplyGrace time.Duration
 	// UsableUntil returns until when a server may get requests according to its record,
 	// the zero time if there is no limit. ok is false if it may get none. nil means that
 	// there is never a limit.
@@ -305,7 +309,7 @@
 		// server is down.
 		return nil, &UnsentError{Backend: b.ID, Err: err, Unreachable: DialFailed(err) && acquireCtx.Err() == nil}
 	}
-	if !call.attach(conn, deadline) {
+	if !call.attach(conn, deadline.Add(c.cfg.ReplyGrace)) {
 		held.put()
 		return nil, &UnsentError{Backend: b.ID, Err: ErrAbandoned}
 	}
