--- a/cli/entrycli/entrycli.go
+++ b/cli/entrycli/entrycli.go
@@ -76,7 +76,9 @@
 	logger := telemetry.NewLogger(logWriter, level, telemetry.FieldVM, set.VMID)
 	ctx, stop := process.UntilSignal(ctx, logger)
 	defer stop()
-	d := entry.New(set.Entry(cmd.Int("admin-port")), platform.New(set), logger)
+	adapter := platform.New(set)
+	adapter.LogTo(logger)
+	d := entry.New(set.Entry(cmd.Int("admin-port")), adapter, logger)
 	r := &reloader{path: path, adminPort: cmd.Int("admin-port"), daemon: d, logger: logger, lastData: data}
 	defer r.start(hangup.Signals())()
 	d.Metrics().NewGauge("briarstand_entry_log_lines_dropped_total", func() float64 { return float64(logWriter.Dropped()) })
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -22,6 +22,8 @@
 	// StartedMS is the Unix time of the server's start in milliseconds, which
 	// distinguishes two incarnations with the same id.
 	StartedMS int64
+	// Revision is the store revision of the record.
+	Revision int64
 }
 
 // incarnation identifies one process at one address.
@@ -67,6 +69,10 @@
 	status      Status
 	since       time.Time // when this VM learned of the status
 	usableUntil time.Time // when a server that is not ready stops getting requests
+	// doubted is the revision of a record from an older copy of the store, on whose word
+	// the server is not used until doubtedUntil; 0 if there is none.
+	doubted      int64
+	doubtedUntil time.Time
 }
 
 // Standing is the status of one incarnation of a server and what it allows.
@@ -122,6 +128,9 @@
 	// Retention is how long a removed server is remembered. If it is listed again
 	// meanwhile, it is the same incarnation, with the same *config.Backend.
 	Retention time.Duration
+	// SilencePeriod is the time after which the store removes the record of a server that
+	// does not write to it, until VMs have learned of it.
+	SilencePeriod time.Duration
 }
 
 // Registry tracks the backend servers. Replicas, Services and Standing take no lock.
@@ -189,6 +198,19 @@
 
 // Update applies the listed servers, keyed by id, and returns the changes.
 func (r *Registry) Update(listed map[string]Server, now time.Time, until Until) []Change {
+	return r.update(listed, now, until, false)
+}
+
+// UpdateFromCopy is like Update for records of an older copy of the store. The copy has no
+// news of its writers: a server that was known to leave, or was not listed before, had left
+// when the store held more than the copy. It is not used on the word of that record until
+// it has written another one, or until the record has outlived Config.SilencePeriod: the
+// store removes that of a server that is gone.
+func (r *Registry) UpdateFromCopy(listed map[string]Server, now time.Time, until Until) []Change {
+	return r.update(listed, now, until, true)
+}
+
+func (r *Registry) update(listed map[string]Server, now time.Time, until Until, fromCopy bool) []Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var changes []Change
@@ -205,7 +227,7 @@
 				r.removed[old.server.incarnation()] = removedServer{old, now}
 			}
 		}
-		next := r.nextState(before, s, now, until.Leaving)
+		next := r.nextState(before, s, now, until.Leaving, fromCopy)
 		if old == nil || old.status != next.status || old.backend != next.backend {
 			c := Change{Server: s, To: next.status, Until: next.usableUntil}
 			if old != nil {
@@ -231,9 +253,14 @@
 
 // nextState returns the new state of a listed server; old is nil for an incarnation that
 // was unknown.
-func (r *Registry) nextState(old *serverState, s Server, now, leavingUntil time.Time) *serverState {
+func (r *Registry) nextState(old *serverState, s Server, now, leavingUntil time.Time, fromCopy bool) *serverState {
 	st := &serverState{server: s, status: Ready, since: now}
 	known := old != nil && old.server.incarnation() == s.incarnation()
+	if !s.Draining {
+		if doubted := r.doubt(old, known, s, now, fromCopy); doubted != nil {
+			return doubted
+		}
+	}
 	if s.Draining {
 		// A server that was never seen ready has been draining for an unknown
 		// time and gets no requests.
@@ -256,6 +283,29 @@
 	return st
 }
 
+// doubt returns the state of a server whose record says that it is ready, if it is not to
+// be used on that word; else nil.
+func (r *Registry) doubt(old *serverState, known bool, s Server, now time.Time, fromCopy bool) *serverState {
+	if known && old.status == Ready {
+		return nil
+	}
+	if fromCopy {
+		st := &serverState{status: Expired, since: now, usableUntil: now}
+		if known {
+			*st = *old
+		} else {
+			b := s.Backend
+			st.backend = &b
+		}
+		st.server, st.doubted, st.doubtedUntil = s, s.Revision, now.Add(r.cfg.SilencePeriod)
+		return st
+	}
+	if known && old.doubted != 0 && old.doubted == s.Revision && now.Before(old.doubtedUntil) {
+		return old
+	}
+	return nil
+}
+
 // markMissing updates the state of a server that is not listed. A ready server
 // becomes expired; a leaving or expired one is removed after its usableUntil.
 // It returns false if nothing changed.
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -165,3 +165,46 @@
 	update(server("a", false, 2), 3*time.Second)
 	qt.Check(t, r.Replicas("s").Ready[0] == first, qt.IsFalse)
 }
+
+// Guards against the use of servers on the word of an older copy of the store, which has
+// no news of them: one had said that it leaves, one was gone, one was not known. Each is
+// used again once it writes its record, or when the store would have removed it.
+func TestCopyIsNoNews(t *testing.T) {
+	c := qt.New(t)
+	const silence = 4 * time.Second
+	r := NewRegistry(Config{Retention: time.Minute, SilencePeriod: silence})
+	record := func(id string, draining bool, revision int64) Server {
+		s := server(id, draining, 1)
+		s.Revision = revision
+		return s
+	}
+	list := func(servers ...Server) map[string]Server {
+		listed := map[string]Server{}
+		for _, s := range servers {
+			listed[s.ID] = s
+		}
+		return listed
+	}
+	ready := func() (ids []string) {
+		for _, b := range r.Replicas("s").Ready {
+			ids = append(ids, b.ID)
+		}
+		return ids
+	}
+	until := Until{Leaving: start, Expired: start}
+	r.Update(list(record("leaves", false, 1), record("gone", false, 2), record("stays", false, 3)), start, until)
+	r.Update(list(record("leaves", true, 5), record("stays", false, 3)), start, until)
+	copied := list(record("leaves", false, 1), record("gone", false, 2), record("stays", false, 3), record("unknown", false, 4))
+	r.UpdateFromCopy(copied, start, until)
+	c.Assert(ready(), qt.DeepEquals, []string{"stays"})
+	r.Update(copied, start.Add(silence/2), until)
+	c.Assert(ready(), qt.DeepEquals, []string{"stays"})
+	c.Assert(r.Replicas("s").Usable(start.Add(silence/2)), qt.HasLen, 1)
+	copied["unknown"] = record("unknown", false, 6) // written again
+	r.Update(copied, start.Add(silence/2), until)
+	c.Assert(ready(), qt.DeepEquals, []string{"stays", "unknown"})
+	copied["leaves"] = record("leaves", true, 7)
+	delete(copied, "gone")
+	r.Update(copied, start.Add(2*silence), until)
+	c.Assert(ready(), qt.DeepEquals, []string{"stays", "unknown"})
+}
--- a/entry/bounds.go
+++ b/entry/bounds.go
@@ -31,6 +31,16 @@
 	}
 }
 
+// silentHeartbeats is the number of heartbeats without which the store removes the record
+// of a backend server.
+const silentHeartbeats = 3
+
+// silencePeriod returns the time after which the record of a backend server that is gone is
+// removed, and VMs have learned of it.
+func silencePeriod(set *Settings) time.Duration {
+	return silentHeartbeats*set.HeartbeatInterval + maxRecordsAge(set)
+}
+
 // leavingPeriod returns how long a server that says in an answer that it leaves may get
 // requests while its service has no other. It counts from the answer.
 func leavingPeriod(set *Settings) time.Duration { return set.DrainBound / 2 }
--- a/entry/bounds_test.go
+++ b/entry/bounds_test.go
@@ -67,8 +67,8 @@
 	if err := s.pass(ctx); err != nil {
 		return mirror.Changes{}, err
 	}
-	s.content.Wait(ctx, after, wait)
-	c, _ := s.content.Since(after)
+	s.content.Wait(ctx, mirror.Position{Revision: after}, wait)
+	c, _ := s.content.Since(mirror.Position{Revision: after})
 	return c, s.pass(ctx)
 }
 
@@ -80,7 +80,7 @@
 
 func (s *chainSource) Available() bool { return true }
 
-func (s *chainSource) Follow(ctx context.Context, after int64, wait time.Duration) (u mirror.Update, ok bool, err error) {
+func (s *chainSource) Follow(ctx context.Context, after mirror.Position, wait time.Duration) (u mirror.Update, ok bool, err error) {
 	if err := s.link.pass(ctx); err != nil {
 		return u, false, err
 	}
@@ -138,7 +138,7 @@
 // put makes a change, which the store acknowledges at once.
 func (c *chain) put() {
 	c.revision++
-	c.content.Apply(mirror.Changes{Changes: []mirror.Change{{Record: mirror.Record{Key: "k", Revision: c.revision}}}, Revision: c.revision})
+	_, _ = c.content.Apply(mirror.Changes{Changes: []mirror.Change{{Record: mirror.Record{Key: "k", Revision: c.revision}}}, Revision: c.revision})
 }
 
 // position says when a link is cut. phase shifts the first of two changes against the
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -118,6 +118,7 @@
 	requestLogLimiter *rate.Limiter // for log lines of ordinary requests
 	metrics           *metrics.Set
 	sendWait          *metrics.Histogram // see recordSent
+	registration      atomic.Pointer[registration]
 	// replyMemory and requestMemory limit the bytes that are held at once.
 	replyMemory, requestMemory *limit.Memory
 	panics                     *contain.Panics
@@ -150,7 +151,7 @@
 	d.panics = contain.New(logger, d.metrics.NewCounter("briarstand_entry_panics_total"))
 	d.backgroundCtx, d.cancelBackground = context.WithCancel(context.Background())
 	d.bounds.Store(&set.Bounds)
-	d.state = newState(p, set.VMID, logger, d.panics, useWindow(&set))
+	d.state = newState(p, &set, logger, d.panics)
 	policy := forward.DefaultPolicy()
 	d.client = upstream.NewClient(upstream.Config{
 		ReplyGrace: policy.AbandonGrace,
@@ -190,6 +191,7 @@
 	follower := mirror.NewFollower(cfg)
 	d.state.follower.Store(follower)
 	reg := newRegistration(d.platform, d.logger, d.selfMember(), d.settings.MinLease, follower.StoreAnswered, follower.StoreFailed)
+	d.registration.Store(reg)
 	d.background.Go(func() { follower.Run(d.backgroundCtx) })
 	d.background.Go(func() { d.panics.Loop(d.backgroundCtx, "registration", reg.run) })
 	d.background.Go(func() { d.panics.Loop(d.backgroundCtx, "sweep", d.sweep) })
@@ -353,7 +355,11 @@
 // refresh applies a change of the mirror. currentAt is the last moment at which the
 // records before it were known to be current.
 func (d *Daemon) refresh(currentAt time.Time) {
-	d.state.refresh(time.Now(), currentAt)
+	if d.state.refresh(time.Now(), currentAt) {
+		if reg := d.registration.Load(); reg != nil {
+			reg.renewAll()
+		}
+	}
 	d.apply()
 }
 
--- a/entry/drain_model_test.go
+++ b/entry/drain_model_test.go
@@ -9,6 +9,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -54,6 +55,8 @@
 	started  int
 	uses     map[string]use // the latest before each wall-clock second, by VM, server and second
 	bounds   modelBounds
+	known    map[knowledge]bool    // guarded by store.mu
+	eras     bool                  // the store may come back from an older copy
 	lates    map[string]lateConfig // the latest of each VM and version that touched the rule
 	reverted []string              // VMs that went back to an older configuration
 	ctx      context.Context
@@ -79,7 +82,7 @@
 
 func newDrainModel(seed uint64, bounds modelBounds) *drainModel {
 	m := &drainModel{
-		bounds: bounds, lates: map[string]lateConfig{},
+		bounds: bounds, known: map[knowledge]bool{}, lates: map[string]lateConfig{},
 		rng: &lockedRand{rng: rand.New(rand.NewPCG(seed, 0))}, store: newModelStore(bounds.stability), vms: map[string]*modelVM{}, services: []string{"a", "b", "c"},
 		leases: map[string]kvstore.LeaseID{}, uses: map[string]use{},
 	}
@@ -251,6 +254,11 @@
 		if !strings.HasPrefix(incarnation, b.ID+"/") || at.Sub(leftAt) < m.bounds.drain/2 {
 			continue
 		}
+		if _, lost := m.store.lost[incarnation]; lost && !m.knew(v, incarnation) {
+			if leftAt = m.store.lost[incarnation]; leftAt.IsZero() || at.Sub(leftAt) < m.bounds.drain/2 {
+				continue
+			}
+		}
 		key := fmt.Sprintf("%s %s %d", v.id, incarnation, at.Sub(leftAt)/(100*time.Millisecond))
 		m.mu.Lock()
 		m.uses[key] = use{v, incarnation, m.store.said[incarnation], leftAt, at}
@@ -271,6 +279,40 @@
 	m.lates[fmt.Sprint(v.id, " ", inForce)] = lateConfig{v, inForce, next.version, next.ackedAt, at}
 }
 
+// recordKnowledge records which VMs knew what the store has lost: that a server leaves or
+// is gone. The others can only learn it when it is written again.
+func (m *drainModel) recordKnowledge() {
+	m.store.mu.Lock()
+	defer m.store.mu.Unlock()
+	for _, v := range m.vms {
+		s, _ := v.running()
+		if s == nil || !s.synced.Load() {
+			continue
+		}
+		for incarnation := range m.store.lost {
+			id, _, _ := strings.Cut(incarnation, "/")
+			ready := false
+			for _, replicas := range s.registry.Services() {
+				ready = ready || slices.ContainsFunc(replicas.Ready, func(b *config.Backend) bool { return b.ID == id })
+			}
+			if !ready {
+				m.known[knowledge{s, incarnation}] = true
+			}
+		}
+	}
+}
+
+// knowledge is that of a process of a VM about a server.
+type knowledge struct {
+	process     *state
+	incarnation string
+}
+
+func (m *drainModel) knew(v *modelVM, incarnation string) bool {
+	s, _ := v.running()
+	return m.known[knowledge{s, incarnation}]
+}
+
 // between returns a random duration.
 func (m *drainModel) between(low, high time.Duration) time.Duration {
 	return low + time.Duration(m.rng.Int64N(int64(high-low)))
@@ -328,6 +370,38 @@
 	time.Sleep(period)
 }
 
+// loseWrites lets the store be away and come back from the copy of a moment before.
+func (m *drainModel) loseWrites(c modelCopy) {
+	period := m.between(100*time.Millisecond, 2*time.Second)
+	rewritten := min(modelBeat, m.bounds.stability/2)
+	m.store.mu.Lock()
+	m.store.outages = append(m.store.outages, span{time.Now(), time.Now().Add(period)})
+	m.store.mu.Unlock()
+	m.store.down.impair(linkResets, 0, period)
+	time.Sleep(period - time.Millisecond)
+	m.store.comeBack(c)
+	m.recordKnowledge()
+	// Writers write theirs again: servers that have said that they leave, and the operator.
+	// The others do so with their heartbeats.
+	time.Sleep(m.between(2*time.Millisecond, rewritten))
+	m.store.mu.Lock()
+	defer m.store.mu.Unlock()
+	for _, key := range slices.Sorted(maps.Keys(m.store.servers)) {
+		e := m.store.servers[key]
+		if m.store.said[e.incarnation()] && !e.Draining {
+			e.Draining = true
+			value, err := json.Marshal(e)
+			if err != nil {
+				panic(err)
+			}
+			m.store.put(key, value)
+		}
+	}
+	if n := len(m.store.configs); n > 0 {
+		m.store.put(modelConfigKey, strconv.AppendInt(nil, m.store.configs[n-1].version, 10))
+	}
+}
+
 // change writes configurations, and records that concern nobody, in series.
 func (m *drainModel) change() {
 	for range 1 + m.rng.IntN(4) {
@@ -363,6 +437,7 @@
 			m.store.compacted = m.store.revision
 			m.store.mu.Unlock()
 		}
+		older := m.store.copy()
 		service := m.services[m.rng.IntN(len(m.services))]
 		says := m.rng.Float64()
 		var faults sync.WaitGroup
@@ -389,6 +464,9 @@
 			m.addServers(service)
 		}
 		faults.Wait()
+		if m.eras && m.rng.IntN(2) == 0 {
+			m.loseWrites(older)
+		}
 		time.Sleep(2*max(m.bounds.drain, m.bounds.config) + m.between(0, time.Second))
 		m.addServers(service)
 		time.Sleep(time.Second)
@@ -404,10 +482,11 @@
 }
 
 // playModel plays the model with a seed.
-func playModel(t *testing.T, seed uint64, bounds modelBounds) (narrowest margins) {
+func playModel(t *testing.T, seed uint64, bounds modelBounds, eras bool) (narrowest margins) {
 	narrowest.drain = map[bool]use{}
 	synctest.Test(t, func(t *testing.T) {
 		m := newDrainModel(seed, bounds)
+		m.eras = eras
 		m.play()
 		m.stop()
 		for _, u := range m.uses {
@@ -436,16 +515,16 @@
 )
 
 // checkModel plays the model with all seeds and checks the rules on each play.
-func checkModel(t *testing.T, bounds func(seed uint64) modelBounds) {
+func checkModel(t *testing.T, eras bool, bounds func(seed uint64) modelBounds) {
 	drain := map[bool]time.Duration{true: time.Hour, false: time.Hour}
 	config := time.Hour
 	for seed := *drainFirstSeed; seed < *drainFirstSeed+*drainSeeds; seed++ {
 		b := bounds(seed)
-		play := playModel(t, seed, b)
+		play := playModel(t, seed, b, eras)
 		for said, u := range play.drain {
 			drain[said] = min(drain[said], u.margin())
-			qt.Check(t, u.margin() >= 0, qt.IsTrue, qt.Commentf("seed %d, %+v: a request from %s reaches %s %v after the acknowledgement at %v; the server said that it leaves: %t",
-				seed, b, u.vm.id, u.incarnation, u.at.Sub(u.leftAt), u.leftAt, u.said))
+			qt.Check(t, u.margin() >= 0, qt.IsTrue, qt.Commentf("seed %d, %+v: a request from %s reaches %s %v after the acknowledgement at %v; the server said that it leaves: %t; restarts %v, outages %v",
+				seed, b, u.vm.id, u.incarnation, u.at.Sub(u.leftAt), u.leftAt, u.said, after(u.vm.restarts, u.leftAt), after(u.vm.model.store.outages, u.leftAt)))
 		}
 		if l := play.config; l != nil {
 			config = min(config, l.margin())
@@ -460,13 +539,19 @@
 // Guards against requests that reach a leaving server later than the drain bound after
 // the store acknowledged it, whatever links and VMs fail meanwhile (incident of 2026-12-05).
 func TestDrainBoundHoldsUnderRandomFaults(t *testing.T) {
-	checkModel(t, func(uint64) modelBounds { return deployedBounds })
+	checkModel(t, false, func(uint64) modelBounds { return deployedBounds })
+}
+
+// Guards against VMs that follow a store which has come back from an older copy as if
+// nothing had happened: they miss what is written then, or use servers on the copy's word.
+func TestBoundsHoldWhenStoreLosesWrites(t *testing.T) {
+	checkModel(t, true, func(uint64) modelBounds { return deployedBounds })
 }
 
 // Guards against a period that serves one bound and is derived from another: with bounds up
 // to ten to one apart, configurations were late where the drain bound is long (review/8).
 func TestUnequalBoundsHoldUnderRandomFaults(t *testing.T) {
-	checkModel(t, func(seed uint64) modelBounds {
+	checkModel(t, false, func(seed uint64) modelBounds {
 		rng := rand.New(rand.NewPCG(seed, 1))
 		draw := func() time.Duration {
 			return time.Duration(float64(time.Second) * math.Pow(10, rng.Float64())).Round(time.Millisecond)
@@ -517,3 +602,11 @@
 		}
 	}
 }
+
+// after returns when spans end, relative to a moment.
+func after(spans []span, moment time.Time) (ends []time.Duration) {
+	for _, s := range spans {
+		ends = append(ends, s.to.Sub(moment))
+	}
+	return ends
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -44,6 +44,8 @@
 	// StabilityPeriod is how long the store must have been without an outage before
 	// DrainBound applies again, and a VM without a fault before it counts as in touch.
 	StabilityPeriod time.Duration
+	// HeartbeatInterval is the time between the writes of backend servers to their records.
+	HeartbeatInterval time.Duration
 	// MinLease is the shortest lease that the store grants.
 	MinLease time.Duration
 	Bounds
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -24,6 +24,8 @@
 		return 0
 	})
 	set.NewGauge("briarstand_entry_store_revision", func() float64 { return float64(d.state.mirror.Revision()) })
+	set.NewGauge("briarstand_entry_store_era", func() float64 { return float64(d.state.mirror.Position().Era) })
+	set.NewGauge("briarstand_entry_store_era_changes_total", func() float64 { return float64(d.state.eraChanges.Load()) })
 	set.NewGauge("briarstand_entry_records_age_seconds", func() float64 { return d.state.age(time.Now()).Seconds() })
 	set.NewGauge("briarstand_entry_store_lost", func() float64 {
 		f := d.state.follower.Load()
--- a/entry/modelstore_test.go
+++ b/entry/modelstore_test.go
@@ -167,6 +167,7 @@
 	mu        sync.Mutex
 	stability time.Duration
 	content   *mirror.Mirror
+	era       int64
 	revision  int64
 	compacted int64
 	leases    map[kvstore.LeaseID]*modelLease
@@ -177,7 +178,10 @@
 	leftAt    map[string]time.Time  // when the store acknowledged that a server leaves or is gone, by incarnation
 	said      map[string]bool       // whether it said so, by incarnation
 	servers   map[string]modelEntry // by key
-	configs   []modelConfig         // in the order of their versions
+	// lost holds, by incarnation, when the store acknowledged once more that a server leaves
+	// or is gone, after it had lost that; the zero time until it has, while it was stable.
+	lost    map[string]time.Time
+	configs []modelConfig // in the order of their versions
 }
 
 // modelConfig is a configuration that the store has acknowledged.
@@ -188,6 +192,50 @@
 
 const modelConfigKey = "config"
 
+// modelCopy is what the store held at a moment.
+type modelCopy struct {
+	listing             mirror.Listing
+	servers             map[string]modelEntry
+	leases              map[kvstore.LeaseID]modelLease
+	revision, compacted int64
+	nextLease           int
+	at                  time.Time
+}
+
+// copy returns what the store holds.
+func (s *modelStore) copy() modelCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := modelCopy{listing: s.content.Listing(), servers: maps.Clone(s.servers), leases: map[kvstore.LeaseID]modelLease{}, revision: s.revision, compacted: s.compacted, nextLease: s.nextLease, at: time.Now()}
+	for id, l := range s.leases {
+		c.leases[id] = *l
+	}
+	return c
+}
+
+// comeBack makes the store come back from a copy: what was written since is gone, and
+// revisions and leases are given out again.
+func (s *modelStore) comeBack(c modelCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	for incarnation, at := range s.leftAt {
+		if at.After(c.at) {
+			s.lost[incarnation] = time.Time{}
+		}
+	}
+	s.content = mirror.New()
+	if _, err := s.content.Replace(c.listing); err != nil {
+		panic(err) // cannot happen: the mirror is empty
+	}
+	s.servers, s.revision, s.compacted, s.nextLease = maps.Clone(c.servers), c.revision, c.revision, c.nextLease
+	s.leases = map[kvstore.LeaseID]*modelLease{}
+	for id, l := range c.leases {
+		l.expires = time.Now().Add(l.ttl)
+		s.leases[id] = &l
+	}
+}
+
 // configure writes the next configuration. mu must be held.
 func (s *modelStore) configure() {
 	version := int64(len(s.configs) + 1)
@@ -208,7 +256,7 @@
 	return &modelStore{
 		stability: stability,
 		content:   mirror.New(), leases: map[kvstore.LeaseID]*modelLease{}, down: &modelLink{},
-		leftAt: map[string]time.Time{}, said: map[string]bool{}, servers: map[string]modelEntry{},
+		leftAt: map[string]time.Time{}, lost: map[string]time.Time{}, said: map[string]bool{}, servers: map[string]modelEntry{},
 	}
 }
 
@@ -217,7 +265,7 @@
 // put writes or, with a nil value, removes a key. mu must be held.
 func (s *modelStore) put(key string, value []byte) {
 	s.revision++
-	s.content.Apply(mirror.Changes{Changes: []mirror.Change{{Record: mirror.Record{Key: key, Value: value, Revision: s.revision}, Deleted: value == nil}}, Revision: s.revision})
+	_, _ = s.content.Apply(mirror.Changes{Changes: []mirror.Change{{Record: mirror.Record{Key: key, Value: value, Revision: s.revision}, Deleted: value == nil}}, Revision: s.revision})
 	old, known := s.servers[key]
 	if !strings.HasPrefix(key, "servers/") {
 		return
@@ -232,6 +280,11 @@
 		s.servers[key] = next
 	}
 	now := time.Now()
+	for _, e := range []modelEntry{old, next} {
+		if at, lost := s.lost[e.incarnation()]; lost && at.IsZero() && (value == nil || e.Draining) && s.stable(now) {
+			s.lost[e.incarnation()] = now
+		}
+	}
 	if known && (value == nil || next.incarnation() != old.incarnation()) && s.stable(now) {
 		if _, said := s.leftAt[old.incarnation()]; !said {
 			s.leftAt[old.incarnation()] = now
@@ -321,7 +374,10 @@
 
 func (p *modelPlatform) List(ctx context.Context) (l mirror.Listing, err error) {
 	err = p.call(ctx, func(context.Context) error {
+		p.store.mu.Lock()
+		defer p.store.mu.Unlock()
 		l = p.store.content.Listing()
+		l.Era = p.store.era
 		return nil
 	})
 	return l, err
@@ -329,13 +385,20 @@
 
 func (p *modelPlatform) Watch(ctx context.Context, after int64, wait time.Duration) (c mirror.Changes, err error) {
 	err = p.call(ctx, func(ctx context.Context) error {
-		p.store.content.Wait(ctx, after, wait)
+		p.store.mu.Lock()
+		content := p.store.content
+		p.store.mu.Unlock()
+		content.Wait(ctx, mirror.Position{Revision: after}, wait)
 		p.store.mu.Lock()
 		defer p.store.mu.Unlock()
+		if content != p.store.content {
+			return errModelLink // cut, since the store has come back from a copy
+		}
 		var ok bool
-		if c, ok = p.store.content.Since(after); !ok || after < p.store.compacted {
+		if c, ok = p.store.content.Since(mirror.Position{Revision: after}); !ok || after < p.store.compacted || after > p.store.revision {
 			return mirror.ErrCompacted
 		}
+		c.Era = p.store.era
 		return nil
 	})
 	return c, err
@@ -345,17 +408,30 @@
 	err = p.call(ctx, func(context.Context) error {
 		p.store.mu.Lock()
 		defer p.store.mu.Unlock()
-		id = p.store.grant(ttl)
+		id = eraLease(p.store.era, p.store.grant(ttl))
 		return nil
 	})
 	return id, err
 }
 
+// eraLease names a lease with its era, as the platform's adapter does.
+func eraLease(era int64, id kvstore.LeaseID) kvstore.LeaseID {
+	return kvstore.LeaseID(fmt.Sprintf("%d/%s", era, id))
+}
+
+// lease returns the lease with an id unless it has ended or is of another era. mu must be
+// held.
+func (s *modelStore) lease(id kvstore.LeaseID) (*modelLease, bool) {
+	era, number, _ := strings.Cut(string(id), "/")
+	l, ok := s.leases[kvstore.LeaseID(number)]
+	return l, ok && era == strconv.FormatInt(s.era, 10)
+}
+
 func (p *modelPlatform) RenewLease(ctx context.Context, id kvstore.LeaseID) error {
 	return p.call(ctx, func(context.Context) error {
 		p.store.mu.Lock()
 		defer p.store.mu.Unlock()
-		l, ok := p.store.leases[id]
+		l, ok := p.store.lease(id)
 		if !ok {
 			return kvstore.ErrLeaseExpired
 		}
@@ -368,10 +444,11 @@
 	return p.call(ctx, func(context.Context) error {
 		p.store.mu.Lock()
 		defer p.store.mu.Unlock()
-		if _, ok := p.store.leases[id]; !ok {
+		if _, ok := p.store.lease(id); !ok {
 			return kvstore.ErrLeaseExpired
 		}
-		p.store.end(id)
+		_, number, _ := strings.Cut(string(id), "/")
+		p.store.end(kvstore.LeaseID(number))
 		return nil
 	})
 }
@@ -380,7 +457,7 @@
 	return p.call(ctx, func(context.Context) error {
 		p.store.mu.Lock()
 		defer p.store.mu.Unlock()
-		l, ok := p.store.leases[id]
+		l, ok := p.store.lease(id)
 		if !ok {
 			return kvstore.ErrLeaseExpired
 		}
--- a/entry/modelvm_test.go
+++ b/entry/modelvm_test.go
@@ -40,16 +40,21 @@
 	platform := &modelPlatform{store: v.model.store, link: v.toStore}
 	logger := log.New(io.Discard)
 	bounds := v.model.bounds
-	set := Settings{VMID: v.id, Zone: v.zone, DrainBound: bounds.drain, ConfigBound: bounds.config, StabilityPeriod: bounds.stability}
-	s := newState(platform, v.id, logger, nil, useWindow(&set))
+	set := Settings{VMID: v.id, Zone: v.zone, DrainBound: bounds.drain, ConfigBound: bounds.config, StabilityPeriod: bounds.stability, HeartbeatInterval: modelBeat}
+	s := newState(platform, &set, logger, nil)
 	peers := &modelPeers{vm: v, state: s}
 	cfg := followerConfig(&set)
 	cfg.Mirror, cfg.Store, cfg.Logger, cfg.Peers, cfg.Source = s.mirror, platform, logger, peers, peers
-	cfg.Changed = func(currentAt time.Time) { s.refresh(time.Now(), currentAt) }
+	var reg *registration
+	cfg.Changed = func(currentAt time.Time) {
+		if s.refresh(time.Now(), currentAt) {
+			reg.renewAll()
+		}
+	}
 	follower := mirror.NewFollower(cfg)
 	s.follower.Store(follower)
 	self := membership.Member{ID: v.id, Zone: v.zone, PeerAddress: v.id, Cores: 1, State: membership.Alive, Incarnation: time.Now().UnixNano()}
-	reg := newRegistration(platform, logger, self, 0, follower.StoreAnswered, follower.StoreFailed)
+	reg = newRegistration(platform, logger, self, 0, follower.StoreAnswered, follower.StoreFailed)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { follower.Run(ctx) })
@@ -116,7 +121,7 @@
 	return ok
 }
 
-func (p *modelPeers) Follow(ctx context.Context, after int64, wait time.Duration) (u mirror.Update, ok bool, err error) {
+func (p *modelPeers) Follow(ctx context.Context, after mirror.Position, wait time.Duration) (u mirror.Update, ok bool, err error) {
 	source, found := p.state.fleet.Load().source(p.vm.id, p.vm.zone)
 	if !found {
 		return u, false, nil
@@ -128,7 +133,7 @@
 	return u, ok && err == nil, err
 }
 
-func (p *modelPeers) Fetch(ctx context.Context, after int64) (l mirror.Listing, ok bool, err error) {
+func (p *modelPeers) Fetch(ctx context.Context, after mirror.Position) (l mirror.Listing, ok bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	ids := slices.Sorted(maps.Keys(p.vm.model.vms))
@@ -137,7 +142,7 @@
 		return l, false, &NoPeerError{}
 	}
 	err = p.call(ctx, other, func(s *state, _ *mirror.Follower) error {
-		if l = s.mirror.Listing(); l.Revision > after {
+		if l = s.mirror.Listing(); after.Before(l.Position()) {
 			ok = true
 		}
 		return nil
--- a/entry/outage.go
+++ b/entry/outage.go
@@ -27,6 +27,18 @@
 	return selfLost
 }
 
+// awayBefore returns the last moment at which the store is known to have been away for all
+// VMs before it came back from a copy: the last failed call of this VM or, if none failed
+// since, after, a moment at which it held the records before.
+func (s *state) awayBefore(after time.Time) time.Time {
+	if f := s.follower.Load(); f != nil {
+		if failed, ok := f.LastFailure(); ok && failed.After(after) {
+			return failed
+		}
+	}
+	return after
+}
+
 // awayAt returns the last moment at which the store is known to have been away for all VMs
 // while it made the changes between two states of the records; the zero time if it may not
 // have been. after is a moment after which it made them.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/url"
 	"slices"
 	"strconv"
 	"time"
@@ -21,8 +22,8 @@
 
 const (
 	recordsPath = "/records"
-	// revisionPath serves the revision of a VM's records as a JSON number.
-	revisionPath = "/revision"
+	// positionPath serves the position of a VM's records as a JSON object.
+	positionPath = "/position"
 	changesPath  = "/changes"
 	// peerTimeout limits a read from another VM: a few round trips between
 	// regions and the transfer.
@@ -59,7 +60,7 @@
 // this VM has no records yet, it asks several VMs and takes the newest listing,
 // because a VM that was paused or partitioned may still have an old
 // configuration and list servers that have left.
-func (p *peerClient) Fetch(ctx context.Context, after int64) (l mirror.Listing, ok bool, err error) {
+func (p *peerClient) Fetch(ctx context.Context, after mirror.Position) (l mirror.Listing, ok bool, err error) {
 	addresses := slices.Clone(p.seeds)
 	for _, m := range p.state.fleet.Load().known {
 		addresses = append(addresses, m.PeerAddress)
@@ -71,24 +72,37 @@
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	if after == 0 {
+	if after.IsZero() {
 		return p.fetchNewest(ctx, addresses[:min(len(addresses), maxStartupPeers)])
 	}
 	ok, err = p.get(ctx, addresses[0], recordsPathAfter(after), &l)
 	return l, ok, err
 }
 
-func recordsPathAfter(revision int64) string {
-	return recordsPath + "?after=" + strconv.FormatInt(revision, 10)
+func recordsPathAfter(after mirror.Position) string {
+	return fmt.Sprintf("%s?%s", recordsPath, encodeAfter(after))
 }
 
-// fetchNewest asks all VMs for their revisions, and the VM with the highest one
+// encodeAfter and decodeAfter convert a position in the query of a path.
+func encodeAfter(after mirror.Position) string {
+	return fmt.Sprintf("after=%d&era=%d", after.Revision, after.Era)
+}
+
+func decodeAfter(query url.Values) (after mirror.Position, err error) {
+	if after.Revision, err = strconv.ParseInt(query.Get("after"), 10, 64); err != nil || query.Get("era") == "" {
+		return after, err // a VM of an older version sends no era
+	}
+	after.Era, err = strconv.ParseInt(query.Get("era"), 10, 64)
+	return after, err
+}
+
+// fetchNewest asks all VMs for their positions, and the VM with the newest one
 // for its records. It fails if all VMs do, or if that VM does not send its
 // records.
 func (p *peerClient) fetchNewest(ctx context.Context, addresses []string) (l mirror.Listing, ok bool, err error) {
 	type result struct {
 		address  string
-		revision int64
+		position mirror.Position
 		err      error
 	}
 	results := make(chan result, len(addresses))
@@ -96,8 +110,8 @@
 		go func() {
 			r := result{address: address}
 			defer func() { results <- r }()
-			defer p.state.panics.Recover("revision of another VM", func(err error) { r.err = err })
-			_, r.err = p.get(ctx, address, revisionPath, &r.revision)
+			defer p.state.panics.Recover("position of another VM", func(err error) { r.err = err })
+			_, r.err = p.get(ctx, address, positionPath, &r.position)
 		}()
 	}
 	var newest result
@@ -106,17 +120,17 @@
 		r := <-results
 		if r.err != nil {
 			errs = append(errs, r.err)
-		} else if r.revision > newest.revision {
+		} else if newest.position.Before(r.position) {
 			newest = r
 		}
 	}
 	if len(errs) == len(addresses) {
 		return l, false, errors.Join(errs...)
 	}
-	if newest.revision == 0 {
+	if newest.position.IsZero() {
 		return l, false, nil
 	}
-	ok, err = p.get(ctx, newest.address, recordsPathAfter(0), &l)
+	ok, err = p.get(ctx, newest.address, recordsPathAfter(mirror.Position{}), &l)
 	return l, ok, err
 }
 
@@ -127,12 +141,12 @@
 }
 
 // Follow implements mirror.Source.
-func (p *peerClient) Follow(ctx context.Context, after int64, wait time.Duration) (u mirror.Update, ok bool, err error) {
+func (p *peerClient) Follow(ctx context.Context, after mirror.Position, wait time.Duration) (u mirror.Update, ok bool, err error) {
 	source, ok := p.state.fleet.Load().source(p.vmID, p.zone)
 	if !ok {
 		return u, false, nil
 	}
-	path := fmt.Sprintf("%s?after=%d&wait_ms=%d", changesPath, after, wait.Milliseconds())
+	path := fmt.Sprintf("%s?%s&wait_ms=%d", changesPath, encodeAfter(after), wait.Milliseconds())
 	ok, err = p.get(ctx, source.PeerAddress, path, &u)
 	return u, ok, err
 }
@@ -167,23 +181,23 @@
 	r.Method(http.MethodPost, relay.Path, relayHandler)
 	r.Get(relay.Path, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	r.Get(recordsPath, func(w http.ResponseWriter, req *http.Request) {
-		after, err := strconv.ParseInt(req.URL.Query().Get("after"), 10, 64)
+		after, err := decodeAfter(req.URL.Query())
 		if err != nil {
-			http.Error(w, "after is not a number", http.StatusBadRequest)
+			http.Error(w, "after or era is not a number", http.StatusBadRequest)
 			return
 		}
-		if s.mirror.Revision() <= after {
+		if !after.Before(s.mirror.Position()) {
 			w.WriteHeader(http.StatusNoContent)
 			return
 		}
 		writeJSON(w, s.mirror.Listing())
 	})
-	r.Get(revisionPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.mirror.Revision()) })
+	r.Get(positionPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.mirror.Position()) })
 	r.Get(changesPath, func(w http.ResponseWriter, req *http.Request) {
-		after, err := strconv.ParseInt(req.URL.Query().Get("after"), 10, 64)
+		after, err := decodeAfter(req.URL.Query())
 		waitMS, waitErr := strconv.ParseInt(req.URL.Query().Get("wait_ms"), 10, 64)
 		if err != nil || waitErr != nil || waitMS < 0 || waitMS > maxFollowWait.Milliseconds() {
-			http.Error(w, "after or wait_ms is not allowed", http.StatusBadRequest)
+			http.Error(w, "after, era or wait_ms is not allowed", http.StatusBadRequest)
 			return
 		}
 		f := s.follower.Load()
--- a/entry/peers_test.go
+++ b/entry/peers_test.go
@@ -12,7 +12,6 @@
 	"github.com/charmbracelet/log"
 	qt "github.com/frankban/quicktest"
 
-	"github.com/briarstand/briarstand/discovery"
 	"github.com/briarstand/briarstand/internal/heaptest"
 	"github.com/briarstand/briarstand/mirror"
 )
@@ -41,7 +40,7 @@
 }
 
 func newTestPeers(seeds ...string) *peerClient {
-	return newPeerClient(newState(nil, "self", log.Default(), nil, discovery.Window{LastUse: time.Second}), &Settings{VMID: "self", PeerSeeds: seeds})
+	return newPeerClient(newState(nil, &Settings{VMID: "self", DrainBound: time.Second}, log.Default(), nil), &Settings{VMID: "self", PeerSeeds: seeds})
 }
 
 // Guards against old records at a VM that starts while the store rejects its
@@ -55,7 +54,7 @@
 	p := newTestPeers(old, fresh, broken)
 	defer p.client.CloseIdleConnections()
 	for range 20 {
-		l, ok, err := p.Fetch(context.Background(), 0)
+		l, ok, err := p.Fetch(context.Background(), mirror.Position{})
 		c.Assert(err, qt.IsNil)
 		c.Assert(ok, qt.IsTrue)
 		c.Assert(l.Revision, qt.Equals, int64(9))
@@ -63,7 +62,7 @@
 	c.Assert(oldListings.Load(), qt.Equals, int64(0), qt.Commentf("a listing crosses regions"))
 	down := newTestPeers(broken)
 	defer down.client.CloseIdleConnections()
-	_, ok, err := down.Fetch(context.Background(), 0)
+	_, ok, err := down.Fetch(context.Background(), mirror.Position{})
 	c.Assert(err, qt.IsNotNil)
 	c.Assert(ok, qt.IsFalse)
 }
@@ -83,7 +82,7 @@
 	defer web.Close()
 	p := newTestPeers(web.Listener.Addr().String())
 	grown := heaptest.Peak(func() {
-		_, ok, err := p.Fetch(context.Background(), 1)
+		_, ok, err := p.Fetch(context.Background(), mirror.Position{Revision: 1})
 		c.Check(err, qt.IsNotNil)
 		c.Check(ok, qt.IsFalse)
 	})
--- a/entry/registration.go
+++ b/entry/registration.go
@@ -40,6 +40,7 @@
 	onSuccess   func()
 	onFailure   func(start time.Time, err error)
 	leaving     atomic.Bool
+	again       atomic.Bool // the lease is of an older era of the store
 	wake        chan struct{}
 	lease       kvstore.LeaseID
 	recordState membership.State // the state in the stored record
@@ -60,11 +61,27 @@
 	}
 }
 
+// renewAll registers this VM again, with a new lease, since the store has come back from an
+// older copy: it may lack the record, and the lease's id may be another VM's now.
+func (r *registration) renewAll() {
+	r.again.Store(true)
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
 // run registers the VM and renews its lease until the context ends, and then
 // revokes the lease.
 func (r *registration) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause := r.ttl / renewalsPerTTL
+		if r.again.Swap(false) {
+			r.lease, r.recordState = "", ""
+			r.logger.Info("registering this VM again")
+			// All VMs learn of the new era at about the same time.
+			sleepUntilDone(ctx, rand.N(registerRetryPause))
+		}
 		start := time.Now()
 		if err := r.step(ctx); err != nil {
 			if ctx.Err() == nil {
@@ -87,6 +104,9 @@
 		}
 		timer.Stop()
 	}
+	if r.again.Load() {
+		return // the lease is another VM's, or nobody's
+	}
 	r.revoke()
 }
 
@@ -164,5 +184,15 @@
 	}
 }
 
+// sleepUntilDone waits for d or until the context ends.
+func sleepUntilDone(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // revokeTimeout limits the last call of a process that stops.
 const revokeTimeout = 300 * time.Millisecond
--- a/entry/report.go
+++ b/entry/report.go
@@ -19,7 +19,11 @@
 	ConfigVersion int64  `json:"config_version"`
 	// Revision is the store revision of the VM's records. RecordsAgeMS is how long
 	// ago the store last confirmed it, in milliseconds; negative if it never did.
-	Revision     int64 `json:"revision"`
+	Revision int64 `json:"revision"`
+	// Era is the store's era of the VM's records, and EraChanges how often it has changed
+	// since the VM's start.
+	Era          int64 `json:"era"`
+	EraChanges   int64 `json:"era_changes"`
 	RecordsAgeMS int64 `json:"records_age_ms"`
 	StoreLost    bool  `json:"store_lost"`
 	// VMs are the ids of the VMs whose addresses callers get.
@@ -40,7 +44,7 @@
 // Report returns the VM's current view.
 func (d *Daemon) Report() Report {
 	r := Report{
-		VM: d.settings.VMID, Revision: d.state.mirror.Revision(), RecordsAgeMS: d.state.age(time.Now()).Milliseconds(),
+		VM: d.settings.VMID, Revision: d.state.mirror.Revision(), Era: d.state.mirror.Position().Era, EraChanges: d.state.eraChanges.Load(), RecordsAgeMS: d.state.age(time.Now()).Milliseconds(),
 		Services: map[string]ServiceReport{}, VMs: []string{},
 	}
 	if err := d.readyError(); err != nil {
--- a/entry/state.go
+++ b/entry/state.go
@@ -35,6 +35,9 @@
 	servers          map[string]decoded[discovery.Server]
 	members          map[string]decoded[membership.Member]
 	listedServers    map[string]discovery.Server
+	listed           bool  // the mirror has had records
+	era              int64 // the store's era of the records, once listed is set
+	eraChanges       atomic.Int64
 	configRevision   int64 // revision of the configuration in force
 	rejectedRevision int64 // revision of the last configuration that was rejected
 	vms              *vmTable
@@ -48,12 +51,12 @@
 	ok       bool
 }
 
-func newState(p Platform, vmID string, logger *log.Logger, panics *contain.Panics, window discovery.Window) *state {
+func newState(p Platform, set *Settings, logger *log.Logger, panics *contain.Panics) *state {
 	s := &state{
 		platform: p, mirror: mirror.New(), logger: logger, panics: panics,
-		registry: discovery.NewRegistry(discovery.Config{Retention: serverRetention}), window: window,
+		registry: discovery.NewRegistry(discovery.Config{Retention: serverRetention, SilencePeriod: silencePeriod(set)}), window: useWindow(set),
 		servers: map[string]decoded[discovery.Server]{}, members: map[string]decoded[membership.Member]{},
-		vms: newVMTable(vmID),
+		vms: newVMTable(set.VMID),
 	}
 	s.fleet.Store(&fleet{})
 	return s
@@ -75,10 +78,16 @@
 
 // refresh decodes what changed in the mirror. currentAt is the last moment at which the
 // records before the change were known to be current; the zero time if they never were.
-func (s *state) refresh(now, currentAt time.Time) {
+//
+// It returns whether the store has come back from an older copy since the last call.
+func (s *state) refresh(now, currentAt time.Time) (newEra bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.mirror.Listing()
+	if newEra = s.listed && l.Era != s.era; newEra {
+		s.beginEra(&l)
+	}
+	s.listed, s.era = l.Revision > 0, l.Era
 	s.listedServers = map[string]discovery.Server{}
 	members := map[string]membership.Member{}
 	seenServers, seenMembers := map[string]decoded[discovery.Server]{}, map[string]decoded[membership.Member]{}
@@ -88,6 +97,7 @@
 			s.applyConfig(r)
 		case ServerRecord:
 			if d := decode(s, s.servers, seenServers, r, s.platform.DecodeServer); d.ok {
+				d.value.Revision = r.Revision
 				s.listedServers[d.value.ID] = d.value
 			}
 		case VMRecord:
@@ -96,12 +106,21 @@
 			}
 		}
 	}
-	origin := discovery.Origin{After: currentAt, Away: s.awayAt(s.members, seenMembers, currentAt)}
+	origin := discovery.Origin{After: currentAt}
+	if newEra {
+		origin.Away = s.awayBefore(currentAt)
+	} else {
+		origin.Away = s.awayAt(s.members, seenMembers, currentAt)
+	}
 	if !origin.Away.IsZero() {
 		s.logger.Info("store was away for all VMs", "since_ms", now.Sub(currentAt).Milliseconds(), "until_ms", now.Sub(origin.Away).Milliseconds(), telemetry.FieldRevision, l.Revision)
 	}
 	s.servers, s.members = seenServers, seenMembers
-	changes := s.registry.Update(s.listedServers, now, s.window.Until(origin, now))
+	update := s.registry.Update
+	if newEra {
+		update = s.registry.UpdateFromCopy
+	}
+	changes := update(s.listedServers, now, s.window.Until(origin, now))
 	for _, c := range changes {
 		fields := []any{"backend", c.Server.ID, telemetry.FieldService, c.Server.Service, "address", c.Server.Address,
 			"from", c.From.String(), "to", c.To.String(), telemetry.FieldRevision, l.Revision}
@@ -114,6 +133,16 @@
 	if l.Revision > 0 {
 		s.synced.Store(true)
 	}
+	return newEra
+}
+
+// beginEra forgets what is compared by revision, since the store has come back from an older
+// copy and gives revisions out again. mu must be held.
+func (s *state) beginEra(l *mirror.Listing) {
+	s.eraChanges.Add(1)
+	s.logger.Warn("the store has come back from an older copy", "era", l.Era, "era_before", s.era, telemetry.FieldRevision, l.Revision)
+	s.servers, s.members = map[string]decoded[discovery.Server]{}, map[string]decoded[membership.Member]{}
+	s.configRevision, s.rejectedRevision = 0, 0
 }
 
 // vmGrace returns how long callers still get the address of a VM that is no longer
@@ -166,6 +195,10 @@
 	}
 	table, err := parseRecovered(s, r, s.platform.DecodeTable)
 	old := s.table.Load()
+	if err == nil && old != nil && table.Version == old.Version {
+		s.configRevision = r.Revision // written again
+		return
+	}
 	if err == nil && old != nil && table.Version < old.Version {
 		err = &VersionError{Version: table.Version, InForce: old.Version}
 	}
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -48,8 +48,8 @@
 	// List returns all records.
 	List(ctx context.Context) (Listing, error)
 	// Watch returns the changes after a revision as soon as there are any, or
-	// none when wait has passed. It fails with ErrCompacted when the store no
-	// longer has them.
+	// none when wait has passed, and the store's era. It fails with ErrCompacted when the
+	// store does not have them.
 	Watch(ctx context.Context, after int64, wait time.Duration) (Changes, error)
 }
 
@@ -57,7 +57,7 @@
 type Peers interface {
 	// Fetch returns the listing of some other VM that is newer than after. ok
 	// is false if that VM has nothing newer.
-	Fetch(ctx context.Context, after int64) (l Listing, ok bool, err error)
+	Fetch(ctx context.Context, after Position) (l Listing, ok bool, err error)
 }
 
 // FollowerConfig configures a Follower. Mirror, Store and Changed are required.
@@ -238,6 +238,7 @@
 		}
 		compacted := errors.Is(err, ErrCompacted)
 		var stale *StaleListingError
+		var era *EraError
 		switch {
 		case err == nil:
 			list, f.sourceDiffers = false, false
@@ -249,6 +250,9 @@
 			f.markAvailable()
 			list = true
 			f.cfg.Logger.Info("store history is compacted, listing all records", "revision", f.cfg.Mirror.Revision())
+		case errors.As(err, &era):
+			list = true
+			f.cfg.Logger.Info("store has come back from an older copy, listing all records", "era", era.Store, "revision", f.cfg.Mirror.Revision())
 		case errors.As(err, &stale):
 			// Another VM's records were newer; the next watch starts at their revision.
 			list = false
@@ -265,8 +269,11 @@
 func (f *Follower) change(apply func() (changed bool, err error)) (changed bool, err error) {
 	f.changeMu.Lock()
 	defer f.changeMu.Unlock()
-	before := f.cfg.Mirror.CurrentAt()
+	before, position := f.cfg.Mirror.CurrentAt(), f.cfg.Mirror.Position()
 	if changed, err = apply(); changed && err == nil {
+		if position.Revision > 0 && position.Era != f.cfg.Mirror.Position().Era {
+			f.advanceTo(&f.outageEndedAt, time.Now()) // the store was away
+		}
 		f.cfg.Changed(before)
 	}
 	return changed, err
@@ -300,7 +307,7 @@
 	if waited := start.Add(wait); len(c.Changes) == 0 && !waited.After(time.Now()) {
 		c.CurrentAt = waited // the store had no change until then
 	}
-	return func() (bool, error) { return f.cfg.Mirror.Apply(c), nil }, err
+	return func() (bool, error) { return f.cfg.Mirror.Apply(c) }, err
 }
 
 // list reads all records from the store. While the mirror is empty, it makes up
@@ -359,7 +366,7 @@
 		if !f.storeLost.Load() || ctx.Err() != nil {
 			continue
 		}
-		l, ok, err := f.cfg.Peers.Fetch(ctx, f.cfg.Mirror.Revision())
+		l, ok, err := f.cfg.Peers.Fetch(ctx, f.cfg.Mirror.Position())
 		if err != nil {
 			if !failing {
 				f.cfg.Logger.Warn("reading records from another VM failed", "error", err.Error())
--- a/mirror/follower_test.go
+++ b/mirror/follower_test.go
@@ -88,14 +88,14 @@
 }
 
 func (s *fakeStore) put(key string, revision int64) {
-	s.content.Apply(Changes{Changes: []Change{{Record: Record{Key: key, Revision: revision}}}, Revision: revision})
+	_, _ = s.content.Apply(Changes{Changes: []Change{{Record: Record{Key: key, Revision: revision}}}, Revision: revision})
 }
 
 type fakePeer struct{ content *Mirror }
 
-func (p *fakePeer) Fetch(_ context.Context, after int64) (Listing, bool, error) {
+func (p *fakePeer) Fetch(_ context.Context, after Position) (Listing, bool, error) {
 	l := p.content.Listing()
-	return l, l.Revision > after, nil
+	return l, after.Before(l.Position()), nil
 }
 
 // follow runs a follower of the store until the test ends.
@@ -164,7 +164,7 @@
 		c := qt.New(t)
 		s := &fakeStore{content: New(), flags: flags{down: true}}
 		p := &fakePeer{content: New()}
-		p.content.Apply(Changes{Changes: []Change{{Record: Record{Key: "a", Revision: 5}}}, Revision: 5})
+		_, _ = p.content.Apply(Changes{Changes: []Change{{Record: Record{Key: "a", Revision: 5}}}, Revision: 5})
 		m := follow(t, s, p)
 		time.Sleep(2 * time.Second)
 		c.Assert(m.Revision(), qt.Equals, int64(5))
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -51,15 +51,22 @@
 type Listing struct {
 	Records  []Record `json:"records"`
 	Revision int64    `json:"revision"`
+	// Era is the store's era; 0 if it has none.
+	Era int64 `json:"era,omitempty"`
 	// CurrentAt is a moment at which the store held these records, the zero time if
 	// unknown.
 	CurrentAt time.Time `json:"-"`
 }
 
+// Position returns the position of the listing.
+func (l *Listing) Position() Position { return Position{Era: l.Era, Revision: l.Revision} }
+
 // Changes holds the changes up to a revision.
 type Changes struct {
 	Changes  []Change
 	Revision int64
+	// Era is the store's era; 0 if it has none.
+	Era int64 `json:",omitempty"`
 	// CurrentAt is a moment at which the store held the records that result from the
 	// changes, the zero time if unknown.
 	CurrentAt time.Time `json:"-"`
@@ -69,18 +76,27 @@
 // requested revision, so that all records have to be listed again.
 var ErrCompacted = errors.New("store history is compacted")
 
-// StaleListingError reports a listing that is older than the mirror.
-type StaleListingError struct{ Listed, Held int64 }
+// StaleListingError reports a listing or changes that are older than the mirror.
+type StaleListingError struct{ Listed, Held Position }
 
 func (e *StaleListingError) Error() string {
-	return fmt.Sprintf("listing at revision %d is older than the mirror at %d", e.Listed, e.Held)
+	return fmt.Sprintf("records at era and revision %v are older than the mirror at %v", e.Listed, e.Held)
+}
+
+// EraError reports changes of a newer era than the mirror's. They do not follow on the
+// mirror's records, so that all records have to be listed again.
+type EraError struct{ Store, Held int64 }
+
+func (e *EraError) Error() string {
+	return fmt.Sprintf("the store is in era %d, the mirror in era %d", e.Store, e.Held)
 }
 
-// Mirror is a copy of the store's records. Its revision only grows. Methods are
+// Mirror is a copy of the store's records. Its position only grows. Methods are
 // safe for concurrent use.
 type Mirror struct {
 	mu       sync.Mutex
 	records  map[string]Record
+	era      int64
 	revision int64
 	// sum is the sum of the hashes of all records. newest is the highest revision of a
 	// record so far, which may be above revision after a listing.
@@ -110,6 +126,16 @@
 	return m.revision
 }
 
+// Position returns the position in the store's history that the mirror has reached.
+func (m *Mirror) Position() Position {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.position()
+}
+
+// position is Position with mu held.
+func (m *Mirror) position() Position { return Position{Era: m.era, Revision: m.revision} }
+
 // CurrentAt returns the last moment at which the store is known to have held the mirror's
 // records; the store made all changes that the mirror lacks after it. It returns the zero
 // time if there is none.
@@ -127,16 +153,19 @@
 }
 
 // Replace replaces the records with those of a listing and reports whether that
-// changed any. It keeps single records that are newer than the listing's. A
-// listing older than the mirror fails with a *StaleListingError, since it would
-// undo later changes.
+// changed any. It keeps single records that are newer than the listing's. A listing of a
+// newer era replaces all. A listing older than the mirror fails with a
+// *StaleListingError, since it would undo later changes.
 func (m *Mirror) Replace(l Listing) (changed bool, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if l.Revision < m.revision {
+	if l.Position().Before(m.position()) {
 		// The mirror is newer than the listing, and so than the moment of the listing.
 		m.confirm(l.CurrentAt)
-		return false, &StaleListingError{Listed: l.Revision, Held: m.revision}
+		return false, &StaleListingError{Listed: l.Position(), Held: m.position()}
+	}
+	if l.Era > m.era {
+		return m.replaceEra(l), nil
 	}
 	next := make(map[string]Record, len(l.Records))
 	for _, r := range l.Records {
@@ -164,12 +193,44 @@
 	return changed, nil
 }
 
+// replaceEra replaces everything with a listing of a newer era and reports whether the
+// mirror held records of an older one. mu must be held.
+func (m *Mirror) replaceEra(l Listing) (changed bool) {
+	changed = m.revision > 0 || len(l.Records) > 0
+	m.records, m.sum, m.newest = make(map[string]Record, len(l.Records)), 0, 0
+	for _, r := range l.Records {
+		m.records[r.Key] = r
+		m.sum += r.hash()
+		m.newest = max(m.newest, r.Revision)
+	}
+	m.era, m.revision = l.Era, l.Revision
+	m.tombstones, m.compactRevision = nil, l.Revision
+	m.confirm(l.CurrentAt)
+	m.wake()
+	return changed
+}
+
 // Apply applies changes and reports whether any was new. Changes that the mirror
-// already has are skipped.
-func (m *Mirror) Apply(c Changes) (changed bool) {
+// already has are skipped. It fails with an *EraError or a *StaleListingError if the
+// changes are of another era.
+func (m *Mirror) Apply(c Changes) (changed bool, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.apply(c)
+	if err := m.checkEra(c); err != nil {
+		return false, err
+	}
+	return m.apply(c), nil
+}
+
+// checkEra fails if changes are of another era than the mirror's. mu must be held.
+func (m *Mirror) checkEra(c Changes) error {
+	switch {
+	case c.Era > m.era:
+		return &EraError{Store: c.Era, Held: m.era}
+	case c.Era < m.era:
+		return &StaleListingError{Listed: Position{Era: c.Era, Revision: c.Revision}, Held: m.position()}
+	}
+	return nil
 }
 
 // apply is Apply with mu held.
@@ -216,31 +277,37 @@
 		return
 	}
 	m.revision = revision
+	m.wake()
+}
+
+// wake wakes those that wait for another position. mu must be held.
+func (m *Mirror) wake() {
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
 
-// Since returns the changes after a revision. ok is false if the mirror no
-// longer has all deletions after it; the caller must then use Listing.
-func (m *Mirror) Since(after int64) (c Changes, ok bool) {
+// Since returns the changes after a position. ok is false if the mirror no
+// longer has all deletions after it, or if it is of another era; the caller must then use
+// Listing.
+func (m *Mirror) Since(after Position) (c Changes, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.since(after)
 }
 
 // since is Since with mu held.
-func (m *Mirror) since(after int64) (c Changes, ok bool) {
-	if after < m.compactRevision {
+func (m *Mirror) since(after Position) (c Changes, ok bool) {
+	if after.Era != m.era || after.Revision < m.compactRevision {
 		return c, false
 	}
-	c.Revision, c.CurrentAt = m.revision, m.currentAt
+	c.Era, c.Revision, c.CurrentAt = m.era, m.revision, m.currentAt
 	for _, r := range m.records {
-		if r.Revision > after {
+		if r.Revision > after.Revision {
 			c.Changes = append(c.Changes, Change{Record: r})
 		}
 	}
 	for _, r := range m.tombstones {
-		if _, exists := m.records[r.Key]; !exists && r.Revision > after {
+		if _, exists := m.records[r.Key]; !exists && r.Revision > after.Revision {
 			c.Changes = append(c.Changes, Change{Record: r, Deleted: true})
 		}
 	}
@@ -257,9 +324,9 @@
 	return m.sum | 1
 }
 
-// UpdateSince returns what another VM needs that holds a revision: the changes after it
+// UpdateSince returns what another VM needs that holds a position: the changes after it
 // or, if the mirror no longer has all of them, all records.
-func (m *Mirror) UpdateSince(after int64) Update {
+func (m *Mirror) UpdateSince(after Position) Update {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	changes, ok := m.since(after)
@@ -273,7 +340,8 @@
 // Merge applies an update from another VM. differs is set if the mirrors still differ
 // afterwards: this one lacks a change that the other VM no longer knows of, and needs all
 // its records. The moment of the update only counts if the mirrors are known to be equal.
-// A listing older than the mirror fails with a *StaleListingError.
+// An update older than the mirror's era, or a listing older than the mirror, fails with a
+// *StaleListingError.
 func (m *Mirror) Merge(u Update) (changed, differs bool, err error) {
 	if u.Listing != nil {
 		changed, err = m.Replace(*u.Listing)
@@ -281,6 +349,13 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	var newer *EraError
+	switch err := m.checkEra(u.Changes); {
+	case errors.As(err, &newer):
+		return false, true, nil
+	case err != nil:
+		return false, false, err
+	}
 	unconfirmed := u.Changes
 	unconfirmed.CurrentAt = time.Time{}
 	changed = m.apply(unconfirmed)
@@ -295,16 +370,16 @@
 	return changed, false, nil
 }
 
-// Wait blocks until the mirror's revision exceeds after, wait has passed, or the
+// Wait blocks until the mirror's position is beyond after, wait has passed, or the
 // context has ended.
-func (m *Mirror) Wait(ctx context.Context, after int64, wait time.Duration) {
+func (m *Mirror) Wait(ctx context.Context, after Position, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		m.mu.Lock()
-		revision, changed := m.revision, m.changed
+		position, changed := m.position(), m.changed
 		m.mu.Unlock()
-		if revision > after {
+		if after.Before(position) {
 			return
 		}
 		select {
@@ -327,5 +402,5 @@
 // listing is Listing with mu held.
 func (m *Mirror) listing() Listing {
 	records := slices.SortedFunc(maps.Values(m.records), func(a, b Record) int { return strings.Compare(a.Key, b.Key) })
-	return Listing{Records: records, Revision: m.revision, CurrentAt: m.currentAt}
+	return Listing{Records: records, Era: m.era, Revision: m.revision, CurrentAt: m.currentAt}
 }
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -41,8 +41,8 @@
 		m, follower := New(), New()
 		for range 40 {
 			if rapid.Bool().Draw(t, "follow") {
-				if c, ok := m.Since(follower.Revision()); ok {
-					follower.Apply(c)
+				if c, ok := m.Since(follower.Position()); ok {
+					_, _ = follower.Apply(c)
 				} else if _, err := follower.Replace(m.Listing()); err != nil {
 					t.Fatal(err)
 				}
@@ -61,7 +61,7 @@
 			} else {
 				to := rapid.IntRange(int(before), 30).Draw(t, "to")
 				from := rapid.IntRange(0, int(before)).Draw(t, "from")
-				m.Apply(Changes{Changes: history[from:to], Revision: int64(to)})
+				_, _ = m.Apply(Changes{Changes: history[from:to], Revision: int64(to)})
 			}
 			if m.Revision() < before {
 				t.Fatalf("revision went from %d to %d", before, m.Revision())
@@ -91,7 +91,9 @@
 	m := New()
 	_, err := m.Replace(Listing{Records: []Record{{Key: "a", Revision: 9}}, Revision: 7})
 	c.Assert(err, qt.IsNil)
-	c.Assert(m.Apply(Changes{Changes: []Change{put("a", 8), put("a", 9), put("b", 10)}, Revision: 10}), qt.IsTrue)
+	changed, err := m.Apply(Changes{Changes: []Change{put("a", 8), put("a", 9), put("b", 10)}, Revision: 10})
+	c.Assert(err, qt.IsNil)
+	c.Assert(changed, qt.IsTrue)
 	c.Assert(m.Listing().Records, qt.DeepEquals, []Record{{Key: "a", Revision: 9}, {Key: "b", Revision: 10}})
 }
 
@@ -99,10 +101,29 @@
 type modelStore struct {
 	records  map[string]Record
 	history  []Change
+	era      int64
 	revision int64
 	compact  int64
 }
 
+// comeBack makes the store come back from the copy of an older moment, with the records
+// that it had at a revision.
+func (s *modelStore) comeBack(revision int64) {
+	s.records = map[string]Record{}
+	var history []Change
+	for _, c := range s.history {
+		if c.Revision > revision {
+			break
+		}
+		history = append(history, c)
+		if delete(s.records, c.Key); !c.Deleted {
+			s.records[c.Key] = c.Record
+		}
+	}
+	s.history, s.revision = history, revision
+	s.era++
+}
+
 func (s *modelStore) change(key string, deleted bool) {
 	if _, ok := s.records[key]; deleted && !ok {
 		return
@@ -118,13 +139,13 @@
 }
 
 func (s *modelStore) since(after int64) (c Changes, ok bool) {
-	c.Revision = s.revision
+	c.Era, c.Revision = s.era, s.revision
 	for _, change := range s.history {
 		if change.Revision > after {
 			c.Changes = append(c.Changes, change)
 		}
 	}
-	return c, after >= s.compact
+	return c, after >= s.compact && after <= s.revision
 }
 
 // modelVM is a VM that lists the store page by page, watches it, or follows another VM.
@@ -137,8 +158,8 @@
 
 // page reads the next page of a listing, of two keys.
 func (v *modelVM) page(s *modelStore, keys []string) {
-	if v.listing == nil {
-		v.listing, v.after = &Listing{Revision: s.revision}, ""
+	if v.listing == nil || v.listing.Era != s.era {
+		v.listing, v.after = &Listing{Era: s.era, Revision: s.revision}, ""
 	}
 	read := 0
 	for _, key := range keys {
@@ -162,7 +183,8 @@
 	}
 	c, ok := s.since(v.mirror.Revision())
 	if ok {
-		v.mirror.Apply(c)
+		_, err := v.mirror.Apply(c)
+		ok = err == nil
 	}
 	return ok
 }
@@ -171,9 +193,9 @@
 	if source.mirror.Revision() == 0 || v.mirror.Revision() == 0 {
 		return
 	}
-	after := v.mirror.Revision()
+	after := v.mirror.Position()
 	if v.differs {
-		after = 0
+		after = Position{}
 	}
 	_, differs, err := v.mirror.Merge(source.mirror.UpdateSince(after))
 	v.differs = differs && err == nil
@@ -181,7 +203,8 @@
 
 // Guards against a VM that keeps a record which its source does not hold: deleted between
 // two pages of a listing or between two listings, while it followed the store, another
-// listing, or its source. After the changes have ended both VMs hold what the store holds.
+// listing, or its source. The store may come back from an older copy, which gives revisions
+// out again. After the changes have ended both VMs hold what the store holds.
 func TestFollowerEndsWithRecordsOfStore(t *testing.T) {
 	keys := []string{"a", "b", "c", "d", "e"}
 	rapid.Check(t, func(t *rapid.T) {
@@ -192,7 +215,7 @@
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			v := vms[rapid.IntRange(0, 1).Draw(t, "vm")]
-			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			switch rapid.IntRange(0, 10).Draw(t, "step") {
 			case 0, 1:
 				s.change(rapid.SampledFrom(keys).Draw(t, "put"), false)
 			case 2, 3:
@@ -207,6 +230,8 @@
 				s.compact = s.revision
 			case 9:
 				*v = modelVM{mirror: New()}
+			case 10:
+				s.comeBack(rapid.Int64Range(max(1, min(s.compact, s.revision)), s.revision).Draw(t, "copy"))
 			}
 		}
 		for range 8 {
--- a/mirror/source.go
+++ b/mirror/source.go
@@ -8,7 +8,7 @@
 // Update is the source's reply to Follow.
 type Update struct {
 	// Listing is set instead of Changes if the source no longer has all changes
-	// after the requested revision.
+	// after the requested position.
 	Listing *Listing `json:"listing,omitempty"`
 	Changes Changes  `json:"changes"`
 	// Digest is the digest of the source's records at Changes.Revision; 0 if unknown.
@@ -28,11 +28,11 @@
 	// Available reports whether this VM has a source. The source of a zone has
 	// none itself.
 	Available() bool
-	// Follow returns the source's changes after a revision, as soon as there are
+	// Follow returns the source's changes after a position, as soon as there are
 	// any or when wait has passed. ok is false if there is no source, or if the
 	// source does not get its records from the store at present; this VM must then
 	// call the store itself.
-	Follow(ctx context.Context, after int64, wait time.Duration) (u Update, ok bool, err error)
+	Follow(ctx context.Context, after Position, wait time.Duration) (u Update, ok bool, err error)
 }
 
 const (
@@ -80,9 +80,9 @@
 		}
 		start = time.Now()
 		call, cancel := context.WithTimeout(ctx, min(left+sourceReplyTime, sourceWait+sourceGrace))
-		after := f.cfg.Mirror.Revision()
+		after := f.cfg.Mirror.Position()
 		if f.sourceDiffers {
-			after = 0 // all records
+			after = Position{} // all records
 		}
 		u, ok, err = f.cfg.Source.Follow(call, after, min(left, sourceWait))
 		cancel()
@@ -129,9 +129,9 @@
 func (f *Follower) servesStore() bool { return f.fromStore.Load() && !f.storeLost.Load() }
 
 // Serve is the source's side of Source.Follow: it returns the changes after a
-// revision, as soon as there are any or when wait has passed. ok is false if
+// position, as soon as there are any or when wait has passed. ok is false if
 // this VM gets its records from a source itself, or if it has lost the store.
-func (f *Follower) Serve(ctx context.Context, after int64, wait time.Duration) (u Update, ok bool) {
+func (f *Follower) Serve(ctx context.Context, after Position, wait time.Duration) (u Update, ok bool) {
 	start := time.Now()
 	if !f.servesStore() {
 		return u, false
--- a/mirror/source_test.go
+++ b/mirror/source_test.go
@@ -18,7 +18,7 @@
 
 func (s *fakeSource) Available() bool { return true }
 
-func (s *fakeSource) Follow(ctx context.Context, after int64, wait time.Duration) (Update, bool, error) {
+func (s *fakeSource) Follow(ctx context.Context, after Position, wait time.Duration) (Update, bool, error) {
 	if s.silent.Load() {
 		<-ctx.Done()
 		return Update{}, false, ctx.Err()
@@ -88,7 +88,7 @@
 		time.Sleep(DefaultRetryMax*3/2 + sourceAttempts*sourceRetryDelay + DefaultBatchDelay)
 		c.Assert(first.Settling(time.Now()), qt.IsTrue)
 		c.Assert(second.Settling(time.Now()), qt.IsTrue)
-		u, ok := first.Serve(context.Background(), 0, 0)
+		u, ok := first.Serve(context.Background(), Position{}, 0)
 		c.Assert(ok && u.SinceOutage > 0 && u.SinceOutage < SettleTime, qt.IsTrue)
 		time.Sleep(SettleTime)
 		c.Assert(second.Settling(time.Now()), qt.IsFalse)
--- a/standin/store.go
+++ b/standin/store.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -57,6 +58,8 @@
 	events     []event
 	rev        int64
 	compactRev int64         // events up to this revision are dropped
+	era        int64         // 0 if the store has none
+	lastLease  int64         // id of the last lease
 	changed    chan struct{} // closed and replaced at each change
 	leases     map[int64]*lease
 	fault      func(remote string) Fault
@@ -81,7 +84,7 @@
 // NewStore starts a store on a loopback address.
 func NewStore() *Store {
 	s := &Store{
-		items: map[string]Item{}, leases: map[int64]*lease{}, calls: map[string]int{}, rev: 100, compactRev: 100,
+		items: map[string]Item{}, leases: map[int64]*lease{}, calls: map[string]int{}, rev: 100, compactRev: 100, era: 1, lastLease: 1000,
 		changed: make(chan struct{}), pageSize: 500, stop: make(chan struct{}), maxConnections: defaultMaxConnections,
 	}
 	s.server = httptest.NewServer(s)
@@ -145,6 +148,62 @@
 	s.notifyWatchers()
 }
 
+// SetEra sets the store's era; 0 makes it a store without eras.
+func (s *Store) SetEra(era int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
+}
+
+// Copy is what the store held at a moment.
+type Copy struct {
+	items          map[string]Item
+	rev, lastLease int64
+	leases         map[int64]time.Duration // TTL by id
+}
+
+// Copy returns what the store holds.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := Copy{items: maps.Clone(s.items), rev: s.rev, lastLease: s.lastLease, leases: map[int64]time.Duration{}}
+	for id, l := range s.leases {
+		c.leases[id] = l.ttl
+	}
+	return c
+}
+
+// ComeBack makes the store come back from an older copy: what was written since is gone,
+// leases too, and the next era begins. Revisions and the ids of leases are given out again.
+// Waiting watches are aborted.
+func (s *Store) ComeBack(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.leases {
+		l.timer.Stop()
+	}
+	s.items, s.rev, s.lastLease, s.leases = maps.Clone(c.items), c.rev, c.lastLease, map[int64]*lease{}
+	for id, ttl := range c.leases {
+		s.startLease(id, ttl)
+	}
+	s.events, s.compactRev = nil, c.rev
+	s.era++
+	s.notifyWatchers()
+}
+
+// startLease starts the time of a lease. mu must be held.
+func (s *Store) startLease(id int64, ttl time.Duration) {
+	l := &lease{ttl: ttl}
+	l.timer = time.AfterFunc(ttl, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.leases[id] == l { // not one of a later era
+			s.revokeLease(id)
+		}
+	})
+	s.leases[id] = l
+}
+
 // Calls returns the number of calls by the first element of their path, such as
 // /kv-watch; ids that follow are ignored.
 func (s *Store) Calls() map[string]int {
@@ -248,6 +307,9 @@
 	time.Sleep(delay)
 	switch s.faultFor(r) {
 	case Busy:
+		s.mu.Lock()
+		s.announceEra(w)
+		s.mu.Unlock()
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case Reset:
@@ -303,6 +365,9 @@
 }
 
 func (s *Store) dispatch(w http.ResponseWriter, r *http.Request, name string) {
+	s.mu.Lock()
+	s.announceEra(w)
+	s.mu.Unlock()
 	id, _ := strconv.ParseInt(strings.TrimPrefix(r.URL.Path, name+"/"), 10, 64)
 	switch r.Method + " " + name {
 	case "GET /kv-range":
@@ -333,6 +398,13 @@
 	}
 }
 
+// announceEra sets the header with the store's era. mu must be held.
+func (s *Store) announceEra(w http.ResponseWriter) {
+	if s.era > 0 {
+		w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
+	}
+}
+
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
@@ -351,9 +423,17 @@
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
-		if after < s.compactRev {
+		if s.era != era {
+			s.mu.Unlock()
+			abort(w)
+			return
+		}
+		if after < s.compactRev || after > s.rev {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
@@ -427,12 +507,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	id := int64(1000 + s.calls["/kv-lease"])
-	ttl := time.Duration(body.TTL) * time.Millisecond
-	s.leases[id] = &lease{ttl: ttl, timer: time.AfterFunc(ttl, func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.revokeLease(id)
-	})}
-	writeJSON(w, map[string]any{"lease": id, "ttl_ms": body.TTL})
+	s.lastLease++
+	s.startLease(s.lastLease, time.Duration(body.TTL)*time.Millisecond)
+	writeJSON(w, map[string]any{"lease": s.lastLease, "ttl_ms": body.TTL})
 }
