entry: count VMs that are gone for the settings' window of the retry budget

With a longer window the others got its part while it still counted as spent (BUDGET).

Change: it counts for the window, 10 s at least. TestVMsThatAreNotListed has a window of 40 s, after which the part is given away; with the constant it fails.

--- a/entry/bounds_test.go
+++ b/entry/bounds_test.go
@@ -289,14 +289,21 @@
 	start := time.Unix(1000, 0)
 	both := map[string]membership.Member{"a": {ID: "a", State: membership.Alive}, "b": {ID: "b", State: membership.Alive}}
 	one := map[string]membership.Member{"a": both["a"]}
-	table := newVMTable("a")
+	table := newVMTable("a", 0)
 	c.Assert(table.update(both, start, 0).members, qt.HasLen, 2)
 	f := table.update(one, start.Add(time.Second), 0)
 	c.Assert(f.members, qt.HasLen, 1)
 	c.Assert(f.known, qt.HasLen, 2, qt.Commentf("the VM may have spent its share of the budget"))
-	c.Assert(table.update(nil, start.Add(expiredVMRetention+2*time.Second), 0).known, qt.HasLen, 1)
+	c.Assert(table.update(nil, start.Add(minVMRetention+2*time.Second), 0).known, qt.HasLen, 1)
 
-	table = newVMTable("a")
+	// A window of the budget that is longer than usual keeps the share for longer.
+	const window = 4 * minVMRetention
+	table = newVMTable("a", window)
+	table.update(both, start, 0)
+	c.Assert(table.update(one, start.Add(window), 0).known, qt.HasLen, 2)
+	c.Assert(table.update(one, start.Add(2*window+time.Second), 0).known, qt.HasLen, 1)
+
+	table = newVMTable("a", 0)
 	table.update(both, start, expiredVMGrace)
 	c.Assert(table.update(one, start.Add(time.Second), expiredVMGrace).members, qt.HasLen, 2)
 	c.Assert(table.update(one, start.Add(2*time.Second), 0).members, qt.HasLen, 2)
@@ -360,7 +367,7 @@
 		listed[id] = membership.Member{ID: id, Zone: fmt.Sprint(i % zones), Cores: 0.25, Incarnation: int64(i), State: membership.Alive}
 	}
 	start := time.Unix(1000, 0)
-	table := newVMTable("000")
+	table := newVMTable("000", 0)
 	f := table.update(listed, start, 0)
 	spent := map[string]float64{}
 	for round := range 3 { // each set of serving VMs is lost within a second
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -14,10 +14,10 @@
 	// record is missing right after an outage of the store. A VM that is alive
 	// registers again within that time.
 	expiredVMGrace = 3 * time.Second
-	// expiredVMRetention is how long a VM without a record still counts when the
-	// shared limits are divided, since it may have spent its share of the budget
-	// in the current window.
-	expiredVMRetention = 10 * time.Second
+	// minVMRetention is how long a VM without a record still counts at least when the
+	// shared limits are divided. It counts for Bounds.BudgetWindow if that is longer, since
+	// it may have spent its share of the budget in the current window.
+	minVMRetention = 10 * time.Second
 )
 
 // fleet is an immutable snapshot of the entry VMs.
@@ -25,7 +25,7 @@
 	// members are the VMs whose addresses callers may get, ordered by id.
 	members []membership.Member
 	// known are the VMs that share budgets and connections: all that are listed,
-	// and those whose records are missing for less than expiredVMRetention.
+	// and those whose records are missing for less than vmTable.retention.
 	known []membership.Member
 }
 
@@ -82,8 +82,9 @@
 // vmTable tracks when the record of each VM was last seen and derives the fleet
 // from that.
 type vmTable struct {
-	self string
-	vms  map[string]*vmEntry
+	self      string
+	retention time.Duration // of VMs without a record
+	vms       map[string]*vmEntry
 }
 
 type vmEntry struct {
@@ -95,7 +96,9 @@
 	resolvableUntil time.Time
 }
 
-func newVMTable(self string) *vmTable { return &vmTable{self: self, vms: map[string]*vmEntry{}} }
+func newVMTable(self string, budgetWindow time.Duration) *vmTable {
+	return &vmTable{self: self, retention: max(minVMRetention, budgetWindow), vms: map[string]*vmEntry{}}
+}
 
 // update applies the listed VMs, or only the passage of time if listed is nil,
 // and returns the new fleet. grace is how long callers still get the address of
@@ -118,7 +121,7 @@
 		if v.listed {
 			v.lastSeen = now
 		}
-		if now.Sub(v.lastSeen) > expiredVMRetention {
+		if now.Sub(v.lastSeen) > t.retention {
 			delete(t.vms, id)
 			continue
 		}
--- a/entry/state.go
+++ b/entry/state.go
@@ -56,7 +56,7 @@
 		platform: p, mirror: mirror.New(), logger: logger, panics: panics,
 		registry: discovery.NewRegistry(discovery.Config{Retention: serverRetention, SilencePeriod: silencePeriod(set)}), window: useWindow(set),
 		servers: map[string]decoded[discovery.Server]{}, members: map[string]decoded[membership.Member]{},
-		vms: newVMTable(set.VMID),
+		vms: newVMTable(set.VMID, set.BudgetWindow),
 	}
 	s.fleet.Store(&fleet{})
 	return s
