soak: the store comes back from an older copy

The store is copied, goes on for up to 1.5 s, resets its connections and comes back from the copy in the next era; then servers and the operator write their records again. The record of a server keeps its start time.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -185,6 +185,18 @@
 		h.store.Compact()
 		return nil
 	}},
+	{"store comes back from an older copy", func(h *harness, d time.Duration) func() {
+		older := h.store.Copy()
+		time.Sleep(d / 2) // what is written meanwhile is lost
+		h.recordStoreFault(d)
+		h.store.SetFault(standin.Reset)
+		return func() {
+			h.store.ComeBack(older)
+			h.recordStoreFault(0)
+			h.store.SetFault(standin.Healthy)
+			h.writeAgain()
+		}
+	}},
 	{"store turns a VM away", vmStoreFault(modeRefuse)},
 	{"store is silent for a VM", vmStoreFault(modeSilence)},
 	{"store's connections are reset", vmStoreFault(modeReset)},
@@ -391,6 +403,25 @@
 	return of
 }
 
+// writeAgain lets the servers and the operator write their records again, after the store
+// has lost some.
+func (h *harness) writeAgain() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	removed := map[string]bool{}
+	for _, d := range h.drains {
+		removed[d.backend] = !d.said
+	}
+	for _, b := range h.backends {
+		if removed[b.ID] {
+			h.store.Delete("servers/" + b.ID)
+		} else {
+			b.RegisterAgain(h.store)
+		}
+	}
+	h.writeVersion()
+}
+
 // drain makes a server leave: it says so, or removes its record.
 func (h *harness) drain(b *backend, says bool) {
 	h.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -238,6 +238,12 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.version++
+	h.writeVersion()
+	h.versionTimes[h.version] = time.Now()
+}
+
+// writeVersion writes the newest configuration. h.mu must be held.
+func (h *harness) writeVersion() {
 	routes := []standin.Route{
 		{Name: "quote", Host: host, Prefix: "/quote/", Kind: "idempotent", TimeoutMS: 1000, GoalMS: 300, MaxAttempts: 2, Service: "quotes"},
 		{Name: "book", Host: host, Prefix: "/book/", Kind: "non_idempotent", TimeoutMS: 1000, GoalMS: 300, MaxAttempts: 2, Service: "book"},
@@ -246,7 +252,6 @@
 		{Name: "version", Host: host, Prefix: fmt.Sprintf("/v%d/", h.version), Kind: "idempotent", TimeoutMS: 1000, MaxAttempts: 2, Service: "quotes"},
 	}
 	h.store.Configure(h.version, routes...)
-	h.versionTimes[h.version] = time.Now()
 }
 
 func shardNames() (names []string) {
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -95,6 +95,7 @@
 	connsOpened       int
 	refusals          []Refusal
 	startedMS         int64 // Unix time of the start that Register last reported
+	record            []byte
 	stop              chan struct{}
 }
 
@@ -174,9 +175,20 @@
 	if err != nil {
 		panic(err) // cannot happen: the map has only plain values
 	}
+	b.mu.Lock()
+	b.record = value
+	b.mu.Unlock()
 	s.Put("servers/"+b.ID, value)
 }
 
+// RegisterAgain writes the record that was written last once more, as a server does that
+// the store has lost.
+func (b *Backend) RegisterAgain(s *Store) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s.Put("servers/"+b.ID, b.record)
+}
+
 // ServeHTTP runs one request.
 func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
