--- a/entry/peers_test.go
+++ b/entry/peers_test.go
@@ -17,19 +17,19 @@
 )
 
 // newPeerServer starts a fake peer API that serves an empty listing at a
-// revision. With revision 0 it replies to everything with status 500. listings
+// position. At the zero position it replies to everything with status 500. listings
 // counts the listings that it served.
-func newPeerServer(t *testing.T, revision int64) (address string, listings *atomic.Int64) {
+func newPeerServer(t *testing.T, position mirror.Position) (address string, listings *atomic.Int64) {
 	listings = &atomic.Int64{}
 	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if revision == 0 {
+		if position.IsZero() {
 			w.WriteHeader(http.StatusInternalServerError)
 			return
 		}
-		var answer any = revision
+		var answer any = position
 		if r.URL.Path == recordsPath {
 			listings.Add(1)
-			answer = mirror.Listing{Revision: revision}
+			answer = mirror.Listing{Era: position.Era, Revision: position.Revision}
 		}
 		if err := json.NewEncoder(w).Encode(answer); err != nil {
 			t.Error(err)
@@ -48,16 +48,17 @@
 // newer ones, and sent requests to a backend server that had left.
 func TestNewestRecordsAtStart(t *testing.T) {
 	c := qt.New(t)
-	old, oldListings := newPeerServer(t, 7)
-	fresh, _ := newPeerServer(t, 9)
-	broken, _ := newPeerServer(t, 0)
+	// A higher revision of an older era of the store is older.
+	old, oldListings := newPeerServer(t, mirror.Position{Era: 1, Revision: 70})
+	fresh, _ := newPeerServer(t, mirror.Position{Era: 2, Revision: 9})
+	broken, _ := newPeerServer(t, mirror.Position{})
 	p := newTestPeers(old, fresh, broken)
 	defer p.client.CloseIdleConnections()
 	for range 20 {
 		l, ok, err := p.Fetch(context.Background(), mirror.Position{})
 		c.Assert(err, qt.IsNil)
 		c.Assert(ok, qt.IsTrue)
-		c.Assert(l.Revision, qt.Equals, int64(9))
+		c.Assert(l.Position(), qt.Equals, mirror.Position{Era: 2, Revision: 9})
 	}
 	c.Assert(oldListings.Load(), qt.Equals, int64(0), qt.Commentf("a listing crosses regions"))
 	down := newTestPeers(broken)
--- a/mirror/position.go
+++ b/mirror/position.go
@@ -7,9 +7,9 @@
 // again, for other changes. So revisions are comparable within an era only.
 type Position struct {
 	// Era counts how often the store has come back from a copy; 0 if the store has no eras.
-	Era int64
+	Era int64 `json:"era,omitempty"`
 	// Revision is the store revision; 0 before the first listing.
-	Revision int64
+	Revision int64 `json:"revision"`
 }
 
 // Before reports whether p is older than q.
