mirror: drop changes of a watch that began in an older era of the store

Cause: a watch was under way from a revision of the older era. Before its reply came, the records of another VM had brought the mirror into the new era at a lower revision. The changes were of the mirror's era then, and the mirror went on to their revision without those between.

Change: the changes of a watch count only if the watch began in the era that its reply is of; otherwise the VM lists all records.

--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -251,6 +251,7 @@
 			list = true
 			f.cfg.Logger.Info("store history is compacted, listing all records", "revision", f.cfg.Mirror.Revision())
 		case errors.As(err, &era):
+			f.markAvailable()
 			list = true
 			f.cfg.Logger.Info("store has come back from an older copy, listing all records", "era", era.Store, "revision", f.cfg.Mirror.Revision())
 		case errors.As(err, &stale):
@@ -302,7 +303,13 @@
 	}
 	ctx, stop := context.WithTimeout(ctx, wait+f.cfg.WatchGrace)
 	defer stop()
-	c, err := f.cfg.Store.Watch(ctx, f.cfg.Mirror.Revision(), wait)
+	after := f.cfg.Mirror.Position()
+	c, err := f.cfg.Store.Watch(ctx, after.Revision, wait)
+	if err == nil && c.Era != after.Era {
+		// The changes follow on a revision of another era. The mirror may be in the store's
+		// era by now, through the records of another VM, and would miss those before it.
+		err = &EraError{Store: c.Era, Held: after.Era}
+	}
 	c.CurrentAt = start
 	if waited := start.Add(wait); len(c.Changes) == 0 && !waited.After(time.Now()) {
 		c.CurrentAt = waited // the store had no change until then
