--- a/backend/pool_test.go
+++ b/backend/pool_test.go
@@ -233,8 +233,7 @@
 	})
 }
 
-// Guards against a reply with a status that the protocol does not define, which is taken as
-// a success or as a proof that the sub-request did not run.
+// Guards against a status that the protocol does not define, taken as a success or as "not run".
 func TestInvalidStatus(t *testing.T) {
 	run(t, slow(0), nil, func(c *qt.C, r *rig) {
 		r.server.SetFaults(standin.Faults{InvalidStatusProbability: 1})
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -166,9 +166,7 @@
 	qt.Check(t, r.Replicas("s").Ready[0] == first, qt.IsFalse)
 }
 
-// Guards against the use of servers on the word of an older copy of the store, which has
-// no news of them: one had said that it leaves, one was gone, one was not known. Each is
-// used again once it writes its record, or when the store would have removed it.
+// Guards against the use of servers that had left, on the word of an older copy of the store.
 func TestCopyIsNoNews(t *testing.T) {
 	c := qt.New(t)
 	const silence = 4 * time.Second
--- a/entry/bounds_test.go
+++ b/entry/bounds_test.go
@@ -239,10 +239,7 @@
 	return margin, age
 }
 
-// Guards against the use of servers that are gone after an outage of the store that lasts
-// until the drain bound has passed again, where the stability period is the shorter one:
-// in seed 774 of the model of unequal bounds a request came 4.7 s after the
-// acknowledgement, allowed 4.0.
+// Guards against the use of servers after an outage of the store for longer than the stability period allows.
 func TestUseAfterOutageEndsWithStability(t *testing.T) {
 	for _, drain := range []time.Duration{time.Second, 4 * time.Second, 10 * time.Second} {
 		for _, stability := range []time.Duration{0, time.Second, 4 * time.Second, 10 * time.Second} {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -357,7 +357,7 @@
 func (d *Daemon) refresh(currentAt time.Time) {
 	if d.state.refresh(time.Now(), currentAt) {
 		if reg := d.registration.Load(); reg != nil {
-			reg.renewAll()
+			reg.registerAgain()
 		}
 	}
 	d.apply()
--- a/entry/drain_model_test.go
+++ b/entry/drain_model_test.go
@@ -542,14 +542,12 @@
 	checkModel(t, false, func(uint64) modelBounds { return deployedBounds })
 }
 
-// Guards against VMs that follow a store which has come back from an older copy as if
-// nothing had happened: they miss what is written then, or use servers on the copy's word.
+// Guards against VMs that miss changes, or use servers that left, after the store has come back from an older copy.
 func TestBoundsHoldWhenStoreLosesWrites(t *testing.T) {
 	checkModel(t, true, func(uint64) modelBounds { return deployedBounds })
 }
 
-// Guards against a period that serves one bound and is derived from another: with bounds up
-// to ten to one apart, configurations were late where the drain bound is long (review/8).
+// Guards against a period that serves one bound and is derived from another, such as late configurations (review/8).
 func TestUnequalBoundsHoldUnderRandomFaults(t *testing.T) {
 	checkModel(t, false, func(seed uint64) modelBounds {
 		rng := rand.New(rand.NewPCG(seed, 1))
--- a/entry/era_test.go
+++ b/entry/era_test.go
@@ -12,10 +12,7 @@
 	"github.com/briarstand/briarstand/standin"
 )
 
-// Guards against VMs that follow a store which has come back from an older copy as if
-// nothing had happened: revisions are given out again, so they missed configurations and
-// servers, used servers that had left on the word of the copy, and kept leases that are
-// another VM's.
+// Guards against VMs that go on from their old revision after the store has come back from an older copy.
 func TestStoreComesBackFromOlderCopy(t *testing.T) {
 	f := newFixture(t)
 	f.backend("q1", "quotes", "bytes")
--- a/entry/forged_test.go
+++ b/entry/forged_test.go
@@ -19,8 +19,7 @@
 	return string(items[0].Value)
 }
 
-// Guards against the key of another writer's record that changes the body or method of
-// requests, or adds one: the key ends up in a header (review/6).
+// Guards against the key of another writer's record that changes requests or adds one (review/6).
 func TestForgedKeyLeavesRequestsUnchanged(t *testing.T) {
 	f := newFixture(t)
 	q := f.backend("q1", "quotes", "bytes")
@@ -45,9 +44,7 @@
 	}
 }
 
-// Guards against a record of another writer under the id of a server: without its start
-// time it took the server into another service, or brought back one that had left
-// (review/7).
+// Guards against another writer's record that takes a server into another service (review/7).
 func TestForgedRecordNamesNoServer(t *testing.T) {
 	f := newFixture(t)
 	f.backend("q1", "quotes", "bytes")
--- a/entry/modelvm_test.go
+++ b/entry/modelvm_test.go
@@ -48,7 +48,7 @@
 	var reg *registration
 	cfg.Changed = func(currentAt time.Time) {
 		if s.refresh(time.Now(), currentAt) {
-			reg.renewAll()
+			reg.registerAgain()
 		}
 	}
 	follower := mirror.NewFollower(cfg)
--- a/entry/notice_test.go
+++ b/entry/notice_test.go
@@ -99,9 +99,7 @@
 	f.Check(f.ask(v, "GET", "/quote/x", "over", "", time.Second).status, qt.Equals, http.StatusOK)
 }
 
-// Guards against a pause that is not heeded since the server asks for it as the time of a
-// request ends, when the VM no longer reads its reply (review/9). The caller is answered in
-// time all the same.
+// Guards against a pause that goes unheard since the server asks for it as the time of a request ends (review/9).
 func TestPauseAtDeadline(t *testing.T) {
 	const pause, wait = 4 * time.Second, 300 * time.Millisecond
 	f := newFixture(t)
--- a/entry/registration.go
+++ b/entry/registration.go
@@ -61,9 +61,9 @@
 	}
 }
 
-// renewAll registers this VM again, with a new lease, since the store has come back from an
-// older copy: it may lack the record, and the lease's id may be another VM's now.
-func (r *registration) renewAll() {
+// registerAgain makes run write the record again, with a new lease: a store that has come back
+// from an older copy may lack the record, and the lease's id may be another VM's now.
+func (r *registration) registerAgain() {
 	r.again.Store(true)
 	select {
 	case r.wake <- struct{}{}:
--- a/entry/status_test.go
+++ b/entry/status_test.go
@@ -12,9 +12,7 @@
 	"github.com/briarstand/briarstand/standin"
 )
 
-// Guards against a status that no reply of HTTP has, such as 000 or 999, which callers got
-// as an answer, and against a reply with one that counts as a part of a query, read by the
-// VM itself or by its relay.
+// Guards against a status that HTTP does not define, such as 000 or 999, that reaches callers or counts as a part.
 func TestInvalidStatusIsNoAnswer(t *testing.T) {
 	f := newFixture(t)
 	faulty := f.backend("q1", "quotes", "bytes")
--- a/internal/gracelisten/gracelisten_test.go
+++ b/internal/gracelisten/gracelisten_test.go
@@ -23,8 +23,7 @@
 	return c
 }
 
-// Guards against requests that are reset in a planned stop, since their connections wait to
-// be accepted when the listener is closed ("connection reset by peer").
+// Guards against requests that are reset in a planned stop, since their connections wait to be accepted.
 func TestCloseResetsNoConnection(t *testing.T) {
 	l, err := Listen("127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
--- a/mirror/era_test.go
+++ b/mirror/era_test.go
@@ -31,9 +31,7 @@
 	return Changes{}, ctx.Err()
 }
 
-// Guards against changes that are lost: a watch from a revision of an older era is answered in
-// the new one, after the records of another VM have brought the mirror into that era. In
-// seed 5844 of the model a VM kept an older configuration for good.
+// Guards against changes that are lost when a watch from a revision of an older era is answered in the new one.
 func TestWatchFromOlderEra(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -411,8 +411,7 @@
 	}
 }
 
-// Guards against an outcome that a relay does not know, such as that of another version,
-// which counts as a reply: it proves neither a success nor that nothing was run.
+// Guards against an outcome unknown to this version that counts as a reply of the server.
 func TestUnknownVerdict(t *testing.T) {
 	for _, verdict := range []upstream.Verdict{-1, 0, upstream.Untrusted + 1} {
 		pending := newPendingParts(&Group{Tags: []int{7}})
@@ -425,8 +424,7 @@
 	}
 }
 
-// Guards against a response of a relay with an odd status that counts as a proof that the
-// relay made no attempt.
+// Guards against an odd status of a relay that counts as a proof that it made no attempt.
 func TestOnlyRejectionsProveThatNothingWasSent(t *testing.T) {
 	vm := &config.Backend{ID: "vm"}
 	for status, unsent := range map[int]bool{0: false, 99: false, 204: false, 302: false, 400: true, 404: true, 500: false, 503: true, 999: false} {
