entry: very short bounds keep pauses between calls to the store

Cause: the periods are fractions of the bounds without a lower limit.

Change: the longest age of records is 100 ms at least, and the longest pause after a failed call too. With bounds from 1 s on, all periods are as before.

Evidence: TestShortBoundsKeepPauses fails before.

--- a/entry/bounds.go
+++ b/entry/bounds.go
@@ -54,9 +54,13 @@
 	if set.ConfigBound > 0 {
 		bound = min(bound, set.ConfigBound)
 	}
-	return max(bound/4, min(bound*3/4, bound-sendTime-storeCallTime))
+	return max(minRecordsAge, bound/4, min(bound*3/4, bound-sendTime-storeCallTime))
 }
 
+// minRecordsAge keeps very short bounds, which no VM can meet, from flooding the store with
+// calls.
+const minRecordsAge = 100 * time.Millisecond
+
 const (
 	// maxWatchGrace is the longest time after which a watch that the store does not end
 	// in time is given up. With the wait of the watch it is the time in which the source
@@ -78,9 +82,8 @@
 		RetryMax: mirror.DefaultRetryMax, PeerInterval: mirror.DefaultPeerInterval,
 	}
 	if set.StabilityPeriod > 0 {
-		cfg.RetryMax = min(cfg.RetryMax, set.StabilityPeriod/retriesInStability)
+		cfg.RetryMax = max(mirror.DefaultRetryMin, min(cfg.RetryMax, set.StabilityPeriod/retriesInStability))
 		cfg.PeerInterval = min(cfg.PeerInterval, cfg.RetryMax)
 	}
-	cfg.RetryMin = min(mirror.DefaultRetryMin, cfg.RetryMax)
 	return cfg
 }
--- a/entry/bounds_test.go
+++ b/entry/bounds_test.go
@@ -253,6 +253,21 @@
 	}
 }
 
+// Guards against a VM that floods the store with calls since a bound of its settings is very short.
+func TestShortBoundsKeepPauses(t *testing.T) {
+	for _, set := range []*Settings{
+		{DrainBound: time.Millisecond, ConfigBound: time.Hour, StabilityPeriod: time.Hour},
+		{DrainBound: time.Hour, ConfigBound: time.Millisecond, StabilityPeriod: time.Hour},
+		{DrainBound: time.Hour, ConfigBound: time.Hour, StabilityPeriod: time.Millisecond},
+	} {
+		const shortest = 20 * time.Millisecond
+		cfg := followerConfig(set)
+		for _, pause := range []time.Duration{cfg.BatchDelay, cfg.WatchWait, cfg.RetryMax, cfg.PeerInterval} {
+			qt.Check(t, pause >= shortest, qt.IsTrue, qt.Commentf("%+v", cfg))
+		}
+	}
+}
+
 // Checks that a server that leaves remains a last resort, while no link is cut, for the
 // batch delay at least after a VM has learned of it: a server that takes its place may be
 // known so much later. Checks that the VM makes no calls to the store.
